--- /dev/null
+++ b/internal/benchhost/host.go
@@ -0,0 +1,123 @@
+// Package benchhost keeps the instances that one bench process plays: it hands
+// each its events and gathers its actions. Instances share nothing but the
+// process's numbered lists of workers.
+package benchhost
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+
+	"havencart/control"
+	"havencart/internal/benchwire"
+)
+
+const pages = 16
+
+// Host plays the instances of one process.
+type Host struct {
+	instances map[uint32]*control.Controller
+	lists     [pages][]control.WorkerInfo
+	reply     benchwire.Reply
+}
+
+// New returns a Host without instances.
+func New() *Host { return &Host{instances: map[uint32]*control.Controller{}} }
+
+// Run answers batches until the input ends.
+func (h *Host) Run(in io.Reader, out io.Writer) error {
+	r, w := bufio.NewReaderSize(in, 1<<20), bufio.NewWriterSize(out, 1<<20)
+	for {
+		batch, err := benchwire.ReadBatch(r)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("read batch: %w", err)
+		}
+		if err := h.play(batch); err != nil {
+			return fmt.Errorf("batch %d: %w", batch.Number, err)
+		}
+		if err := h.reply.WriteTo(w, batch.Number); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return fmt.Errorf("flush reply %d: %w", batch.Number, err)
+		}
+	}
+}
+
+// play hands a batch's events to their instances and fills the reply.
+func (h *Host) play(b *benchwire.Batch) error {
+	h.reply.Reset()
+	current, named := uint32(0), false
+	for i := range b.Events {
+		e := &b.Events[i]
+		switch e.Code {
+		case benchwire.For:
+			current, named = e.Instance, true
+			continue
+		case benchwire.Directory:
+			h.lists[e.Page] = e.Workers
+			continue
+		}
+		if !named {
+			return fmt.Errorf("%w: event %d before any instance was named", benchwire.ErrMalformed, e.Code)
+		}
+		if err := h.deliver(current, b, e); err != nil {
+			return fmt.Errorf("instance %d: %w", current, err)
+		}
+	}
+	return nil
+}
+
+// deliver hands one event to its instance. A panic of the decisions is told as the wire provides.
+func (h *Host) deliver(id uint32, b *benchwire.Batch, e *benchwire.Event) (err error) {
+	defer func() {
+		if trouble := recover(); trouble != nil {
+			h.reply.For(id)
+			h.reply.InternalError(fmt.Sprint(trouble))
+			delete(h.instances, id)
+		}
+	}()
+	switch e.Code {
+	case benchwire.OpenInstance:
+		settings, err := benchwire.ParseSettings(e.Settings, e.Seed)
+		if err != nil {
+			return err
+		}
+		h.instances[id] = control.New(b.Clock, settings, actions{&h.reply, id})
+		return nil
+	case benchwire.Detach:
+		delete(h.instances, id)
+		return nil
+	}
+	c := h.instances[id]
+	if c == nil {
+		return nil // an event that crossed with the instance's end
+	}
+	switch e.Code {
+	case benchwire.Members:
+		if e.List == benchwire.ListFailed {
+			c.ListFailed(b.Clock)
+		} else {
+			c.Workers(b.Clock, h.lists[e.Page], e.List != benchwire.Delta)
+		}
+	case benchwire.Arrival:
+		c.Arrive(b.Clock, e.Request)
+	case benchwire.First:
+		c.Started(b.Clock, e.Request.ID)
+	case benchwire.Result:
+		c.Outcome(b.Clock, e.Outcome)
+	case benchwire.Lapsed:
+		c.Gone(b.Clock, e.Request.ID)
+	case benchwire.Wake:
+		c.Woke(b.Clock, e.Token)
+	case benchwire.Pong:
+		c.Probed(b.Clock, e.Probed)
+	case benchwire.LoadDone:
+		c.Loaded(b.Clock, e.Loaded)
+	}
+	return nil
+}
