--- a/control/control.go
+++ b/control/control.go
@@ -32,97 +32,17 @@
 	quietFloor = 700 * time.Millisecond // silence that is never held against a worker
 	quietRuns  = 4                      // silence beyond it, in runs of the call that waits
 	coldPart   = 0.6                    // of the load that would push a cold worker over, for chance
+	limitStart = 12.0                   // calls of ours at one worker, until crowding or room is seen
+	limitFull  = 0.7                    // of them left after a call was turned away
+	limitSlow  = 0.9                    // of them left after a slow run
+	limitPause = 50 * time.Millisecond  // between two cuts
+	slowAt     = 2.5                    // times the run of a quiet worker that make a worker slow
+	paceWeight = 0.15                   // of one more run in a worker's pace
+	paceFade   = 5 * time.Second        // after which a pace is old news
+	quietFor   = 500 * time.Millisecond // how long the run of a quiet worker stands
 	crowded    = 1.5                    // a worker with this many times the mean out is no first choice for loads
 )
 
-// mean is a running mean over about fitWindow samples.
-type mean struct {
-	value float64
-	n     int
-}
-
-func (m *mean) add(x float64) {
-	m.n = min(m.n+1, fitWindow)
-	m.value += (x - m.value) / float64(m.n)
-}
-
-func (m *mean) duration(prior time.Duration) time.Duration {
-	if m.n == 0 {
-		return prior
-	}
-	return time.Duration(m.value)
-}
-
-type worker struct {
-	WorkerInfo
-	seen    time.Duration // first listed, or last reached by a call of ours
-	out     []*request    // attempts out there, oldest first
-	sends   []time.Duration
-	heard   time.Duration // last outcome of any attempt
-	speed   mean          // run times here over the function's mean
-	failed  float64       // share of recent attempts that failed
-	suspect bool
-	down    bool // suspect because no connection holds: a probe tells more cheaply than a call
-	probing bool
-	until   time.Duration // when a suspect may be tried again
-	backoff time.Duration
-}
-
-// replica is the belief that a worker holds the function loaded, or is loading it for us.
-type replica struct {
-	w       *worker
-	out     int
-	slots   int           // pipe while loading
-	loading bool          // no answer yet since we began the load
-	ordered bool          // a load order is under way; calls wait here until it is answered
-	since   time.Duration // when the load began
-	used    time.Duration
-	done    time.Duration // last outcome
-	rest    time.Duration // turned calls away: nothing new before this
-}
-
-type function struct {
-	id       FunctionID
-	lanes    int
-	told     time.Duration // usual load time, where told
-	class    int
-	held     []*request
-	replicas []*replica
-	run      mean
-	load     mean
-	order    []*worker // by this function's own rank
-	epoch    int       // of the list of workers that order was made from
-	turn     int
-	asks     int // answers awaited about standing copies
-	asked    time.Duration
-	everAsk  bool
-	used     time.Duration
-}
-
-type request struct {
-	Request
-	class    *Class
-	f        *function
-	deadline time.Duration
-	aim      time.Duration
-	attempts int
-	at       *replica // where the attempt out stands; nil while held
-	sent     time.Duration
-	behind   bool // sent while all lanes were ours
-	began    bool // sent to a copy that was not known to stand
-	ran      bool // an earlier attempt may have run
-	first    time.Duration
-	firstOn  WorkerInfo
-	over     bool
-	streamed bool
-	excess   bool // its tenant was over its share
-}
-
-type pair struct {
-	w WorkerID
-	f FunctionID
-}
-
 // Controller decides for one front end.
 type Controller struct {
 	set       Settings
@@ -136,8 +56,10 @@
 	requests  map[RequestID]*request
 	orders    map[pair]int // copies asked for, by order under way
 	runs      []mean       // by class
-	loads     mean         // load times where not told
-	ratio     mean         // load times over what was told
+	quietRun  []time.Duration
+	quietAt   []time.Duration
+	loads     mean // load times where not told
+	ratio     mean // load times over what was told
 	loadTimes []time.Duration
 	arrivals  []time.Duration // in the ration's window
 	served    float64         // answers, fading over a second
@@ -150,7 +72,8 @@
 func New(now time.Duration, s Settings, a Actions) *Controller {
 	c := &Controller{set: s, act: a, now: now, workers: map[WorkerID]*worker{},
 		functions: map[FunctionID]*function{}, requests: map[RequestID]*request{}, orders: map[pair]int{},
-		runs: make([]mean, len(s.Classes)), taken: make([]float64, len(s.Tenants)), servedAt: now}
+		runs: make([]mean, len(s.Classes)), quietRun: make([]time.Duration, len(s.Classes)),
+		quietAt: make([]time.Duration, len(s.Classes)), taken: make([]float64, len(s.Tenants)), servedAt: now}
 	if s.AskForWorkers {
 		a.Follow()
 	}
@@ -166,12 +89,14 @@
 		named[info.ID] = true
 		w := c.workers[info.ID]
 		if w == nil {
-			w = &worker{WorkerInfo: info, seen: now, heard: now}
+			w = c.fresh(info)
 			c.workers[info.ID] = w
 			c.list = append(c.list, w)
 		} else if info.Started > w.Started {
 			c.forget(w) // a new process holds nothing, and what was held against the old one is void
-			*w = worker{WorkerInfo: info, seen: now, heard: now, out: w.out, sends: w.sends}
+			out, sends := w.out, w.sends
+			*w = *c.fresh(info)
+			w.out, w.sends = out, sends
 		}
 		w.WorkerInfo = info
 	}
@@ -193,6 +118,11 @@
 	c.dispatchAll()
 }
 
+func (c *Controller) fresh(info WorkerInfo) *worker {
+	return &worker{WorkerInfo: info, seen: c.now, heard: c.now, limit: limitStart, pace: 1,
+		runs: make([]mean, len(c.set.Classes))}
+}
+
 // ListFailed takes the news that the list of workers could not be had.
 func (c *Controller) ListFailed(now time.Duration) {
 	c.now = now
@@ -347,13 +277,15 @@
 				c.learnLoad(f, max(0, run-f.run.duration(c.runs[f.class].duration(runPrior))))
 			}
 		} else {
-			w.speed.add(float64(run) / float64(max(time.Millisecond, c.runOf(f))))
+			c.measure(w, f.class, run)
+			p.run.add(float64(run))
 			f.run.add(float64(run))
 			c.runs[f.class].add(float64(run))
 		}
 		p.loading = false
 	case Full:
 		p.rest = c.now + fullPause
+		c.cut(w, limitFull)
 		if p.loading {
 			f.drop(p)
 		}
@@ -377,6 +309,50 @@
 	}
 }
 
+// measure keeps a worker's pace and, by it, how many calls of ours it may hold. It guards against crowding,
+// whatever the cause: neighbours, other front ends' calls, a cold start, more lanes than cores.
+func (c *Controller) measure(w *worker, class int, run time.Duration) {
+	w.runs[class].add(float64(run))
+	ratio := min(float64(run)/float64(max(time.Millisecond, c.quiet(class))), 10)
+	w.pace = c.paceOf(w) + paceWeight*(ratio-c.paceOf(w))
+	w.paced = c.now
+	if w.pace > slowAt {
+		c.cut(w, limitSlow)
+	} else if float64(len(w.out)) >= w.limit-2 {
+		w.limit += 1 / w.limit
+	}
+}
+
+func (c *Controller) cut(w *worker, by float64) {
+	if c.now-w.cutAt > limitPause {
+		w.cutAt = c.now
+		w.limit = max(1, by*min(w.limit, float64(len(w.out)+1)))
+	}
+}
+
+// paceOf is a worker's pace, forgotten as it ages so that a slow worker is tried again.
+func (c *Controller) paceOf(w *worker) float64 {
+	return 1 + (w.pace-1)*math.Exp(-float64(c.now-w.paced)/float64(paceFade))
+}
+
+// quiet is the run time of a class at the quieter workers: what a cold worker would need once loaded.
+func (c *Controller) quiet(class int) time.Duration {
+	if c.quietAt[class] == 0 || c.now-c.quietAt[class] > quietFor {
+		var runs []float64
+		for _, w := range c.list {
+			if w.State == Ready && w.runs[class].n >= 3 {
+				runs = append(runs, w.runs[class].value)
+			}
+		}
+		if len(runs) == 0 {
+			return c.runs[class].duration(runPrior)
+		}
+		slices.Sort(runs)
+		c.quietRun[class], c.quietAt[class] = time.Duration(runs[len(runs)/4]), c.now
+	}
+	return c.quietRun[class]
+}
+
 func (c *Controller) learnLoad(f *function, took time.Duration) {
 	if f.told > 0 {
 		c.ratio.add(float64(took) / float64(f.told))
@@ -521,11 +497,6 @@
 	return 0
 }
 
-// waiting says whether some believed copy may take r once it has room.
-func (f *function) waiting(c *Controller, r *request) bool {
-	return slices.ContainsFunc(f.replicas, func(p *replica) bool { return c.usable(p.w) && c.allowed(r, p.w) })
-}
-
 // weigh is the design's comparison: what is held goes to a cold worker only where that returns sooner.
 func (c *Controller) weigh(f *function) {
 	r := f.held[0]
@@ -547,11 +518,11 @@
 		}
 		return
 	}
-	run, load := c.runOf(f), c.loadOf(f)
+	run, load := min(c.runOf(f), c.quiet(f.class)), c.loadOf(f)
 	if c.drain(f, len(f.held)+f.out()) > load+run {
 		if w := c.pickCold(f, r); w != nil {
 			slots := 1
-			if w.speed.duration(1) <= 1 {
+			if c.paceOf(w) <= 1.2 {
 				slots = 2
 			}
 			c.lend(f, r, w, slots)
@@ -573,16 +544,12 @@
 func (c *Controller) drain(f *function, n int) time.Duration {
 	type source struct{ from, rate float64 }
 	var sources []source
-	run := float64(max(time.Millisecond, c.runOf(f)))
-	load := c.loadOf(f)
+	run, load := c.runOf(f), c.loadOf(f)
 	for _, p := range f.replicas {
 		if !c.usable(p.w) {
 			continue
 		}
-		s := source{rate: float64(f.lanes) / run}
-		if p.w.speed.n > 0 {
-			s.rate /= max(0.2, p.w.speed.value)
-		}
+		s := source{rate: min(float64(f.lanes), p.w.limit) / float64(max(time.Millisecond, p.run.duration(run)))}
 		if p.loading || p.ordered {
 			s.from = float64(max(0, p.since+load-c.now))
 		}
@@ -599,14 +566,15 @@
 		at, rate = s.from, rate+s.rate
 	}
 	if rate == 0 {
-		return math.MaxInt64
+		return time.Duration(never)
 	}
-	return time.Duration(min(at+left/rate, 1e15))
+	return time.Duration(min(at+left/rate, never))
 }
 
 // pickWarm is the scheduler's pick among the copies with room: fewest requests out, ties rotated.
 func (c *Controller) pickWarm(f *function, r *request) *replica {
 	var best *replica
+	least := math.Inf(1)
 	n := len(f.replicas)
 	for i := range n {
 		p := f.replicas[(f.turn+i)%n]
@@ -615,11 +583,15 @@
 			room = p.slots
 		}
 		if p.ordered || p.out >= room || c.now < p.rest || !c.usable(p.w) || !c.allowed(r, p.w) ||
-			p.w.suspect && r.class.Repeat == Unsafe || !c.roomCold(p.w) {
+			p.w.suspect && r.class.Repeat == Unsafe || !c.roomFor(p.w) {
 			continue
 		}
-		if best == nil || len(p.w.out) < len(best.w.out) {
-			best = p
+		cost := float64(len(p.w.out) + 1)
+		if pace := c.paceOf(p.w); pace > slowAt {
+			cost *= pace // a worker seen to be slow counts what it holds as many times
+		}
+		if cost < least {
+			best, least = p, cost
 		}
 	}
 	f.turn++
@@ -640,7 +612,7 @@
 	}
 	most := crowded*float64(out)/float64(max(1, ready)) + 2
 	for _, w := range c.ranked(f) {
-		if w.State != Ready || f.at(w) != nil || !c.allowed(r, w) || !c.roomCold(w) {
+		if w.State != Ready || f.at(w) != nil || !c.allowed(r, w) || !c.roomFor(w) {
 			continue
 		}
 		if !w.suspect && float64(len(w.out)) <= most {
@@ -662,30 +634,6 @@
 	return nil
 }
 
-// ranked lists the workers in the order in which every front end would load f.
-func (c *Controller) ranked(f *function) []*worker {
-	if f.epoch != c.epoch {
-		f.epoch = c.epoch
-		f.order = slices.Clone(c.list)
-		slices.SortFunc(f.order, func(a, b *worker) int {
-			if mix(uint64(f.id), uint64(a.ID)) < mix(uint64(f.id), uint64(b.ID)) {
-				return -1
-			}
-			return 1
-		})
-	}
-	return f.order
-}
-
-func mix(a, b uint64) uint64 {
-	x := a*0x9E3779B97F4A7C15 ^ b
-	for range 3 {
-		x ^= x >> 31
-		x *= 0xBF58476D1CE4E5B9
-	}
-	return x ^ x>>29
-}
-
 // ask finds copies that others loaded before a load is begun: it acts when no worker is believed warm, and
 // costs a few milliseconds where a load costs hundreds. It says whether an answer is worth waiting for.
 func (c *Controller) ask(f *function) bool {
@@ -742,14 +690,6 @@
 	return true
 }
 
-func recent(times []time.Duration, from time.Duration) []time.Duration {
-	i := 0
-	for i < len(times) && times[i] < from {
-		i++
-	}
-	return times[i:]
-}
-
 func (c *Controller) send(r *request, p *replica) {
 	f, w := r.f, p.w
 	f.held = slices.DeleteFunc(f.held, func(x *request) bool { return x == r })
@@ -762,6 +702,11 @@
 	c.act.Send(r.ID, w.ID, 0)
 }
 
+// roomFor says whether w may hold another call of ours.
+func (c *Controller) roomFor(w *worker) bool {
+	return float64(len(w.out)) < w.limit && c.roomCold(w)
+}
+
 // roomCold keeps rule 4: a cold worker is sent less than would push it over if every front end sent it as
 // much. What it could do warm is guessed from what the warm ones serve this front end; a first call in each
 // window always goes.
@@ -883,33 +828,3 @@
 		}
 	}
 }
-
-// forget drops every belief about what w holds.
-func (c *Controller) forget(w *worker) {
-	for _, f := range c.active {
-		if p := f.at(w); p != nil {
-			f.drop(p)
-		}
-	}
-}
-
-func (f *function) at(w *worker) *replica {
-	for _, p := range f.replicas {
-		if p.w == w {
-			return p
-		}
-	}
-	return nil
-}
-
-func (f *function) drop(p *replica) {
-	f.replicas = slices.DeleteFunc(f.replicas, func(x *replica) bool { return x == p })
-}
-
-func (f *function) out() int {
-	n := 0
-	for _, p := range f.replicas {
-		n += p.out
-	}
-	return n
-}
