--- a/control/control.go
+++ b/control/control.go
@@ -25,6 +25,7 @@
 	askWait    = 30 * time.Millisecond  // how long a request waits for word of standing copies
 	askAgain   = 4                      // workers asked once a function's first round has been asked
 	fullPause  = 150 * time.Millisecond // a copy that turned a call away rests
+	roomPause  = time.Second            // a worker without room for a copy gets no load
 	suspectAt  = 0.3                    // share of recent attempts failed that makes a worker suspect
 	failWeight = 0.2                    // of one more attempt in that share
 	backoffMin = 500 * time.Millisecond // before a suspect is tried again, doubled by each failure
@@ -249,6 +250,7 @@
 		if l.Status == OK {
 			c.learnLoad(f, l.Latency)
 		} else {
+			w.noRoom = c.now + roomPause
 			f.drop(p)
 		}
 		if l.Status == ConnectFailed || l.Status == Reset || l.Status == Timeout {
@@ -284,10 +286,12 @@
 		}
 		p.loading = false
 	case Full:
-		p.rest = c.now + fullPause
-		c.cut(w, limitFull)
-		if p.loading {
+		if r.began || c.set.TellsCrowd && o.Crowd < f.lanes { // no memory for a copy, and none stands any more
+			w.noRoom = c.now + roomPause
 			f.drop(p)
+		} else {
+			p.rest = c.now + fullPause
+			c.cut(w, limitFull)
 		}
 	case Miss:
 		f.drop(p)
@@ -305,7 +309,9 @@
 		if p.loading {
 			f.drop(p)
 		}
-		c.judge(w, false)
+		if !r.began {
+			c.judge(w, false)
+		}
 	}
 }
 
@@ -612,7 +618,7 @@
 	}
 	most := crowded*float64(out)/float64(max(1, ready)) + 2
 	for _, w := range c.ranked(f) {
-		if w.State != Ready || f.at(w) != nil || !c.allowed(r, w) || !c.roomFor(w) {
+		if w.State != Ready || c.now < w.noRoom || f.at(w) != nil || !c.allowed(r, w) || !c.roomFor(w) {
 			continue
 		}
 		if !w.suspect && float64(len(w.out)) <= most {
@@ -804,21 +810,21 @@
 	if len(w.out) == 0 {
 		return
 	}
+	var late []*function // with calls that should have been answered long since, were their copies warm
 	silent := false
 	for _, r := range w.out {
 		patience := quietFloor + quietRuns*c.runOf(r.f)
-		if r.began {
-			patience += 2 * c.loadOf(r.f)
-		}
-		if !r.streamed && c.now-max(r.sent, w.heard) > patience {
-			silent = true
-			break
+		if wait := c.now - max(r.sent, w.heard); wait > patience && !r.streamed {
+			silent = silent || wait > patience+2*c.loadOf(r.f)
+			if !r.began && !slices.Contains(late, r.f) {
+				late = append(late, r.f)
+			}
 		}
 	}
-	if !silent {
+	if !silent && len(late) < 3 { // one copy may have been pushed out and be loading again, three rarely
 		return
 	}
-	c.suspicion(w, "silent")
+	c.suspicion(w, fmt.Sprint("silent ", silent, len(late)))
 	if !c.set.MayCancel {
 		return
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -39,6 +39,7 @@
 	runs    []mean        // by class
 	limit   float64       // calls of ours that it may hold
 	cutAt   time.Duration // when limit was last cut
+	noRoom  time.Duration // no loads there before this
 	failed  float64       // share of recent attempts that failed
 	suspect bool
 	down    bool // suspect because no connection holds: a probe tells more cheaply than a call
