--- a/control/control.go
+++ b/control/control.go
@@ -23,7 +23,7 @@
 	loadPrior  = time.Second            // of a load, before any is seen
 	probeIdle  = 60 * time.Second       // twelve times the 5 s of the design's source
 	askWait    = 30 * time.Millisecond  // how long a request waits for word of standing copies
-	askAgain   = 4                      // workers asked once a function's first round has been asked
+	askAgain   = 16                      // workers asked once a function's first round has been asked
 	fullPause  = 150 * time.Millisecond // a copy that turned a call away rests
 	roomPause  = time.Second            // a worker without room for a copy gets no load
 	suspectAt  = 0.3                    // share of recent attempts failed that makes a worker suspect
@@ -646,7 +646,7 @@
 	if !c.set.MayOrder {
 		return false
 	}
-	if f.asks > 0 || f.everAsk && c.now-f.asked < c.set.KeepAlive/4 {
+	if f.asks > 0 || f.everAsk && c.now-f.asked < 4*askWait {
 		return f.asks > 0 && c.now-f.asked < askWait
 	}
 	left := askAgain
