--- a/control/control.go
+++ b/control/control.go
@@ -263,7 +263,10 @@
 // learn takes from an outcome what it tells of the function, the copy and the worker.
 func (c *Controller) learn(r *request, p *replica, o Outcome) {
 	w, f := p.w, r.f
-	w.heard = c.now
+	silent := w.heard < r.sent
+	if o.Status == OK || o.Status == Full || o.Status == Miss || o.Status == Error {
+		w.heard = c.now
+	}
 	switch o.Status {
 	case OK:
 		p.used = c.now
@@ -309,7 +312,7 @@
 		if p.loading {
 			f.drop(p)
 		}
-		if !r.began {
+		if silent && !r.began { // one slow call proves little where others were answered meanwhile
 			c.judge(w, false)
 		}
 	}
