--- a/control/control.go
+++ b/control/control.go
@@ -16,32 +16,35 @@
 
 // Tuned values. None belongs to one deployment.
 const (
-	tick       = 20 * time.Millisecond  // how often held work is looked at without an event
-	pipeSpare  = 1                      // requests in a pipe beyond the lanes of the copy
-	fitWindow  = 20                     // samples that a mean remembers
-	runPrior   = 150 * time.Millisecond // of a run, before any answer
-	loadPrior  = time.Second            // of a load, before any is seen
-	probeIdle  = 60 * time.Second       // twelve times the 5 s of the design's source
-	askWait    = 30 * time.Millisecond  // how long a request waits for word of standing copies
-	askAgain   = 16                      // workers asked once a function's first round has been asked
-	fullPause  = 150 * time.Millisecond // a copy that turned a call away rests
-	roomPause  = time.Second            // a worker without room for a copy gets no load
-	suspectAt  = 0.3                    // share of recent attempts failed that makes a worker suspect
-	failWeight = 0.2                    // of one more attempt in that share
-	backoffMin = 500 * time.Millisecond // before a suspect is tried again, doubled by each failure
-	backoffMax = 8 * time.Second
-	quietFloor = 700 * time.Millisecond // silence that is never held against a worker
-	quietRuns  = 4                      // silence beyond it, in runs of the call that waits
-	coldPart   = 0.6                    // of the load that would push a cold worker over, for chance
-	limitStart = 12.0                   // calls of ours at one worker, until crowding or room is seen
-	limitFull  = 0.7                    // of them left after a call was turned away
-	limitSlow  = 0.9                    // of them left after a slow run
-	limitPause = 50 * time.Millisecond  // between two cuts
-	slowAt     = 2.5                    // times the run of a quiet worker that make a worker slow
-	paceWeight = 0.15                   // of one more run in a worker's pace
-	paceFade   = 5 * time.Second        // after which a pace is old news
-	quietFor   = 500 * time.Millisecond // how long the run of a quiet worker stands
-	crowded    = 1.5                    // a worker with this many times the mean out is no first choice for loads
+	tick         = 20 * time.Millisecond  // how often held work is looked at without an event
+	pipeSpare    = 1                      // requests in a pipe beyond the lanes of the copy
+	fitWindow    = 20                     // samples that a mean remembers
+	runPrior     = 150 * time.Millisecond // of a run, before any answer
+	loadPrior    = time.Second            // of a load, before any is seen
+	probeIdle    = 60 * time.Second       // twelve times the 5 s of the design's source
+	askWait      = 30 * time.Millisecond  // how long a request waits for word of standing copies
+	askAgain     = 16                     // workers asked once a function's first round has been asked
+	fullPause    = 150 * time.Millisecond // a copy that turned a call away rests
+	loadPauseMin = 100 * time.Millisecond
+	loadPauseMax = 1600 * time.Millisecond
+	proofAge     = time.Second            // a copy that answered within this is not doubted for another's miss
+	roomPause    = time.Second            // a worker without room for a copy gets no load
+	suspectAt    = 0.3                    // share of recent attempts failed that makes a worker suspect
+	failWeight   = 0.2                    // of one more attempt in that share
+	backoffMin   = 500 * time.Millisecond // before a suspect is tried again, doubled by each failure
+	backoffMax   = 8 * time.Second
+	quietFloor   = 700 * time.Millisecond // silence that is never held against a worker
+	quietRuns    = 4                      // silence beyond it, in runs of the call that waits
+	coldPart     = 0.6                    // of the load that would push a cold worker over, for chance
+	limitStart   = 12.0                   // calls of ours at one worker, until crowding or room is seen
+	limitFull    = 0.7                    // of them left after a call was turned away
+	limitSlow    = 0.9                    // of them left after a slow run
+	limitPause   = 50 * time.Millisecond  // between two cuts
+	slowAt       = 2.5                    // times the run of a quiet worker that make a worker slow
+	paceWeight   = 0.15                   // of one more run in a worker's pace
+	paceFade     = 5 * time.Second        // after which a pace is old news
+	quietFor     = 500 * time.Millisecond // how long the run of a quiet worker stands
+	crowded      = 1.5                    // a worker with this many times the mean out is no first choice for loads
 )
 
 // Controller decides for one front end.
@@ -62,6 +65,8 @@
 	loads     mean // load times where not told
 	ratio     mean // load times over what was told
 	loadTimes []time.Duration
+	loadAfter time.Duration   // no load is begun before this
+	loadPause time.Duration   // after the next load that fails, half of it
 	arrivals  []time.Duration // in the ration's window
 	served    float64         // answers, fading over a second
 	servedAt  time.Duration
@@ -252,6 +257,9 @@
 		} else {
 			w.noRoom = c.now + roomPause
 			f.drop(p)
+			if l.Status == Error {
+				c.loadFailed()
+			}
 		}
 		if l.Status == ConnectFailed || l.Status == Reset || l.Status == Timeout {
 			c.judge(w, false)
@@ -298,6 +306,10 @@
 		}
 	case Miss:
 		f.drop(p)
+		c.doubt(f)
+		if o.Warmth == LoadFailed {
+			c.loadFailed()
+		}
 	case ConnectFailed, Reset:
 		w.down = true
 		c.forget(w) // guards against a death that the list tells late: a dead process holds nothing
@@ -305,6 +317,7 @@
 	case Error:
 		if o.Warmth == LoadFailed {
 			f.drop(p)
+			c.loadFailed()
 		} else {
 			c.judge(w, false)
 		}
@@ -362,7 +375,28 @@
 	return c.quietRun[class]
 }
 
+// doubt drops what f's copies have not proved lately. It guards against copies that went void together, by a
+// re-release or for want of memory: the workers are asked again instead of being tried one after the other.
+func (c *Controller) doubt(f *function) {
+	for _, p := range slices.Clone(f.replicas) {
+		if p.out == 0 && !p.loading && !p.ordered && c.now-p.done > proofAge {
+			f.drop(p)
+		}
+	}
+	f.asked = -never
+}
+
+// loadFailed slows loads down. It guards against a store that refuses or stands still: each load that fails
+// doubles the pause before this front end begins another, and the first that succeeds ends it.
+func (c *Controller) loadFailed() {
+	if c.now >= c.loadAfter {
+		c.loadPause = min(loadPauseMax, max(loadPauseMin, 2*c.loadPause))
+		c.loadAfter = c.now + c.loadPause
+	}
+}
+
 func (c *Controller) learnLoad(f *function, took time.Duration) {
+	c.loadPause = 0
 	if f.told > 0 {
 		c.ratio.add(float64(took) / float64(f.told))
 	}
@@ -565,7 +599,7 @@
 		sources = append(sources, s)
 	}
 	sort.SliceStable(sources, func(i, j int) bool { return sources[i].from < sources[j].from })
-	left, rate, at := float64(n), 0.0, 0.0
+	left, rate, at := float64(max(1, n)), 0.0, 0.0
 	for _, s := range sources {
 		if done := rate * (s.from - at); done >= left {
 			break
@@ -670,6 +704,15 @@
 
 // lend starts a load of f on the cold worker w for r and the requests that follow it, up to slots of them.
 func (c *Controller) lend(f *function, r *request, w *worker, slots int) {
+	if c.now < c.loadAfter {
+		return
+	}
+	if c.loadPause > 0 {
+		if r.class.Repeat == Unsafe && !c.set.MissAnswered {
+			return // not at stake while loads fail: a safe call tries first
+		}
+		c.loadAfter = c.now + c.loadPause // one at a time until one succeeds
+	}
 	p := &replica{w: w, loading: true, slots: slots, since: c.now, used: c.now}
 	if c.set.MissAnswered {
 		if _, busy := c.orders[pair{w.ID, f.id}]; busy || !c.set.MayOrder || !c.ration() {
