--- a/control/control.go
+++ b/control/control.go
@@ -23,7 +23,11 @@
 	loadPrior    = time.Second            // of a load, before any is seen
 	probeIdle    = 60 * time.Second       // twelve times the 5 s of the design's source
 	askWait      = 30 * time.Millisecond  // how long a request waits for word of standing copies
-	askAgain     = 16                     // workers asked once a function's first round has been asked
+	askAgain     = 120 * time.Millisecond // after which a function's workers may be asked anew
+	askFirst     = 3                      // workers asked before all others
+	farWorth     = 0.15                   // share of rounds that find a copy at the others, below which they are left out
+	farWeight    = 0.1                    // of one more round in that share
+	farTry       = 8                      // of so many rounds one is made all the same
 	fullPause    = 150 * time.Millisecond // a copy that turned a call away rests
 	loadPauseMin = 100 * time.Millisecond
 	loadPauseMax = 1600 * time.Millisecond
@@ -65,6 +69,7 @@
 	loads     mean // load times where not told
 	ratio     mean // load times over what was told
 	loadTimes []time.Duration
+	farHits   float64         // share of second rounds of asking that found a copy
 	loadAfter time.Duration   // no load is begun before this
 	loadPause time.Duration   // after the next load that fails, half of it
 	arrivals  []time.Duration // in the ration's window
@@ -79,7 +84,7 @@
 	c := &Controller{set: s, act: a, now: now, workers: map[WorkerID]*worker{},
 		functions: map[FunctionID]*function{}, requests: map[RequestID]*request{}, orders: map[pair]int{},
 		runs: make([]mean, len(s.Classes)), quietRun: make([]time.Duration, len(s.Classes)),
-		quietAt: make([]time.Duration, len(s.Classes)), taken: make([]float64, len(s.Tenants)), servedAt: now}
+		quietAt: make([]time.Duration, len(s.Classes)), taken: make([]float64, len(s.Tenants)), servedAt: now, farHits: 1}
 	if s.AskForWorkers {
 		a.Follow()
 	}
@@ -249,6 +254,13 @@
 		f.asks--
 		if l.Copies > 0 && p == nil && w.State == Ready {
 			f.replicas = append(f.replicas, &replica{w: w, used: now})
+			f.found = true
+		}
+		if f.asks == 0 && f.round == 2 {
+			c.farHits *= 1 - farWeight
+			if f.found {
+				c.farHits += farWeight
+			}
 		}
 	} else if p != nil && p.ordered {
 		p.ordered, p.loading, p.used = false, false, now
@@ -678,27 +690,35 @@
 }
 
 // ask finds copies that others loaded before a load is begun: it acts when no worker is believed warm, and
-// costs a few milliseconds where a load costs hundreds. It says whether an answer is worth waiting for.
+// costs a few milliseconds where a load costs hundreds. The workers where every front end would load f are asked
+// first, the others only while asking them finds enough to be worth its price. It says whether an answer is worth waiting for.
 func (c *Controller) ask(f *function) bool {
 	if !c.set.MayOrder {
 		return false
 	}
-	if f.asks > 0 || f.everAsk && c.now-f.asked < 4*askWait {
-		return f.asks > 0 && c.now-f.asked < askWait
+	if f.asks > 0 {
+		return c.now-f.asked < askWait
+	}
+	if c.now-f.asked >= askAgain || f.round == 0 {
+		f.round = 0
+	} else if f.round == 2 || c.farHits < farWorth && f.turn%farTry != 0 {
+		return false
 	}
-	left := askAgain
-	if !f.everAsk {
-		left = len(c.list)
+	order := c.ranked(f)
+	first := min(askFirst, len(order))
+	if f.round == 0 {
+		order = order[:first]
+	} else {
+		order = order[first:]
 	}
-	for _, w := range c.ranked(f) {
-		if _, busy := c.orders[pair{w.ID, f.id}]; w.State == Ready && !w.suspect && !busy && left > 0 {
-			left--
+	f.round, f.asked, f.found = f.round+1, c.now, false
+	for _, w := range order {
+		if _, busy := c.orders[pair{w.ID, f.id}]; w.State == Ready && !w.suspect && !busy {
 			f.asks++
 			c.orders[pair{w.ID, f.id}] = 0
 			c.act.Load(w.ID, f.id, 0)
 		}
 	}
-	f.asked, f.everAsk = c.now, true
 	return f.asks > 0
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -76,7 +76,8 @@
 	turn     int
 	asks     int // answers awaited about standing copies
 	asked    time.Duration
-	everAsk  bool
+	round    int  // of asking: 0 none, 1 the first workers, 2 all
+	found    bool // a standing copy, in this round
 	used     time.Duration
 }
 
