--- a/control/control.go
+++ b/control/control.go
@@ -48,6 +48,7 @@
 	paceWeight   = 0.15                   // of one more run in a worker's pace
 	paceFade     = 5 * time.Second        // after which a pace is old news
 	quietFor     = 500 * time.Millisecond // how long the run of a quiet worker stands
+	quietRise    = 40                     // part of a rise of that run that is believed each time
 	crowded      = 1.5                    // a worker with this many times the mean out is no first choice for loads
 )
 
@@ -302,6 +303,7 @@
 				c.learnLoad(f, max(0, run-f.run.duration(c.runs[f.class].duration(runPrior))))
 			}
 		} else {
+			w.runs[f.class].add(float64(run))
 			c.measure(w, f.class, run)
 			p.run.add(float64(run))
 			f.run.add(float64(run))
@@ -337,8 +339,11 @@
 		if p.loading {
 			f.drop(p)
 		}
-		if silent && !r.began { // one slow call proves little where others were answered meanwhile
-			c.judge(w, false)
+		if !r.began {
+			c.measure(w, f.class, c.now-r.sent)
+			if silent { // one slow call proves little where others were answered meanwhile
+				c.judge(w, false)
+			}
 		}
 	}
 }
@@ -346,7 +351,6 @@
 // measure keeps a worker's pace and, by it, how many calls of ours it may hold. It guards against crowding,
 // whatever the cause: neighbours, other front ends' calls, a cold start, more lanes than cores.
 func (c *Controller) measure(w *worker, class int, run time.Duration) {
-	w.runs[class].add(float64(run))
 	ratio := min(float64(run)/float64(max(time.Millisecond, c.quiet(class))), 10)
 	w.pace = c.paceOf(w) + paceWeight*(ratio-c.paceOf(w))
 	w.paced = c.now
@@ -382,7 +386,11 @@
 			return c.runs[class].duration(runPrior)
 		}
 		slices.Sort(runs)
-		c.quietRun[class], c.quietAt[class] = time.Duration(runs[len(runs)/4]), c.now
+		run := time.Duration(runs[len(runs)/4])
+		if old := c.quietRun[class]; old > 0 && run > old {
+			run = old + (run-old)/quietRise // guards against taking an overload of all workers for the usual
+		}
+		c.quietRun[class], c.quietAt[class] = run, c.now
 	}
 	return c.quietRun[class]
 }
