--- a/control/control.go
+++ b/control/control.go
@@ -31,6 +31,11 @@
 	fullPause    = 150 * time.Millisecond // a copy that turned a call away rests
 	loadPauseMin = 100 * time.Millisecond
 	loadPauseMax = 1600 * time.Millisecond
+	loadsStart   = 8.0 // loads of ours under way at once
+	loadsLeast   = 2.0
+	loadSlow     = 2.5                    // times the usual that make a load slow
+	loadSettle   = 300 * time.Millisecond // between two cuts of the loads under way
+	loadNews     = 3 * time.Second        // how long the time of the last load is believed when a request is given up for it
 	proofAge     = time.Second            // a copy that answered within this is not doubted for another's miss
 	roomPause    = time.Second            // a worker without room for a copy gets no load
 	suspectAt    = 0.3                    // share of recent attempts failed that makes a worker suspect
@@ -52,40 +57,12 @@
 	crowded      = 1.5                    // a worker with this many times the mean out is no first choice for loads
 )
 
-// Controller decides for one front end.
-type Controller struct {
-	set       Settings
-	act       Actions
-	now       time.Duration
-	workers   map[WorkerID]*worker
-	list      []*worker // by identifier
-	epoch     int
-	functions map[FunctionID]*function
-	active    []*function // all functions, in the order met
-	requests  map[RequestID]*request
-	orders    map[pair]int // copies asked for, by order under way
-	runs      []mean       // by class
-	quietRun  []time.Duration
-	quietAt   []time.Duration
-	loads     mean // load times where not told
-	ratio     mean // load times over what was told
-	loadTimes []time.Duration
-	farHits   float64         // share of second rounds of asking that found a copy
-	loadAfter time.Duration   // no load is begun before this
-	loadPause time.Duration   // after the next load that fails, half of it
-	arrivals  []time.Duration // in the ration's window
-	served    float64         // answers, fading over a second
-	servedAt  time.Duration
-	taken     []float64 // by tenant, fading
-	takenAll  float64
-}
-
 // New returns the Controller of a front end that starts now with nothing known.
 func New(now time.Duration, s Settings, a Actions) *Controller {
 	c := &Controller{set: s, act: a, now: now, workers: map[WorkerID]*worker{},
 		functions: map[FunctionID]*function{}, requests: map[RequestID]*request{}, orders: map[pair]int{},
 		runs: make([]mean, len(s.Classes)), quietRun: make([]time.Duration, len(s.Classes)),
-		quietAt: make([]time.Duration, len(s.Classes)), taken: make([]float64, len(s.Tenants)), servedAt: now, farHits: 1}
+		quietAt: make([]time.Duration, len(s.Classes)), taken: make([]float64, len(s.Tenants)), servedAt: now, farHits: 1, loadLimit: loadsStart}
 	if s.AskForWorkers {
 		a.Follow()
 	}
@@ -152,11 +129,17 @@
 	for _, w := range c.list {
 		c.watch(w)
 	}
+	c.loading = 0
 	keep := c.active[:0]
 	for _, f := range c.active {
 		f.replicas = slices.DeleteFunc(f.replicas, func(p *replica) bool {
 			return p.out == 0 && !p.loading && !p.ordered && now-p.used >= c.set.KeepAlive
 		})
+		for _, p := range f.replicas {
+			if p.loading || p.ordered {
+				c.loading++
+			}
+		}
 		c.giveUp(f)
 		if len(f.held)+len(f.replicas)+f.asks == 0 && now-f.used > 2*probeIdle {
 			delete(c.functions, f.id)
@@ -178,6 +161,7 @@
 		c.active = append(c.active, f)
 	}
 	f.lanes, f.told, f.used = max(1, in.Lanes), in.LoadTime, now
+	f.taken++
 	cl := &c.set.Classes[in.Class]
 	r := &request{Request: in, class: cl, f: f, deadline: now + in.Budget, aim: now + cl.Aim}
 	r.excess = c.overShare(in.Tenant)
@@ -415,10 +399,25 @@
 	}
 }
 
+// learnLoad takes the time of a load, and by it sets how many this front end has under way. It guards against a
+// crowded store, which makes every load slow, and against loads that push each other's copies out.
 func (c *Controller) learnLoad(f *function, took time.Duration) {
-	c.loadPause = 0
+	c.loadPause, c.loadSeen, c.loading = 0, c.now, max(0, c.loading-1)
+	usual := c.loadQuiet
 	if f.told > 0 {
-		c.ratio.add(float64(took) / float64(f.told))
+		usual = float64(f.told)
+		c.ratio.add(float64(took) / usual)
+	} else if usual == 0 || float64(took) < usual {
+		c.loadQuiet = float64(took)
+	} else {
+		c.loadQuiet += (float64(took) - usual) / fitWindow
+	}
+	if usual > 0 && float64(took) > loadSlow*usual {
+		if c.now-c.loadCut > loadSettle {
+			c.loadLimit, c.loadCut = max(loadsLeast, c.loadLimit*limitFull), c.now
+		}
+	} else if c.loadLimit < loadsStart {
+		c.loadLimit += 1 / c.loadLimit
 	}
 	f.load.add(float64(took))
 	c.loads.add(float64(took))
@@ -509,6 +508,8 @@
 		wait := time.Duration(0)
 		if f.run.n > 0 && len(f.replicas) > 0 {
 			wait = c.drain(f, i+out)
+		} else if len(f.replicas) == 0 && c.now-c.loadSeen < loadNews {
+			wait = c.loadOf(f)
 		}
 		if c.tooLate(r, wait) || r.bound() && c.now-r.first >= r.class.Memory-tick {
 			lost = append(lost, r)
@@ -732,9 +733,14 @@
 
 // lend starts a load of f on the cold worker w for r and the requests that follow it, up to slots of them.
 func (c *Controller) lend(f *function, r *request, w *worker, slots int) {
-	if c.now < c.loadAfter {
+	most := c.loadLimit
+	if f.taken == 1 {
+		most /= 2 // what is called for the first time waits for what is known to be wanted
+	}
+	if c.now < c.loadAfter || float64(c.loading) >= most {
 		return
 	}
+	c.loading++
 	if c.loadPause > 0 {
 		if r.class.Repeat == Unsafe && !c.set.MissAnswered {
 			return // not at stake while loads fail: a safe call tries first
--- a/control/state.go
+++ b/control/state.go
@@ -76,6 +76,7 @@
 	turn     int
 	asks     int // answers awaited about standing copies
 	asked    time.Duration
+	taken    int  // requests so far
 	round    int  // of asking: 0 none, 1 the first workers, 2 all
 	found    bool // a standing copy, in this round
 	used     time.Duration
@@ -100,6 +101,39 @@
 	excess   bool // its tenant was over its share
 }
 
+// Controller decides for one front end.
+type Controller struct {
+	set       Settings
+	act       Actions
+	now       time.Duration
+	workers   map[WorkerID]*worker
+	list      []*worker // by identifier
+	epoch     int
+	functions map[FunctionID]*function
+	active    []*function // all functions, in the order met
+	requests  map[RequestID]*request
+	orders    map[pair]int // copies asked for, by order under way
+	runs      []mean       // by class
+	quietRun  []time.Duration
+	quietAt   []time.Duration
+	loads     mean // load times where not told
+	ratio     mean // load times over what was told
+	loadTimes []time.Duration
+	farHits   float64         // share of second rounds of asking that found a copy
+	loadAfter time.Duration   // no load is begun before this
+	loadPause time.Duration   // after the next load that fails, half of it
+	arrivals  []time.Duration // in the ration's window
+	served    float64         // answers, fading over a second
+	servedAt  time.Duration
+	taken     []float64 // by tenant, fading
+	takenAll  float64
+	loading   int     // loads of ours under way
+	loadLimit float64 // that may be
+	loadQuiet float64 // load time where not told, while the store is quick
+	loadCut   time.Duration
+	loadSeen  time.Duration
+}
+
 type pair struct {
 	w WorkerID
 	f FunctionID
