--- a/control/control.go
+++ b/control/control.go
@@ -23,7 +23,7 @@
 	loadPrior    = time.Second            // of a load, before any is seen
 	probeIdle    = 60 * time.Second       // twelve times the 5 s of the design's source
 	askWait      = 30 * time.Millisecond  // how long a request waits for word of standing copies
-	askAgain     = 120 * time.Millisecond // after which a function's workers may be asked anew
+	askAgain     = time.Second            // after which a function's workers may be asked anew
 	askFirst     = 3                      // workers asked before all others
 	farWorth     = 0.15                   // share of rounds that find a copy at the others, below which they are left out
 	farWeight    = 0.1                    // of one more round in that share
