--- /dev/null
+++ b/control/script_test.go
@@ -0,0 +1,552 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// script plays events to a Controller and notes its actions. It plays the front end's part only: what workers
+// answer is written in each test.
+type script struct {
+	t       *testing.T
+	c       *Controller
+	now     time.Duration
+	actions []string
+	sentTo  map[RequestID][]WorkerID
+	asks    []pair
+	orders  []pair
+	answers map[RequestID]string
+	nextID  RequestID
+}
+
+func (s *script) note(format string, args ...any) {
+	s.actions = append(s.actions, fmt.Sprintf(format, args...))
+}
+
+func (s *script) Send(r RequestID, w WorkerID, _ time.Duration) {
+	s.sentTo[r] = append(s.sentTo[r], w)
+	s.note("send %d", r)
+}
+func (s *script) Refuse(r RequestID, after time.Duration) {
+	s.answers[r] = "refused"
+	s.note("refuse %d", r)
+}
+func (s *script) Fail(r RequestID)                { s.answers[r] = "failed"; s.note("fail %d", r) }
+func (s *script) Cancel(r RequestID, attempt int) { s.note("cancel %d", r) }
+func (s *script) Unload(w WorkerID, f FunctionID) { s.note("unload") }
+func (s *script) Probe(w WorkerID)                { s.note("probe %d", w) }
+func (s *script) Wake(time.Duration, uint64)      {}
+func (s *script) Follow()                         { s.note("follow") }
+func (s *script) Log(string)                      {}
+func (s *script) Load(w WorkerID, f FunctionID, copies int) {
+	if copies == 0 {
+		s.asks = append(s.asks, pair{w, f})
+	} else {
+		s.orders = append(s.orders, pair{w, f})
+		s.note("load %d", w)
+	}
+}
+
+// settings are those of three front ends whose workers load what they lack.
+func settings() Settings {
+	return Settings{Seed: 1, FrontEnds: 3, KeepAlive: 10 * time.Second, MayOrder: true, MayProbe: true, MayCancel: true,
+		TellsWarm: true, MaxAttempts: 4, MaxRetryAfter: 500 * ms, ColdFrom: 0.2, ColdTime: 10 * time.Second, TipMultiple: 2,
+		TipWindow: 2 * time.Second, Resolution: 2 * ms, Classes: []Class{
+			{Aim: 800 * ms, Deadline: 3 * time.Second, Worth: 1, Repeat: Safe},
+			{Aim: 800 * ms, Deadline: 3 * time.Second, Worth: 1, Repeat: Keyed, Scope: ScopeCell, Memory: time.Second},
+			{Aim: 800 * ms, Deadline: 3 * time.Second, Worth: 1, Repeat: Unsafe},
+		}, Tenants: []Tenant{{Share: 0.5}, {Share: 0.5}}}
+}
+
+func start(t *testing.T, set Settings, workers int) *script {
+	s := &script{t: t, now: time.Minute, sentTo: map[RequestID][]WorkerID{}, answers: map[RequestID]string{}}
+	s.c = New(s.now, set, s)
+	var list []WorkerInfo
+	for i := range workers {
+		list = append(list, WorkerInfo{ID: WorkerID(i + 1), Cell: i % 2, Started: LongAgo, State: Ready})
+	}
+	s.c.Workers(s.now, list, true)
+	return s
+}
+
+func (s *script) change(info WorkerInfo) { s.c.Workers(s.now, []WorkerInfo{info}, false) }
+
+func (s *script) arrive(f FunctionID, class int) RequestID {
+	s.nextID++
+	s.c.Arrive(s.now, Request{ID: s.nextID, Class: class, Function: f, Budget: 3 * time.Second, Lanes: 2})
+	return s.nextID
+}
+
+// pass lets time go by, with ticks.
+func (s *script) pass(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.now = min(end, s.now+tick)
+		s.c.Woke(s.now, 0)
+	}
+}
+
+// answerAsks answers every question for standing copies: those at holders stand.
+func (s *script) answerAsks(holders ...WorkerID) {
+	for len(s.asks) > 0 {
+		a := s.asks[0]
+		s.asks = s.asks[1:]
+		copies := 0
+		if slices.Contains(holders, a.w) {
+			copies = 1
+		}
+		s.c.Loaded(s.now, Loaded{Worker: a.w, Function: a.f, Status: OK, Latency: ms, Copies: copies})
+	}
+}
+
+// at is the worker of the latest attempt of r.
+func (s *script) at(r RequestID) WorkerID {
+	s.t.Helper()
+	if len(s.sentTo[r]) == 0 {
+		s.t.Fatalf("request %d was not sent; actions %v", r, s.actions)
+	}
+	return s.sentTo[r][len(s.sentTo[r])-1]
+}
+
+func (s *script) end(r RequestID, status Status, warmth Warmth) {
+	s.t.Helper()
+	w, n := s.at(r), len(s.sentTo[r])
+	s.c.Outcome(s.now, Outcome{Request: r, Attempt: n - 1, Worker: w, Status: status, Closed: status == OK, Warmth: warmth})
+}
+
+// warm makes one worker known to hold f, with a run of 100 ms, and returns it.
+func (s *script) warm(f FunctionID) WorkerID {
+	s.t.Helper()
+	r := s.arrive(f, 0)
+	s.answerAsks()
+	s.answerAsks()
+	w := s.at(r)
+	s.pass(600 * ms)
+	s.end(r, OK, BeganLoad)
+	for range 4 {
+		r = s.arrive(f, 0)
+		s.pass(100 * ms)
+		s.end(r, OK, FoundWarm)
+	}
+	return w
+}
+
+func (s *script) count(action string) (n int) {
+	for _, a := range s.actions {
+		if strings.HasPrefix(a, action) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestPipeHoldsTheRest(t *testing.T) {
+	s := start(t, settings(), 4)
+	w := s.warm(7)
+	var sent, held int
+	for range 5 {
+		r := s.arrive(7, 0)
+		switch {
+		case len(s.sentTo[r]) == 0:
+			held++
+		case s.at(r) == w:
+			sent++
+		}
+	}
+	if sent != 3 || held != 2 {
+		t.Errorf("%d sent to the warm worker and %d held, want 3 (two lanes and one) and 2", sent, held)
+	}
+}
+
+func TestOutcomeTopsUpThePipe(t *testing.T) {
+	s := start(t, settings(), 4)
+	s.warm(7)
+	first := s.arrive(7, 0)
+	s.arrive(7, 0)
+	s.arrive(7, 0)
+	last := s.arrive(7, 0)
+	if len(s.sentTo[last]) != 0 {
+		t.Fatal("the fourth request was not held")
+	}
+	s.now += 50 * ms
+	s.end(first, OK, FoundWarm)
+	s.at(last)
+}
+
+func TestDeepBacklogIsLent(t *testing.T) {
+	s := start(t, settings(), 4)
+	w := s.warm(7)
+	for range 20 {
+		s.arrive(7, 0)
+	}
+	lent := map[WorkerID]int{}
+	for r, at := range s.sentTo {
+		if at[0] != w && s.c.requests[r] != nil {
+			lent[at[0]]++
+		}
+	}
+	if len(lent) == 0 {
+		t.Error("20 requests at 100 ms on two lanes were all kept for a worker that needs a second for them")
+	}
+	for w, n := range lent {
+		if n > 2 {
+			t.Errorf("%d requests wait for the load at worker %d, 2 at most", n, w)
+		}
+	}
+}
+
+func TestBeliefEnds(t *testing.T) {
+	tests := map[string]func(*script, WorkerID){
+		"with the keep-alive": func(s *script, w WorkerID) { s.pass(10*time.Second + tick) },
+		"with a new start": func(s *script, w WorkerID) {
+			s.change(WorkerInfo{ID: w, Cell: int(w+1) % 2, Started: s.now - time.Second, State: Ready})
+		},
+		"with a miss": func(s *script, w WorkerID) {
+			r := s.arrive(7, 0)
+			s.end(r, Miss, WarmthUnknown)
+		},
+		"with a lost connection": func(s *script, w WorkerID) {
+			r := s.arrive(7, 0)
+			s.end(r, Reset, WarmthUnknown)
+		},
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, settings(), 4)
+			end(s, s.warm(7))
+			asked := len(s.asks)
+			r := s.arrive(7, 0)
+			if len(s.sentTo[r]) != 0 && asked == len(s.asks) {
+				t.Error("a request went out as if a copy still stood")
+			}
+		})
+	}
+}
+
+func TestAskFindsOthersCopies(t *testing.T) {
+	s := start(t, settings(), 8)
+	r := s.arrive(7, 0)
+	if len(s.asks) != askFirst || len(s.sentTo[r]) != 0 {
+		t.Fatalf("%d workers asked before a load, want %d; sent %v", len(s.asks), askFirst, s.sentTo[r])
+	}
+	holder := s.asks[1].w
+	s.answerAsks(holder)
+	if s.at(r) != holder {
+		t.Errorf("sent to %d, the copy stands at %d", s.at(r), holder)
+	}
+}
+
+func TestMissingWorkersWantAnOrder(t *testing.T) {
+	set := settings()
+	set.MissAnswered = true
+	s := start(t, set, 4)
+	r := s.arrive(7, 0)
+	s.answerAsks()
+	s.answerAsks()
+	if len(s.orders) != 1 || len(s.sentTo[r]) != 0 {
+		t.Fatalf("%d orders, request sent to %v before the copy stands", len(s.orders), s.sentTo[r])
+	}
+	s.now += 400 * ms
+	s.c.Loaded(s.now, Loaded{Worker: s.orders[0].w, Function: 7, Status: OK, Latency: 400 * ms, Copies: 1})
+	if s.at(r) != s.orders[0].w {
+		t.Error("the request did not follow its order")
+	}
+}
+
+func TestRationOfOrders(t *testing.T) {
+	set := settings()
+	set.MissAnswered, set.LoadWindow, set.LoadFree, set.LoadShare = true, 5*time.Second, 2, 0
+	s := start(t, set, 4)
+	for f := range FunctionID(6) {
+		s.arrive(f, 0)
+		s.answerAsks()
+		s.answerAsks()
+	}
+	s.pass(time.Second)
+	if len(s.orders) != 2 {
+		t.Errorf("%d orders, the ration is 2", len(s.orders))
+	}
+}
+
+func TestAmbiguousOutcomes(t *testing.T) {
+	tests := []struct {
+		name   string
+		class  int
+		status Status
+		want   string // the final answer, or "" for another attempt or a wait
+	}{
+		{"safe may run again", 0, Error, ""},
+		{"unsafe that may have run fails", 2, Error, "failed"},
+		{"unsafe cut off fails", 2, Reset, "failed"},
+		{"unsafe timed out fails", 2, Timeout, "failed"},
+		{"unsafe that never ran goes on", 2, Full, ""},
+		{"keyed goes on in its group", 1, Error, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := start(t, settings(), 4)
+			s.warm(7)
+			r := s.arrive(7, test.class)
+			first := s.at(r)
+			s.now += 50 * ms
+			s.end(r, test.status, WarmthUnknown)
+			s.answerAsks()
+			s.answerAsks()
+			s.pass(300 * ms)
+			if s.answers[r] != test.want {
+				t.Errorf("final answer %q, want %q", s.answers[r], test.want)
+			}
+			if again := s.sentTo[r][1:]; test.class == 1 && len(again) > 0 && (again[0]-first)%2 != 0 {
+				t.Errorf("a keyed request went from worker %d to %d, another group", first, again[0])
+			}
+		})
+	}
+}
+
+func TestKeyedIsNotSentPastItsMemory(t *testing.T) {
+	s := start(t, settings(), 2) // one worker a group
+	s.warm(7)
+	r := s.arrive(7, 1)
+	s.change(WorkerInfo{ID: s.at(r), Cell: int(s.at(r)+1) % 2, Started: LongAgo, State: Draining})
+	s.end(r, Error, WarmthUnknown)
+	s.pass(1100 * ms)
+	if s.answers[r] != "failed" || len(s.sentTo[r]) != 1 {
+		t.Errorf("answer %q after %d attempts, want failed after 1", s.answers[r], len(s.sentTo[r]))
+	}
+}
+
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	for _, state := range []WorkerState{Draining, Gone} {
+		s := start(t, settings(), 4)
+		w := s.warm(7)
+		s.change(WorkerInfo{ID: w, Started: LongAgo, State: state})
+		s.asks = nil
+		for range 8 {
+			r := s.arrive(7, 0)
+			s.answerAsks(1, 2, 3, 4)
+			if s.at(r) == w {
+				t.Fatalf("sent to a worker in state %d", state)
+			}
+			s.now += 50 * ms
+			s.end(r, OK, FoundWarm)
+		}
+	}
+}
+
+func TestColdWorkerIsSpared(t *testing.T) {
+	s := start(t, settings(), 1)
+	s.change(WorkerInfo{ID: 1, Started: s.now, State: Ready})
+	for f := range FunctionID(20) {
+		s.arrive(f, 0)
+		s.answerAsks()
+		s.answerAsks()
+	}
+	s.pass(time.Second)
+	if n := s.count("send"); n != 1 {
+		t.Errorf("%d calls to a worker that has just started, none known of its capacity; want 1", n)
+	}
+}
+
+func TestSilentWorkerIsLeft(t *testing.T) {
+	s := start(t, settings(), 4)
+	w := s.warm(7)
+	r, unsafe := s.arrive(7, 0), s.arrive(7, 2)
+	if s.at(r) != w {
+		t.Fatal("not sent to the warm worker")
+	}
+	s.pass(2900 * ms)
+	if s.count(fmt.Sprintf("cancel %d", r)) == 0 {
+		t.Error("a safe call was left with a worker that answers nothing")
+	}
+	if s.count(fmt.Sprintf("cancel %d", unsafe)) != 0 {
+		t.Error("an unsafe call was called back, though it may not be sent again")
+	}
+	next := s.arrive(7, 0)
+	s.answerAsks(1, 2, 3, 4)
+	if s.at(next) == w {
+		t.Error("a new call went to the silent worker")
+	}
+}
+
+func TestFailingWorkerIsPassedOver(t *testing.T) {
+	s := start(t, settings(), 4)
+	w := s.warm(7)
+	for range 3 {
+		r := s.arrive(7, 2)
+		if len(s.sentTo[r]) == 0 || s.at(r) != w {
+			break
+		}
+		s.end(r, Error, WarmthUnknown)
+	}
+	r := s.arrive(7, 0)
+	s.answerAsks(1, 2, 3, 4)
+	if s.at(r) == w {
+		t.Error("a worker that failed its last calls is still the first choice")
+	}
+}
+
+func TestSlowTimeoutIsNotHeldAgainstAWorkerThatAnswers(t *testing.T) {
+	s := start(t, settings(), 4)
+	w := s.warm(7)
+	for range 6 {
+		slow, quick := s.arrive(7, 0), s.arrive(7, 0)
+		s.now += 100 * ms
+		s.end(quick, OK, FoundWarm)
+		s.end(slow, Timeout, WarmthUnknown)
+		s.now += 100 * ms
+		s.answerAsks(w)
+		for r := slow; r <= s.nextID; r++ {
+			if s.answers[r] == "" && s.c.requests[r] != nil && s.c.requests[r].at != nil {
+				s.end(r, OK, FoundWarm)
+			}
+		}
+	}
+	if s.c.workers[w].suspect {
+		t.Error("a worker that answers became suspect through calls whose clients were in a hurry")
+	}
+}
+
+func TestFullCutsWhatAWorkerMayHold(t *testing.T) {
+	s := start(t, settings(), 1)
+	w := s.c.workers[s.warm(7)]
+	before := w.limit
+	s.arrive(7, 0)
+	s.now += 200 * ms
+	s.end(s.nextID, Full, WarmthUnknown)
+	if w.limit >= before {
+		t.Errorf("limit %.1f after a call was turned away, %.1f before", w.limit, before)
+	}
+}
+
+func TestOverloadOfAllIsNotTheUsual(t *testing.T) {
+	s := start(t, settings(), 2)
+	s.warm(7)
+	quick := s.c.quiet(0)
+	for range 10 {
+		r := s.arrive(7, 0)
+		s.pass(time.Second)
+		s.end(r, OK, FoundWarm)
+		s.answerAsks()
+	}
+	if now := s.c.quiet(0); now > 3*quick {
+		t.Errorf("the run of a quiet worker rose from %v to %v while all were slow", quick, now)
+	}
+}
+
+func TestSlowLoadsAreFewer(t *testing.T) {
+	s := start(t, settings(), 8)
+	for f := range FunctionID(4) {
+		s.warm(f)
+	}
+	before := s.c.loadLimit
+	for f := range FunctionID(6) {
+		r := s.arrive(100+f, 0)
+		s.answerAsks()
+		s.answerAsks()
+		s.pass(2900 * ms)
+		if len(s.sentTo[r]) > 0 && s.answers[r] == "" {
+			s.end(r, OK, BeganLoad)
+		}
+	}
+	if s.c.loadLimit >= before {
+		t.Errorf("%.1f loads may be under way after loads five times as long, %.1f before", s.c.loadLimit, before)
+	}
+}
+
+func TestMissMakesOldBeliefsDoubtful(t *testing.T) {
+	set := settings()
+	set.MissAnswered = true
+	s := start(t, set, 6)
+	r := s.arrive(7, 0)
+	s.answerAsks(1, 2, 3, 4, 5, 6)
+	if len(s.c.functions[7].replicas) < 2 {
+		t.Fatal("the copies that stand were not believed")
+	}
+	s.pass(2 * time.Second)
+	s.end(r, Miss, WarmthUnknown)
+	if len(s.sentTo[r]) != 1 || len(s.asks) == 0 {
+		t.Errorf("after a miss the request went on to %v, %d workers asked", s.sentTo[r][1:], len(s.asks))
+	}
+}
+
+func TestNobodyToSendTo(t *testing.T) {
+	s := start(t, settings(), 0)
+	r := s.arrive(7, 0)
+	s.pass(2990 * ms)
+	if s.answers[r] != "refused" {
+		t.Errorf("with no worker known the answer is %q", s.answers[r])
+	}
+}
+
+func TestShortBudgetIsAnsweredAtOnce(t *testing.T) {
+	s := start(t, settings(), 0)
+	s.c.Arrive(s.now, Request{ID: 1, Function: 7, Budget: 5 * ms, Lanes: 1})
+	if s.answers[1] != "refused" {
+		t.Errorf("answer %q to a request that no tick will see in time", s.answers[1])
+	}
+}
+
+func TestEmptyPipeIsNoEndlessWait(t *testing.T) {
+	s := start(t, settings(), 1)
+	w := s.c.workers[s.warm(7)]
+	w.limit = 1
+	s.arrive(8, 0) // takes the only place
+	s.answerAsks(1)
+	r := s.arrive(7, 0)
+	s.pass(100 * ms)
+	if s.answers[r] != "" {
+		t.Errorf("request %s though a warm worker is about to have room", s.answers[r])
+	}
+}
+
+func TestExcessComesLast(t *testing.T) {
+	s := start(t, settings(), 1)
+	s.warm(7)
+	for range shareMemory {
+		s.c.takes(1)
+	}
+	var ids []RequestID
+	for _, tenant := range []int{1, 1, 1, 1, 0} {
+		s.nextID++
+		s.c.Arrive(s.now, Request{ID: s.nextID, Tenant: tenant, Function: 7, Budget: 3 * time.Second, Lanes: 2})
+		ids = append(ids, s.nextID)
+	}
+	s.now += 50 * ms
+	s.end(ids[0], OK, FoundWarm)
+	if len(s.sentTo[ids[4]]) == 0 || len(s.sentTo[ids[3]]) != 0 {
+		t.Error("a request beyond its tenant's share went before one within")
+	}
+}
+
+func TestDownWorkerIsProbed(t *testing.T) {
+	s := start(t, settings(), 2)
+	w := s.warm(7)
+	r := s.arrive(7, 0)
+	s.end(r, ConnectFailed, WarmthUnknown)
+	s.pass(backoffMin + tick)
+	if s.count("probe") != 1 {
+		t.Fatalf("%d probes of a worker that could not be reached, want 1", s.count("probe"))
+	}
+	for range 4 {
+		s.c.Probed(s.now, Probed{Worker: w, Status: OK, Latency: ms})
+		s.pass(tick)
+	}
+	if s.c.workers[w].suspect {
+		t.Error("a worker that answers its probes is still suspect")
+	}
+}
+
+func TestListIsAskedForAgain(t *testing.T) {
+	set := settings()
+	set.AskForWorkers = true
+	s := start(t, set, 0)
+	s.c.ListFailed(s.now)
+	s.c.Woke(s.now+time.Second, 1)
+	if s.count("follow") != 2 {
+		t.Errorf("%d times asked for the list, want 2", s.count("follow"))
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -8,7 +10,7 @@
 // This file keeps what a Controller remembers and the bookkeeping on it; it decides nothing.
 
 // never is a wait without end, short enough to be added to a time.
-const never = 1e15
+const never time.Duration = 1e15
 
 // mean is a running mean over about fitWindow samples.
 type mean struct {
@@ -120,16 +122,12 @@
 	ratio     mean // load times over what was told
 	loadTimes []time.Duration
 	farHits   float64         // share of second rounds of asking that found a copy
-	loadAfter time.Duration   // no load is begun before this
-	loadPause time.Duration   // after the next load that fails, half of it
 	arrivals  []time.Duration // in the ration's window
-	served    float64         // answers, fading over a second
-	servedAt  time.Duration
-	taken     []float64 // by tenant, fading
-	takenAll  float64
-	loading   int     // loads of ours under way
-	loadLimit float64 // that may be
-	loadQuiet float64 // load time where not told, while the store is quick
+	served    fading          // answers, by which a cold worker's part is guessed
+	taken     []float64       // by tenant, fading
+	loading   int             // loads of ours under way
+	loadLimit float64         // that may be
+	loadQuiet float64         // load time where not told, while the store is quick
 	loadCut   time.Duration
 	loadSeen  time.Duration
 }
@@ -205,3 +203,182 @@
 func (f *function) waiting(c *Controller, r *request) bool {
 	return slices.ContainsFunc(f.replicas, func(p *replica) bool { return c.usable(p.w) && c.allowed(r, p.w) })
 }
+
+// Started takes the news that a streamed answer began: neither time-out nor deadline holds any longer.
+func (c *Controller) Started(now time.Duration, id RequestID) {
+	if r := c.requests[id]; r != nil {
+		r.streamed = true
+	}
+}
+
+// Gone takes the news that a client left: nothing is owed any longer.
+func (c *Controller) Gone(now time.Duration, id RequestID) {
+	c.now = now
+	if r := c.requests[id]; r != nil {
+		c.end(r)
+	}
+}
+
+func (c *Controller) end(r *request) {
+	r.over = true
+	if r.at == nil {
+		r.f.held = slices.DeleteFunc(r.f.held, func(x *request) bool { return x == r })
+		delete(c.requests, r.ID)
+	}
+}
+
+// runOf is the expected time of one run of f.
+func (c *Controller) runOf(f *function) time.Duration {
+	return f.run.duration(c.runs[f.class].duration(runPrior))
+}
+
+// merge takes a change of the list of workers, or the whole list, and returns the workers whose process is
+// not the one that was listed before, or that are not to be sent anything new.
+func (c *Controller) merge(list []WorkerInfo, whole bool) (changed []*worker) {
+	named := map[WorkerID]bool{}
+	for _, info := range list {
+		named[info.ID] = true
+		w := c.workers[info.ID]
+		if w == nil {
+			w = &worker{}
+			c.workers[info.ID] = w
+			c.list = append(c.list, w)
+		}
+		if w.limit == 0 || info.Started > w.Started {
+			changed = append(changed, w)
+			*w = worker{out: w.out, sends: w.sends, seen: c.now, heard: c.now, limit: limitStart, pace: 1,
+				runs: make([]mean, len(c.set.Classes))}
+		}
+		w.WorkerInfo = info
+	}
+	for _, w := range c.list {
+		if whole && !named[w.ID] {
+			w.State = Gone
+		}
+		if w.State != Ready {
+			changed = append(changed, w)
+		}
+	}
+	slices.SortFunc(c.list, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	c.epoch++
+	return changed
+}
+
+// source is something that works off requests at a rate from some time on.
+type source struct{ from, rate float64 }
+
+// drainTime is how long the sources take together for n requests.
+func drainTime(sources []source, n float64) time.Duration {
+	slices.SortStableFunc(sources, func(a, b source) int { return cmp.Compare(a.from, b.from) })
+	rate, at := 0.0, 0.0
+	for _, s := range sources {
+		done := rate * (s.from - at)
+		if done >= n {
+			break
+		}
+		n, at, rate = n-done, s.from, rate+s.rate
+	}
+	if rate == 0 {
+		return never
+	}
+	return time.Duration(min(at+n/rate, float64(never)))
+}
+
+// fading is a count that forgets as it ages.
+type fading struct {
+	value float64
+	at    time.Duration
+}
+
+func (x *fading) now(t, memory time.Duration) float64 {
+	x.value *= math.Exp(-float64(t-x.at) / float64(memory))
+	x.at = t
+	return x.value
+}
+
+// healthy counts the ready workers that are not suspect, and what they hold of ours.
+func (c *Controller) healthy() (workers, out int) {
+	for _, w := range c.list {
+		if w.State == Ready && !w.suspect {
+			workers++
+			out += len(w.out)
+		}
+	}
+	return workers, out
+}
+
+// takes counts an arrival of a tenant and returns its share of what this front end took lately.
+func (c *Controller) takes(tenant int) float64 {
+	all := 0.0
+	for i := range c.taken {
+		c.taken[i] *= 1 - 1.0/shareMemory
+		if i == tenant {
+			c.taken[i]++
+		}
+		all += c.taken[i]
+	}
+	if all < shareMemory/3 {
+		return 0
+	}
+	return c.taken[tenant] / all
+}
+
+func newController(now time.Duration, s Settings, a Actions) *Controller {
+	return &Controller{set: s, act: a, now: now, workers: map[WorkerID]*worker{},
+		functions: map[FunctionID]*function{}, requests: map[RequestID]*request{}, orders: map[pair]int{},
+		runs: make([]mean, len(s.Classes)), quietRun: make([]time.Duration, len(s.Classes)),
+		quietAt: make([]time.Duration, len(s.Classes)), taken: make([]float64, len(s.Tenants))}
+}
+func (c *Controller) send(r *request, p *replica) {
+	f, w := r.f, p.w
+	f.held = slices.DeleteFunc(f.held, func(x *request) bool { return x == r })
+	r.at, r.sent, r.began, r.behind = p, c.now, p.loading, p.out >= f.lanes
+	r.attempts++
+	p.out++
+	p.used, w.seen = c.now, c.now
+	w.out = append(w.out, r)
+	w.sends = append(recent(w.sends, c.now-c.set.TipWindow), c.now)
+	c.act.Send(r.ID, w.ID, 0)
+}
+
+// loadOf is the expected time of one load of f.
+func (c *Controller) loadOf(f *function) time.Duration {
+	if f.told > 0 {
+		if c.ratio.n == 0 {
+			return f.told
+		}
+		return time.Duration(float64(f.told) * c.ratio.value)
+	}
+	return f.load.duration(c.loads.duration(loadPrior))
+}
+
+// paceOf is a worker's pace, forgotten as it ages so that a slow worker is tried again.
+func (c *Controller) paceOf(w *worker) float64 {
+	return 1 + (w.pace-1)*math.Exp(-float64(c.now-w.paced)/float64(paceFade))
+}
+
+// bound says whether only the group that drops its repeats may be sent the request.
+func (r *request) bound() bool { return r.ran && r.class.Repeat == Keyed }
+
+// lowQuartile is the run time of a class that a quarter of the workers stay under, 0 if none is known.
+func (c *Controller) lowQuartile(class int) time.Duration {
+	var runs []float64
+	for _, w := range c.list {
+		if w.State == Ready && w.runs[class].n >= 3 {
+			runs = append(runs, w.runs[class].value)
+		}
+	}
+	if len(runs) == 0 {
+		return 0
+	}
+	slices.Sort(runs)
+	return time.Duration(runs[len(runs)/4])
+}
+
+func (r *request) detach() *replica {
+	p := r.at
+	p.w.out = slices.DeleteFunc(p.w.out, func(x *request) bool { return x == r })
+	p.out--
+	r.at = nil
+	return p
+}
