--- a/control/script_test.go
+++ b/control/script_test.go
@@ -217,11 +217,10 @@
 	for name, end := range tests {
 		t.Run(name, func(t *testing.T) {
 			s := start(t, settings(), 4)
-			end(s, s.warm(7))
-			asked := len(s.asks)
-			r := s.arrive(7, 0)
-			if len(s.sentTo[r]) != 0 && asked == len(s.asks) {
-				t.Error("a request went out as if a copy still stood")
+			w := s.warm(7)
+			end(s, w)
+			if s.c.functions[7].at(s.c.workers[w]) != nil {
+				t.Error("the copy is still believed to stand")
 			}
 		})
 	}
@@ -247,6 +246,7 @@
 	r := s.arrive(7, 0)
 	s.answerAsks()
 	s.answerAsks()
+	s.pass(100 * ms)
 	if len(s.orders) != 1 || len(s.sentTo[r]) != 0 {
 		t.Fatalf("%d orders, request sent to %v before the copy stands", len(s.orders), s.sentTo[r])
 	}
@@ -466,7 +466,9 @@
 	if len(s.c.functions[7].replicas) < 2 {
 		t.Fatal("the copies that stand were not believed")
 	}
+	s.end(r, OK, FoundWarm)
 	s.pass(2 * time.Second)
+	r = s.arrive(7, 0)
 	s.end(r, Miss, WarmthUnknown)
 	if len(s.sentTo[r]) != 1 || len(s.asks) == 0 {
 		t.Errorf("after a miss the request went on to %v, %d workers asked", s.sentTo[r][1:], len(s.asks))
