--- a/control/control.go
+++ b/control/control.go
@@ -26,13 +26,12 @@
 	askFirst    = 3                      // workers asked before all others
 	farWorth    = 0.15                   // share of rounds that find a copy there, to ask all others
 	farTry      = 8                      // of so many rounds one is made all the same
-	fullPause   = 150 * time.Millisecond // a copy that turned a call away rests
 	loadsStart  = 8.0                    // loads of ours under way at once
 	loadSlow    = 2.5                    // times the usual that make a load slow
 	loadNews    = 3 * time.Second        // how long the last load speaks for a request that would need one
 	servedFade  = 3 * time.Second        // memory of the rate of answers
 	shareMemory = 300                    // arrivals by which a tenant's share is judged
-	shareOver   = 1.5                    // times its share that put a tenant's requests last
+	shareOver   = 1.2                    // times its share that a tenant may take before its calls count as too many
 	suspectAt   = 0.3                    // share of recent attempts failed that makes a worker suspect
 	failWeight  = 0.2                    // of one more attempt in that share
 	backoffMin  = 500 * time.Millisecond // before a suspect is tried again, doubled by each failure
@@ -49,9 +48,11 @@
 	paceFade    = 5 * time.Second        // after which a pace is old news
 	quietFor    = 500 * time.Millisecond // how long the run of a quiet worker stands
 	quietRise   = 40                     // part of a rise of that run that is believed each time
-	crowded     = 1.5                    // times the mean out that make a worker no first choice to load
 )
 
+// roomByRank is the part of a worker's room that requests of each rank may fill.
+var roomByRank = [...]float64{1, 0.75, 0.5}
+
 // New returns the Controller of a front end that starts now with nothing known.
 func New(now time.Duration, s Settings, a Actions) *Controller {
 	c := newController(now, s, a)
@@ -124,7 +125,7 @@
 	f.taken++
 	cl := &c.set.Classes[in.Class]
 	r := &request{Request: in, class: cl, f: f, deadline: now + in.Budget, aim: now + cl.Aim}
-	r.excess = in.Tenant < len(c.taken) && c.takes(in.Tenant) > shareOver*c.set.Tenants[in.Tenant].Share
+	r.excess = in.Tenant < len(c.taken) && c.excess(in.Tenant)
 	c.requests[in.ID] = r
 	if c.set.LoadWindow > 0 {
 		c.arrivals = append(recent(c.arrivals, now-c.set.LoadWindow), now)
@@ -239,7 +240,6 @@
 			w.noRoom = c.now + lately
 			f.drop(p)
 		} else {
-			p.rest = c.now + fullPause
 			c.cut(w, limitFull)
 		}
 	case Miss:
@@ -470,7 +470,7 @@
 	}
 	for _, w := range c.ranked(f) { // the design's probe of a worker none of ours reached for long
 		if c.now-w.seen >= probeIdle && w.State == Ready && !w.suspect && f.at(w) == nil && c.allowed(r, w) &&
-			c.roomFor(w) {
+			c.roomFor(w, r) {
 			c.lend(f, r, w, 1)
 			return
 		}
@@ -506,8 +506,8 @@
 		if p.loading {
 			room = p.slots
 		}
-		if p.ordered || p.out >= room || c.now < p.rest || !c.usable(p.w) || !c.allowed(r, p.w) ||
-			p.w.suspect && r.class.Repeat == Unsafe || !c.roomFor(p.w) {
+		if p.ordered || p.out >= room || !c.usable(p.w) || !c.allowed(r, p.w) ||
+			p.w.suspect && r.class.Repeat == Unsafe || !c.roomFor(p.w, r) {
 			continue
 		}
 		cost := float64(len(p.w.out) + 1)
@@ -523,26 +523,16 @@
 }
 
 // pickCold chooses the worker that loads f. Every front end ranks the workers of a function alike, so that
-// without a word between them they load it in the same places; a worker with far more out than most is passed
-// over, and a suspect taken only when nothing else is left.
+// without a word between them they load it in the same places; a suspect is taken only when nothing else is left.
 func (c *Controller) pickCold(f *function, r *request) *worker {
-	ready, out := c.healthy()
-	most := crowded*float64(out)/float64(max(1, ready)) + 2
-	var spare *worker
+	ready := c.healthy()
 	for _, w := range c.ranked(f) {
-		if w.State != Ready || c.now < w.noRoom || f.at(w) != nil || !c.allowed(r, w) || !c.roomFor(w) ||
-			w.suspect && ready > 0 && !r.bound() {
-			continue
-		}
-		if !w.suspect && float64(len(w.out)) <= most {
+		if w.State == Ready && c.now >= w.noRoom && f.at(w) == nil && c.allowed(r, w) && c.roomFor(w, r) &&
+			(!w.suspect || ready == 0 || r.bound()) {
 			return w
 		}
-		if spare == nil || spare.suspect && !w.suspect ||
-			spare.suspect == w.suspect && len(w.out) < len(spare.out) {
-			spare = w
-		}
 	}
-	return spare
+	return nil
 }
 
 // ask finds copies that others loaded before a load is begun: it acts when no worker is believed warm, and
@@ -618,9 +608,10 @@
 	return true
 }
 
-// roomFor says whether w may hold another call of ours.
-func (c *Controller) roomFor(w *worker) bool {
-	return float64(len(w.out)) < w.limit && c.roomCold(w)
+// roomFor says whether w may hold r as well. What ranks lower finds less room: where workers are short, worth that
+// can still be had in time, and tenants within their share, come first over all functions.
+func (c *Controller) roomFor(w *worker, r *request) bool {
+	return float64(len(w.out)) < max(1, w.limit*roomByRank[c.rank(r)]) && c.roomCold(w)
 }
 
 // roomCold keeps rule 4: a cold worker is sent less than would push it over if every front end sent it as
@@ -632,13 +623,27 @@
 		return true
 	}
 	w.sends = recent(w.sends, c.now-c.set.TipWindow)
-	ready, _ := c.healthy()
+	ready := c.healthy()
 	part := c.set.ColdFrom + (1-c.set.ColdFrom)*max(0, float64(age))/float64(c.set.ColdTime)
 	rate := c.served.now(c.now, servedFade) / servedFade.Seconds() / float64(max(1, ready))
 	budget := coldPart * c.set.TipMultiple * part * rate * c.set.TipWindow.Seconds()
 	return float64(len(w.sends)) < max(1, math.Floor(budget))
 }
 
+// excess counts an arrival and says whether it lies beyond its tenant's share: of the calls of a tenant that takes
+// more of this front end than its share, as many as are too many.
+func (c *Controller) excess(tenant int) bool {
+	part := c.takes(tenant)
+	if allowed := shareOver * c.set.Tenants[tenant].Share; part > allowed {
+		c.over[tenant] += 1 - allowed/part
+	}
+	if c.over[tenant] < 1 {
+		return false
+	}
+	c.over[tenant]--
+	return true
+}
+
 // judge counts an attempt for or against a worker. A worker that fails many is suspect, whatever makes it
 // fail: it is passed over, and tried again with one call at a time after a pause that doubles.
 func (c *Controller) judge(w *worker, good bool) {
--- a/control/state.go
+++ b/control/state.go
@@ -61,7 +61,6 @@
 	used    time.Duration
 	done    time.Duration // last outcome
 	run     mean          // here
-	rest    time.Duration // turned calls away: nothing new before this
 }
 
 type function struct {
@@ -125,6 +124,7 @@
 	arrivals  []time.Duration // in the ration's window
 	served    fading          // answers, by which a cold worker's part is guessed
 	taken     []float64       // by tenant, fading
+	over      []float64       // by tenant, of a call that is too many
 	loading   int             // loads of ours under way
 	loadLimit float64         // that may be
 	loadQuiet float64         // load time where not told, while the store is quick
@@ -296,15 +296,14 @@
 	return x.value
 }
 
-// healthy counts the ready workers that are not suspect, and what they hold of ours.
-func (c *Controller) healthy() (workers, out int) {
+// healthy counts the ready workers that are not suspect.
+func (c *Controller) healthy() (n int) {
 	for _, w := range c.list {
 		if w.State == Ready && !w.suspect {
-			workers++
-			out += len(w.out)
+			n++
 		}
 	}
-	return workers, out
+	return n
 }
 
 // takes counts an arrival of a tenant and returns its share of what this front end took lately.
@@ -327,7 +326,8 @@
 	return &Controller{set: s, act: a, now: now, workers: map[WorkerID]*worker{},
 		functions: map[FunctionID]*function{}, requests: map[RequestID]*request{}, orders: map[pair]int{},
 		runs: make([]mean, len(s.Classes)), quietRun: make([]time.Duration, len(s.Classes)),
-		quietAt: make([]time.Duration, len(s.Classes)), taken: make([]float64, len(s.Tenants))}
+		quietAt: make([]time.Duration, len(s.Classes)), taken: make([]float64, len(s.Tenants)),
+		over: make([]float64, len(s.Tenants))}
 }
 func (c *Controller) send(r *request, p *replica) {
 	f, w := r.f, p.w
