--- a/control/control.go
+++ b/control/control.go
@@ -390,7 +390,7 @@
 // finish gives a held request its final answer: refused where that is harmless, failed otherwise.
 func (c *Controller) finish(r *request) {
 	if !r.ran || r.class.Repeat == Safe || r.class.Repeat == Keyed && r.class.Scope == ScopeAll {
-		c.act.Refuse(r.ID, min(c.set.MaxRetryAfter, c.loadOf(r.f)))
+		c.act.Refuse(r.ID, c.set.MaxRetryAfter)
 	} else {
 		c.act.Fail(r.ID)
 	}
@@ -523,7 +523,7 @@
 }
 
 // pickCold chooses the worker that loads f. Every front end ranks the workers of a function alike, so that
-// without a word between them they load it in the same places; a suspect is taken only when nothing else is left.
+// without a word between them they load it in the same places; a suspect is taken when nothing else is left.
 func (c *Controller) pickCold(f *function, r *request) *worker {
 	ready := c.healthy()
 	for _, w := range c.ranked(f) {
@@ -608,8 +608,8 @@
 	return true
 }
 
-// roomFor says whether w may hold r as well. What ranks lower finds less room: where workers are short, worth that
-// can still be had in time, and tenants within their share, come first over all functions.
+// roomFor says whether w may hold r as well. What ranks lower finds less room: where workers are short, worth
+// that can still be had in time, and tenants within their share, come first over all functions.
 func (c *Controller) roomFor(w *worker, r *request) bool {
 	return float64(len(w.out)) < max(1, w.limit*roomByRank[c.rank(r)]) && c.roomCold(w)
 }
@@ -630,8 +630,8 @@
 	return float64(len(w.sends)) < max(1, math.Floor(budget))
 }
 
-// excess counts an arrival and says whether it lies beyond its tenant's share: of the calls of a tenant that takes
-// more of this front end than its share, as many as are too many.
+// excess counts an arrival and says whether it lies beyond its tenant's share: of the calls of a tenant that
+// takes more of this front end than its share, as many as are too many.
 func (c *Controller) excess(tenant int) bool {
 	part := c.takes(tenant)
 	if allowed := shareOver * c.set.Tenants[tenant].Share; part > allowed {
