--- a/control/control.go
+++ b/control/control.go
@@ -31,7 +31,7 @@
 	loadNews    = 3 * time.Second        // how long the last load speaks for a request that would need one
 	servedFade  = 3 * time.Second        // memory of the rate of answers
 	shareMemory = 300                    // arrivals by which a tenant's share is judged
-	shareOver   = 1.2                    // times its share that a tenant may take before its calls count as too many
+	shareOver   = 1.2                    // times its share that a tenant may take
 	suspectAt   = 0.3                    // share of recent attempts failed that makes a worker suspect
 	failWeight  = 0.2                    // of one more attempt in that share
 	backoffMin  = 500 * time.Millisecond // before a suspect is tried again, doubled by each failure
