--- a/control/control.go
+++ b/control/control.go
@@ -263,9 +263,11 @@
 		if p.loading {
 			f.drop(p)
 		}
-		if !r.began {
-			c.measure(w, f.class, c.now-r.sent)
-			if silent { // one slow call proves little where others were answered meanwhile
+		if waited := c.now - r.sent; !r.began {
+			if float64(waited) > c.paceOf(w)*float64(c.quiet(f.class)) { // else its client was in a hurry
+				c.measure(w, f.class, waited)
+			}
+			if silent && waited > c.patience(r) {
 				c.judge(w, false)
 			}
 		}
@@ -681,6 +683,9 @@
 	return w.State == Ready && (!w.suspect || !w.down && c.now >= w.until && len(w.out) == 0)
 }
 
+// patience is how long a call of r may stay unanswered before that says anything of its worker.
+func (c *Controller) patience(r *request) time.Duration { return quietFloor + quietRuns*c.runOf(r.f) }
+
 // watch looks for silence: a worker that has taken calls and for long answers none of them, be it hung, cut
 // off or standing still. Calls that may run twice are called back and go elsewhere.
 func (c *Controller) watch(w *worker) {
@@ -698,7 +703,7 @@
 	var late []*function // with calls that should have been answered long since, were their copies warm
 	silent := false
 	for _, r := range w.out {
-		patience := quietFloor + quietRuns*c.runOf(r.f)
+		patience := c.patience(r)
 		if wait := c.now - max(r.sent, w.heard); wait > patience && !r.streamed {
 			silent = silent || wait > patience+2*c.loadOf(r.f)
 			if !r.began && !slices.Contains(late, r.f) {
