--- a/control/control.go
+++ b/control/control.go
@@ -448,7 +448,7 @@
 	switch {
 	case r.excess:
 		return 2
-	case c.now+c.runOf(r.f)/2 > r.aim:
+	case c.now+c.runOf(r.f) > r.aim:
 		return 1
 	}
 	return 0
