--- a/control/control.go
+++ b/control/control.go
@@ -335,7 +335,7 @@
 	if f.told > 0 {
 		usual = float64(f.told)
 		c.ratio.add(float64(took) / usual)
-	} else if usual == 0 || float64(took) < usual {
+	} else if usual == 0 {
 		c.loadQuiet = float64(took)
 	} else {
 		c.loadQuiet += (float64(took) - usual) / fitWindow
@@ -398,11 +398,12 @@
 func (c *Controller) giveUp(f *function) {
 	out := f.out()
 	for i, r := range slices.Clone(f.held) {
-		wait := time.Duration(0)
-		if f.run.n > 0 && len(f.replicas) > 0 {
-			wait = c.drain(f, i+out)
-		} else if len(f.replicas) == 0 && c.now-c.loadSeen < loadNews {
-			wait = c.loadOf(f)
+		wait := c.drain(f, i+out)
+		if wait == never { // no copy that can be used: a load is the way, where one was seen lately
+			wait = 0
+			if c.now-c.loadSeen < loadNews {
+				wait = c.loadOf(f)
+			}
 		}
 		if c.tooLate(r, wait) || r.bound() && c.now-r.first >= r.class.Memory-tick {
 			c.finish(r)
