--- a/control/control.go
+++ b/control/control.go
@@ -459,9 +459,12 @@
 		}
 		return
 	}
-	if c.drain(f, len(f.held)+f.out()) > min(c.runOf(f), c.quiet(f.class))+c.loadOf(f) {
-		c.lend(f, r, c.pickCold(f, r), 0)
-		return
+	if w := c.pickCold(f, r); w != nil {
+		run := time.Duration(max(1, c.paceOf(w)) * float64(min(c.runOf(f), c.quiet(f.class))))
+		if c.drain(f, len(f.held)+f.out()) > c.loadOf(f)+run {
+			c.lend(f, r, w, 0)
+			return
+		}
 	}
 	if slices.ContainsFunc(f.replicas, func(p *replica) bool { return p.loading }) {
 		return
