The pipe is as deep as the lanes

With lanes plus one a call of ours waits inside the worker, and where the worker starts copies by itself that costs a load nobody ordered. Tried before it: learning from answers that a worker starts copies by itself; the note never comes on such calls, so it changed nothing.

--- a/control/control.go
+++ b/control/control.go
@@ -16,7 +16,7 @@
 // Tuned values. None belongs to one deployment.
 const (
 	tick        = 20 * time.Millisecond  // how often held work is looked at without an event
-	pipeSpare   = 1                      // requests in a pipe beyond the lanes of the copy
+	pipeSpare   = 0                      // requests in a pipe beyond the lanes of the copy
 	fitWindow   = 20                     // samples that a mean remembers
 	runPrior    = 150 * time.Millisecond // of a run, before any answer
 	loadPrior   = time.Second            // of a load, before any is seen
