Less room for calls that are late, and a whole mean run to be in time

Under overload work went into calls that ended late or not at all. Could harm where runs are very uneven: a request is refused that a short run would have served.

--- a/control/control.go
+++ b/control/control.go
@@ -51,7 +51,7 @@
 )
 
 // roomByRank is the part of a worker's room that requests of each rank may fill.
-var roomByRank = [...]float64{1, 0.75, 0.5}
+var roomByRank = [...]float64{1, 0.5, 0.35}
 
 // New returns the Controller of a front end that starts now with nothing known.
 func New(now time.Duration, s Settings, a Actions) *Controller {
@@ -381,7 +381,7 @@
 
 // tooLate says whether a request that starts after wait cannot be answered before its client gives up.
 func (c *Controller) tooLate(r *request, wait time.Duration) bool {
-	return c.now+wait+max(tick, c.runOf(r.f)/2)+2*c.set.Resolution >= r.deadline
+	return c.now+wait+max(tick, c.runOf(r.f))+2*c.set.Resolution >= r.deadline
 }
 
 // finish gives a held request its final answer: refused where that is harmless, failed otherwise.
