--- a/control/control.go
+++ b/control/control.go
@@ -38,7 +38,7 @@
 	backoffMax  = 8 * time.Second
 	quietFloor  = 700 * time.Millisecond // silence that is never held against a worker
 	quietRuns   = 4                      // silence beyond it, in runs of the call that waits
-	coldPart    = 0.6                    // of the load that would push a cold worker over, for chance
+	coldPart    = 0.8                    // of the load that would push a cold worker over, for chance
 	limitStart  = 12.0                   // calls of ours at one worker, until crowding or room is seen
 	limitFull   = 0.7                    // of them left after a call was turned away
 	limitSlow   = 0.9                    // of them left after a slow run
