What is late and finds no room is refused at once

Held calls past their aim were kept until near their deadline, which the users rule out, and worked off in the place of fresh ones. It acts when a usable copy exists, none is being loaded and none has room for a call of that rank. Harms where a late answer is worth nearly as much as one in time.

--- a/control/control.go
+++ b/control/control.go
@@ -405,7 +405,7 @@
 				wait = c.loadOf(f)
 			}
 		}
-		if c.tooLate(r, wait) || r.bound() && c.now-r.first >= r.class.Memory-tick {
+		if c.tooLate(r, wait) || c.rank(r) > 0 && wait > 0 && !f.coming() && c.pickWarm(f, r) == nil || r.bound() && c.now-r.first >= r.class.Memory-tick {
 			c.finish(r)
 		}
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -382,3 +382,8 @@
 	r.at = nil
 	return p
 }
+
+// coming says whether a copy of f is being loaded for us.
+func (f *function) coming() bool {
+	return slices.ContainsFunc(f.replicas, func(p *replica) bool { return p.loading })
+}
