--- a/control/control.go
+++ b/control/control.go
@@ -405,17 +405,22 @@
 				wait = c.loadOf(f)
 			}
 		}
-		if c.tooLate(r, wait) || c.rank(r) > 0 && wait > 0 && !f.coming() && c.pickWarm(f, r) == nil || r.bound() && c.now-r.first >= r.class.Memory-tick {
+		if c.tooLate(r, wait) || c.short(r, wait) || r.bound() && c.now-r.first >= r.class.Memory-tick {
 			c.finish(r)
 		}
 	}
 }
 
+// short says whether a held request would be late after wait and finds no room. It guards against working off
+// in an overload what is worth little by then; it acts when a usable copy exists and none is being loaded.
+func (c *Controller) short(r *request, wait time.Duration) bool {
+	late := r.excess || c.now+wait+c.runOf(r.f) > r.aim
+	return late && wait > 0 && !r.f.coming() && c.pickWarm(r.f, r) == nil
+}
+
 func (c *Controller) dispatchAll() {
 	for _, f := range c.active {
-		if len(f.held) > 0 {
-			c.dispatch(f)
-		}
+		c.dispatch(f)
 	}
 }
 
@@ -466,7 +471,7 @@
 			return
 		}
 	}
-	if slices.ContainsFunc(f.replicas, func(p *replica) bool { return p.loading }) {
+	if f.coming() {
 		return
 	}
 	for _, w := range c.ranked(f) { // the design's probe of a worker none of ours reached for long
@@ -571,13 +576,10 @@
 	if w == nil || c.loading > 0 && float64(c.loading) >= most {
 		return
 	}
-	if slots == 0 {
-		slots = 1
-		if c.paceOf(w) <= 1.2 {
-			slots = 2
-		}
+	if slots == 0 && c.paceOf(w) <= 1.2 { // no slower, but for noise
+		slots = 2
 	}
-	p := &replica{w: w, loading: true, slots: slots, since: c.now, used: c.now}
+	p := &replica{w: w, loading: true, slots: max(1, slots), since: c.now, used: c.now}
 	if c.set.MissAnswered {
 		key := pair{w.ID, f.id}
 		if _, busy := c.orders[key]; busy || !c.set.MayOrder || !c.ration() {
@@ -657,10 +659,9 @@
 		return
 	}
 	w.failed += (1 - w.failed) * failWeight
-	if w.failed < suspectAt && !w.down {
-		return
+	if w.failed >= suspectAt || w.down {
+		c.suspicion(w, "fails")
 	}
-	c.suspicion(w, "fails")
 }
 
 func (c *Controller) suspicion(w *worker, why string) {
--- a/control/script_test.go
+++ b/control/script_test.go
@@ -545,6 +545,21 @@
 	}
 }
 
+func TestLateCallsWithoutRoomAreRefusedAtOnce(t *testing.T) {
+	s := start(t, settings(), 1)
+	w := s.c.workers[s.warm(7)]
+	w.limit = 2
+	var ids []RequestID
+	for range 40 { // two lanes at 100 ms a run: the last would wait for two seconds
+		ids = append(ids, s.arrive(7, 0))
+	}
+	s.pass(2 * tick)
+	if s.answers[ids[39]] != "refused" || s.answers[ids[4]] != "" {
+		t.Errorf("answers %q to the last and %q to an early one of 40, want refused and none",
+			s.answers[ids[39]], s.answers[ids[4]])
+	}
+}
+
 func TestDownWorkerIsProbed(t *testing.T) {
 	s := start(t, settings(), 2)
 	w := s.warm(7)
