Room that comes free goes to the most worth held, over all functions

Only the function of the outcome was topped up; others waited for the tick, in the order met. A class of little worth waits longer, but is refused in time and never kept from an idle worker.

--- a/control/control.go
+++ b/control/control.go
@@ -115,12 +115,7 @@
 // Arrive takes on a request.
 func (c *Controller) Arrive(now time.Duration, in Request) {
 	c.now = now
-	f := c.functions[in.Function]
-	if f == nil {
-		f = &function{id: in.Function, class: in.Class, asked: -never}
-		c.functions[in.Function] = f
-		c.active = append(c.active, f)
-	}
+	f := c.meet(in.Function, in.Class)
 	f.lanes, f.told, f.used = max(1, in.Lanes), in.LoadTime, now
 	f.taken++
 	cl := &c.set.Classes[in.Class]
@@ -152,7 +147,7 @@
 	} else {
 		c.again(r, p.w, o.Status)
 	}
-	c.dispatch(r.f)
+	c.dispatchAll() // the room that came free goes to the most worth held
 }
 
 // Probed takes the answer to a probe of a worker that could not be reached.
--- a/control/script_test.go
+++ b/control/script_test.go
@@ -560,6 +560,27 @@
 	}
 }
 
+func TestFreedRoomGoesToTheMostWorth(t *testing.T) {
+	set := settings()
+	set.Classes[2].Worth = 6
+	s := start(t, set, 1)
+	s.warm(7)
+	dear := s.arrive(8, 2)
+	s.answerAsks(1)
+	s.end(dear, OK, FoundWarm)
+	s.c.workers[1].limit = 1
+	out := s.arrive(7, 0)
+	cheap, dear := s.arrive(7, 0), s.arrive(8, 2)
+	if len(s.sentTo[cheap])+len(s.sentTo[dear]) != 0 {
+		t.Fatal("sent beyond the worker's limit")
+	}
+	s.now += 50 * ms
+	s.end(out, OK, FoundWarm)
+	if len(s.sentTo[dear]) != 1 || len(s.sentTo[cheap]) != 0 {
+		t.Errorf("the room that came free went to worth 1 (%v) before worth 6 (%v)", s.sentTo[cheap], s.sentTo[dear])
+	}
+}
+
 func TestDownWorkerIsProbed(t *testing.T) {
 	s := start(t, settings(), 2)
 	w := s.warm(7)
--- a/control/state.go
+++ b/control/state.go
@@ -387,3 +387,17 @@
 func (f *function) coming() bool {
 	return slices.ContainsFunc(f.replicas, func(p *replica) bool { return p.loading })
 }
+
+// meet returns the function, made known if it was not; functions stand in order of the worth of their class.
+func (c *Controller) meet(id FunctionID, class int) *function {
+	f := c.functions[id]
+	if f == nil {
+		f = &function{id: id, class: class, asked: -never}
+		c.functions[id] = f
+		c.active = append(c.active, f)
+		slices.SortStableFunc(c.active, func(a, b *function) int {
+			return cmp.Compare(c.set.Classes[b.class].Worth, c.set.Classes[a.class].Worth)
+		})
+	}
+	return f
+}
