--- a/control/control.go
+++ b/control/control.go
@@ -7,6 +7,7 @@
 // run. docs/design.md tells what was kept, what was changed, and when each exception acts.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -31,6 +32,7 @@
 	loadNews    = 3 * time.Second        // how long the last load speaks for a request that would need one
 	servedFade  = 3 * time.Second        // memory of the rate of answers
 	shareMemory = 300                    // arrivals by which a tenant's share is judged
+	shareLeast  = 100                    // of them that it takes to judge
 	shareOver   = 1.2                    // times its share that a tenant may take
 	suspectAt   = 0.3                    // share of recent attempts failed that makes a worker suspect
 	failWeight  = 0.2                    // of one more attempt in that share
@@ -46,6 +48,8 @@
 	slowAt      = 3.5                    // times the run of a quiet worker that make a worker slow
 	paceWeight  = 0.15                   // of one more run, or round of asking, in its mean
 	paceFade    = 5 * time.Second        // after which a pace is old news
+	quietPart   = 4                      // the run that one worker in so many stays under is a quiet worker's
+	quietLeast  = 3                      // answers of a worker that count for it
 	quietFor    = 500 * time.Millisecond // how long the run of a quiet worker stands
 	quietRise   = 400                    // part of a rise of that run that is believed each time
 )
@@ -292,7 +296,7 @@
 // quiet is the run time of a class at the quieter workers: what a cold worker would need once loaded.
 func (c *Controller) quiet(class int) time.Duration {
 	if c.quietAt[class] == 0 || c.now-c.quietAt[class] > quietFor {
-		run := c.lowQuartile(class)
+		run := c.quietest(class, quietPart, quietLeast)
 		if run == 0 {
 			return c.runs[class].duration(runPrior)
 		}
@@ -394,11 +398,10 @@
 	out := f.out()
 	for i, r := range slices.Clone(f.held) {
 		wait := c.drain(f, i+out)
-		if wait == never { // no copy that can be used: a load is the way, where one was seen lately
+		if wait == never && c.now-c.loadSeen < loadNews {
+			wait = c.loadOf(f) // no copy can be used: a load is the way
+		} else if wait == never {
 			wait = 0
-			if c.now-c.loadSeen < loadNews {
-				wait = c.loadOf(f)
-			}
 		}
 		if c.tooLate(r, wait) || c.short(r, wait) || r.bound() && c.now-r.first >= r.class.Memory-tick {
 			c.finish(r)
@@ -413,6 +416,11 @@
 	return late && wait > 0 && !r.f.coming() && c.pickWarm(r.f, r) == nil
 }
 
+// before orders functions by the worth of their class: what frees room goes to the most worth that is held.
+func (c *Controller) before(a, b *function) int {
+	return cmp.Compare(c.set.Classes[b.class].Worth, c.set.Classes[a.class].Worth)
+}
+
 func (c *Controller) dispatchAll() {
 	for _, f := range c.active {
 		c.dispatch(f)
@@ -689,9 +697,6 @@
 			w.down = false
 		}
 	}
-	if len(w.out) == 0 {
-		return
-	}
 	var late []*function // with calls that should have been answered long since, were their copies warm
 	silent := false
 	for _, r := range w.out {
--- a/control/state.go
+++ b/control/state.go
@@ -316,7 +316,7 @@
 		}
 		all += c.taken[i]
 	}
-	if all < shareMemory/3 {
+	if all < shareLeast {
 		return 0
 	}
 	return c.taken[tenant] / all
@@ -360,11 +360,12 @@
 // bound says whether only the group that drops its repeats may be sent the request.
 func (r *request) bound() bool { return r.ran && r.class.Repeat == Keyed }
 
-// lowQuartile is the run time of a class that a quarter of the workers stay under, 0 if none is known.
-func (c *Controller) lowQuartile(class int) time.Duration {
+// quietest is the run time of a class that one in part of the workers with enough answers stays under, 0 if none
+// has them.
+func (c *Controller) quietest(class, part, enough int) time.Duration {
 	var runs []float64
 	for _, w := range c.list {
-		if w.State == Ready && w.runs[class].n >= 3 {
+		if w.State == Ready && w.runs[class].n >= enough {
 			runs = append(runs, w.runs[class].value)
 		}
 	}
@@ -372,7 +373,7 @@
 		return 0
 	}
 	slices.Sort(runs)
-	return time.Duration(runs[len(runs)/4])
+	return time.Duration(runs[len(runs)/part])
 }
 
 func (r *request) detach() *replica {
@@ -388,16 +389,14 @@
 	return slices.ContainsFunc(f.replicas, func(p *replica) bool { return p.loading })
 }
 
-// meet returns the function, made known if it was not; functions stand in order of the worth of their class.
+// meet returns the function, made known if it was not; functions stand in the order of before.
 func (c *Controller) meet(id FunctionID, class int) *function {
 	f := c.functions[id]
 	if f == nil {
 		f = &function{id: id, class: class, asked: -never}
 		c.functions[id] = f
 		c.active = append(c.active, f)
-		slices.SortStableFunc(c.active, func(a, b *function) int {
-			return cmp.Compare(c.set.Classes[b.class].Worth, c.set.Classes[a.class].Worth)
-		})
+		slices.SortStableFunc(c.active, c.before)
 	}
 	return f
 }
