--- a/control/script_test.go
+++ b/control/script_test.go
@@ -118,6 +118,14 @@
 	s.c.Outcome(s.now, Outcome{Request: r, Attempt: n - 1, Worker: w, Status: status, Closed: status == OK, Warmth: warmth})
 }
 
+// avoids says whether a new call of f, with copies found standing at every worker, goes elsewhere than to w.
+func (s *script) avoids(w WorkerID, f FunctionID) bool {
+	s.t.Helper()
+	r := s.arrive(f, 0)
+	s.answerAsks(1, 2, 3, 4)
+	return s.at(r) != w
+}
+
 // warm makes one worker known to hold f, with a run of 100 ms, and returns it.
 func (s *script) warm(f FunctionID) WorkerID {
 	s.t.Helper()
@@ -366,9 +374,7 @@
 	if s.count(fmt.Sprintf("cancel %d", unsafe)) != 0 {
 		t.Error("an unsafe call was called back, though it may not be sent again")
 	}
-	next := s.arrive(7, 0)
-	s.answerAsks(1, 2, 3, 4)
-	if s.at(next) == w {
+	if !s.avoids(w, 7) {
 		t.Error("a new call went to the silent worker")
 	}
 }
@@ -383,9 +389,7 @@
 		}
 		s.end(r, Error, WarmthUnknown)
 	}
-	r := s.arrive(7, 0)
-	s.answerAsks(1, 2, 3, 4)
-	if s.at(r) == w {
+	if !s.avoids(w, 7) {
 		t.Error("a worker that failed its last calls is still the first choice")
 	}
 }
--- a/control/state.go
+++ b/control/state.go
@@ -35,7 +35,7 @@
 	seen    time.Duration // first listed, or last reached by a call of ours
 	out     []*request    // attempts out there, oldest first
 	sends   []time.Duration
-	heard   time.Duration // last outcome of any attempt
+	heard   time.Duration // last answer to any attempt
 	pace    float64       // run times here over those of a quiet worker
 	paced   time.Duration // when pace was last learned
 	runs    []mean        // by class
@@ -99,7 +99,7 @@
 	firstOn  WorkerInfo
 	over     bool
 	streamed bool
-	excess   bool // its tenant was over its share
+	excess   bool // beyond its tenant's share
 }
 
 // Controller decides for one front end.
@@ -111,13 +111,13 @@
 	list      []*worker // by identifier
 	epoch     int
 	functions map[FunctionID]*function
-	active    []*function // all functions, in the order met
+	active    []*function // all functions, in the order of before
 	requests  map[RequestID]*request
 	orders    map[pair]int // copies asked for, by order under way
 	runs      []mean       // by class
 	quietRun  []time.Duration
 	quietAt   []time.Duration
-	loads     mean // load times where not told
+	loads     mean // load times of all functions
 	ratio     mean // load times over what was told
 	loadTimes []time.Duration
 	farHits   float64         // share of second rounds of asking that found a copy
@@ -163,6 +163,11 @@
 	}
 }
 
+// without is the list with x taken out of it.
+func without[T comparable](list []T, x T) []T {
+	return slices.DeleteFunc(list, func(y T) bool { return y == x })
+}
+
 func (f *function) at(w *worker) *replica {
 	for _, p := range f.replicas {
 		if p.w == w {
@@ -173,7 +178,7 @@
 }
 
 func (f *function) drop(p *replica) {
-	f.replicas = slices.DeleteFunc(f.replicas, func(x *replica) bool { return x == p })
+	f.replicas = without(f.replicas, p)
 }
 
 func (f *function) out() int {
@@ -190,10 +195,7 @@
 		f.epoch = c.epoch
 		f.order = slices.Clone(c.list)
 		slices.SortFunc(f.order, func(a, b *worker) int {
-			if mix(uint64(f.id), uint64(a.ID)) < mix(uint64(f.id), uint64(b.ID)) {
-				return -1
-			}
-			return 1
+			return cmp.Compare(mix(uint64(f.id), uint64(a.ID)), mix(uint64(f.id), uint64(b.ID)))
 		})
 	}
 	return f.order
@@ -222,7 +224,7 @@
 func (c *Controller) end(r *request) {
 	r.over = true
 	if r.at == nil {
-		r.f.held = slices.DeleteFunc(r.f.held, func(x *request) bool { return x == r })
+		r.f.held = without(r.f.held, r)
 		delete(c.requests, r.ID)
 	}
 }
@@ -329,9 +331,11 @@
 		quietAt: make([]time.Duration, len(s.Classes)), taken: make([]float64, len(s.Tenants)),
 		over: make([]float64, len(s.Tenants))}
 }
+
+// send gives r to the worker of p and keeps the books of it.
 func (c *Controller) send(r *request, p *replica) {
 	f, w := r.f, p.w
-	f.held = slices.DeleteFunc(f.held, func(x *request) bool { return x == r })
+	f.held = without(f.held, r)
 	r.at, r.sent, r.began, r.behind = p, c.now, p.loading, p.out >= f.lanes
 	r.attempts++
 	p.out++
@@ -378,7 +382,7 @@
 
 func (r *request) detach() *replica {
 	p := r.at
-	p.w.out = slices.DeleteFunc(p.w.out, func(x *request) bool { return x == r })
+	p.w.out = without(p.w.out, r)
 	p.out--
 	r.at = nil
 	return p
