Count other front ends' calls: waits at workers, an own place among ranks, a load's price

Cause: with hundreds of front ends nobody has a backlog of its own.

Change: the wait beyond a quiet run, learned from every late answer or full worker, is one fading mean for each worker. It counts in the drain, in the warm pick and in the choice of the cold worker, above what is usual at the middle worker. A function that finds crowds is spread over as many first ranks as the crowds ask for, each front end from its own place among them. Against the waits of others a load costs also what it pushes out, as the design's source prices it. Asking all workers must find more where there are more to ask.

It should also hold against ageing, neighbours and cold workers; it could harm where a few heavy calls pass for a wait, or where memory is short everywhere.

--- a/control/control.go
+++ b/control/control.go
@@ -17,7 +17,6 @@
 // Tuned values. None belongs to one deployment.
 const (
 	tick        = 20 * time.Millisecond  // how often held work is looked at without an event
-	pipeSpare   = 0                      // requests in a pipe beyond the lanes of the copy
 	fitWindow   = 20                     // samples that a mean remembers
 	runPrior    = 150 * time.Millisecond // of a run, before any answer
 	loadPrior   = time.Second            // of a load, before any is seen
@@ -25,10 +24,9 @@
 	askWait     = 30 * time.Millisecond  // how long a request waits for word of standing copies
 	lately      = time.Second            // what was just heard or seen speaks for so long
 	askFirst    = 3                      // workers asked before all others
-	farWorth    = 0.15                   // share of rounds that find a copy there, to ask all others
+	farWorth    = 0.0125                 // for each other worker, of rounds that must find a copy there
 	farTry      = 8                      // of so many rounds one is made all the same
-	loadsStart  = 8.0                    // loads of ours under way at once
-	loadSlow    = 2.5                    // times the usual that make a load slow
+	loadsMost   = 8                      // loads of ours under way at once
 	loadNews    = 3 * time.Second        // how long the last load speaks for a request that would need one
 	servedFade  = 3 * time.Second        // memory of the rate of answers
 	shareMemory = 300                    // arrivals by which a tenant's share is judged
@@ -42,15 +40,19 @@
 	quietRuns   = 4                      // silence beyond it, in runs of the call that waits
 	coldPart    = 0.8                    // of the load that would push a cold worker over, for chance
 	limitStart  = 12.0                   // calls of ours at one worker, until crowding or room is seen
-	limitFull   = 0.7                    // of them left after a call was turned away
-	limitSlow   = 0.9                    // of them left after a slow run
+	limitCut    = 0.9                    // of them left after a slow run, or after a call was turned away
 	limitPause  = 100 * time.Millisecond // between two cuts of a limit
-	slowAt      = 3.5                    // times the run of a quiet worker that make a worker slow
-	paceWeight  = 0.15                   // of one more run, or round of asking, in its mean
-	paceFade    = 5 * time.Second        // after which a pace is old news
+	slowAt      = 2.5                    // quiet runs that calls wait beyond their own at a slow worker
+	farWeight   = 0.15                   // of one more round of asking in the share that finds a copy
+	waitFade    = 3 * time.Second        // after which a wait that was seen is old news
+	pushedFade  = 10 * time.Second       // memory of what loads pushed out
+	pushedMost  = 3.0                    // loads that one load may cost others, at most
 	quietPart   = 4                      // the run that one worker in so many stays under is a quiet worker's
 	quietLeast  = 3                      // answers of a worker that count for it
 	quietFor    = 500 * time.Millisecond // how long the run of a quiet worker stands
+	spreadRise  = 0.4                    // of an answer from a crowd, in the spread of a function
+	spreadFall  = 0.15                   // of one from less than a crowd
+	spreadMost  = 4                      // crowds that one answer tells of, at most
 	quietRise   = 400                    // part of a rise of that run that is believed each time
 )
 
@@ -60,7 +62,7 @@
 // New returns the Controller of a front end that starts now with nothing known.
 func New(now time.Duration, s Settings, a Actions) *Controller {
 	c := newController(now, s, a)
-	c.farHits, c.loadLimit = 1, loadsStart
+	c.farHits = 1
 	if s.AskForWorkers {
 		a.Follow()
 	}
@@ -94,17 +96,12 @@
 	for _, w := range c.list {
 		c.watch(w)
 	}
-	c.loading = 0
+	c.usual, c.loading = c.middle(), c.underWay()
 	keep := c.active[:0]
 	for _, f := range c.active {
 		f.replicas = slices.DeleteFunc(f.replicas, func(p *replica) bool {
 			return p.out == 0 && !p.loading && now-p.used >= c.set.KeepAlive
 		})
-		for _, p := range f.replicas {
-			if p.loading {
-				c.loading++
-			}
-		}
 		c.giveUp(f)
 		if len(f.held)+len(f.replicas)+f.asks == 0 && now-f.used > 2*probeIdle {
 			delete(c.functions, f.id)
@@ -154,14 +151,8 @@
 	c.dispatchAll() // the room that came free goes to the most worth held
 }
 
-// Probed takes the answer to a probe of a worker that could not be reached.
-func (c *Controller) Probed(now time.Duration, a Probed) {
-	c.now = now
-	if w := c.workers[a.Worker]; w != nil && w.probing {
-		w.probing = false
-		c.judge(w, a.Status == OK)
-	}
-}
+// Probed takes the answer to a probe; this module sends none: a call that may be repeated tells as much.
+func (c *Controller) Probed(now time.Duration, _ Probed) { c.now = now }
 
 // Loaded takes the answer to an order, or to the question how many copies stand.
 func (c *Controller) Loaded(now time.Duration, l Loaded) {
@@ -177,13 +168,13 @@
 	if count == 0 {
 		f.asks--
 		if l.Copies > 0 && p == nil && w.State == Ready {
-			f.replicas = append(f.replicas, &replica{w: w, used: now})
+			f.replicas = append(f.replicas, &replica{w: w, f: f, used: now})
 			f.found = true
 		}
 		if f.asks == 0 && f.round == 2 {
-			c.farHits *= 1 - paceWeight
+			c.farHits *= 1 - farWeight
 			if f.found {
-				c.farHits += paceWeight
+				c.farHits += farWeight
 			}
 		}
 	} else if p != nil && p.ordered {
@@ -193,9 +184,6 @@
 		} else {
 			w.noRoom = c.now + lately
 			f.drop(p)
-			if l.Status == Error {
-				c.fewerLoads()
-			}
 		}
 		if l.Status == ConnectFailed || l.Status == Reset || l.Status == Timeout {
 			c.judge(w, false)
@@ -208,20 +196,25 @@
 func (c *Controller) learn(r *request, p *replica, o Outcome) {
 	w, f := p.w, r.f
 	silent := w.heard < r.sent
+	if !r.began && (o.Status == OK || o.Status == Full || o.Status == Timeout) {
+		c.spread(f, c.now-r.sent, o.Crowd)
+	}
 	if o.Status == OK || o.Status == Full || o.Status == Miss || o.Status == Error {
 		w.heard = c.now
 	}
+	if !r.began && (o.Status == Miss || o.Warmth == BeganLoad || o.Warmth == WaitedForLoad) {
+		c.lost.add(c.now, pushedFade, 1)
+	}
 	switch o.Status {
 	case OK:
 		p.used = c.now
-		c.served.now(c.now, servedFade)
-		c.served.value++
+		c.served.add(c.now, servedFade, 1)
 		c.judge(w, true)
 		start := r.sent
 		if r.behind {
 			start = max(start, p.done)
 		}
-		run := c.now - start
+		run := max(time.Millisecond, c.now-start) // guards every rate against a run of no time
 		if o.Warmth == BeganLoad || o.Warmth == WaitedForLoad || o.Warmth == WarmthUnknown && r.began {
 			if r.began {
 				c.learnLoad(f, max(0, run-c.runOf(f)))
@@ -239,22 +232,17 @@
 			w.noRoom = c.now + lately
 			f.drop(p)
 		} else {
-			c.cut(w, limitFull)
+			c.cut(w)
+			w.wait = fading{float64(2 * (c.price(f) + c.runOf(f))), c.now, c.now} // a load is sooner
 		}
 	case Miss:
 		f.drop(p)
-		c.doubt(f)
-		if o.Warmth == LoadFailed {
-			c.fewerLoads()
-		}
 	case ConnectFailed, Reset:
-		w.down = true
 		c.forget(w) // guards against a death that the list tells late: a dead process holds nothing
-		c.judge(w, false)
+		c.suspicion(w, "lost")
 	case Error:
 		if o.Warmth == LoadFailed {
 			f.drop(p)
-			c.fewerLoads()
 		} else {
 			c.judge(w, false)
 		}
@@ -263,7 +251,7 @@
 			f.drop(p)
 		}
 		if waited := c.now - r.sent; !r.began {
-			if float64(waited) > c.paceOf(w)*float64(c.quiet(f.class)) { // else its client was in a hurry
+			if waited > c.waitOf(w) { // else its client was in a hurry
 				c.measure(w, f.class, waited)
 			}
 			if silent && waited > c.patience(r) {
@@ -273,23 +261,39 @@
 	}
 }
 
-// measure keeps a worker's pace and, by it, how many calls of ours it may hold. It guards against crowding,
-// whatever the cause: neighbours, other front ends' calls, a cold start, more lanes than cores.
-func (c *Controller) measure(w *worker, class int, run time.Duration) {
-	ratio := min(float64(run)/float64(max(time.Millisecond, c.quiet(class))), 10)
-	w.pace = c.paceOf(w) + paceWeight*(ratio-c.paceOf(w))
-	w.paced = c.now
-	if w.pace > slowAt {
-		c.cut(w, limitSlow)
+// measure learns how long calls at a worker wait beyond a quiet run, and by it how many of ours it may hold.
+// It guards against crowding by whatever cause: neighbours, other front ends' calls, a cold or dying worker,
+// more lanes than cores.
+func (c *Controller) measure(w *worker, class int, took time.Duration) {
+	quiet := float64(c.quiet(class))
+	wait := max(0, float64(took)-quiet)
+	w.wait.learn(c.now, waitFade, wait)
+	if w.wait.value > slowAt*quiet {
+		c.cut(w)
 	} else if float64(len(w.out)) >= w.limit-2 {
 		w.limit += 1 / w.limit
 	}
 }
 
-func (c *Controller) cut(w *worker, by float64) {
+// spread learns over how many first ranks the calls of all front ends for f should go, from the calls that a
+// copy held for each lane, or from answers that took long when the middle worker's do not. It guards against
+// hundreds of front ends that each see one call at a time and no backlog of their own. It would harm where
+// memory is short everywhere: more copies push each other out.
+func (c *Controller) spread(f *function, took time.Duration, crowd int) {
+	quiet := float64(c.quiet(f.class))
+	crowds := max(float64(crowd+1)/float64(f.lanes), float64(took)/(2*quiet))
+	crowds = min(crowds/max(1, (quiet+float64(c.usual))/(2*quiet)), spreadMost) - 1
+	part := spreadRise
+	if crowds < 0 {
+		part = spreadFall
+	}
+	f.spread = min(max(1, f.spread*(1+part*crowds)), float64(len(c.list)))
+}
+
+func (c *Controller) cut(w *worker) {
 	if c.now-w.cutAt > limitPause {
 		w.cutAt = c.now
-		w.limit = max(1, by*min(w.limit, float64(len(w.out)+1)))
+		w.limit = max(1, limitCut*min(w.limit, float64(len(w.out)+1)))
 	}
 }
 
@@ -308,41 +312,11 @@
 	return c.quietRun[class]
 }
 
-// doubt drops what f's copies have not proved lately. It guards against copies that went void together, by a
-// re-release or for want of memory: the workers are asked again instead of being tried one after the other.
-func (c *Controller) doubt(f *function) {
-	for _, p := range slices.Clone(f.replicas) {
-		if p.out == 0 && !p.loading && c.now-p.done > lately {
-			f.drop(p)
-		}
-	}
-	f.asked = -never
-}
-
-// fewerLoads cuts the loads that this front end may have under way. It guards against a store that is
-// crowded, slow, refuses or stands still: more loads make it worse, and push each other's copies out.
-func (c *Controller) fewerLoads() {
-	if c.now-c.loadCut > limitPause {
-		c.loadLimit, c.loadCut = max(1, c.loadLimit*limitFull), c.now
-	}
-}
-
-// learnLoad takes the time of a load, and by it sets how many this front end may have under way.
+// learnLoad takes the time of a load.
 func (c *Controller) learnLoad(f *function, took time.Duration) {
 	c.loadSeen, c.loading = c.now, max(0, c.loading-1)
-	usual := c.loadQuiet
 	if f.told > 0 {
-		usual = float64(f.told)
-		c.ratio.add(float64(took) / usual)
-	} else if usual == 0 {
-		c.loadQuiet = float64(took)
-	} else {
-		c.loadQuiet += (float64(took) - usual) / fitWindow
-	}
-	if usual > 0 && float64(took) > loadSlow*usual {
-		c.fewerLoads()
-	} else if c.loadLimit < loadsStart {
-		c.loadLimit += 1 / c.loadLimit
+		c.ratio.add(float64(took) / float64(f.told))
 	}
 	f.load.add(float64(took))
 	c.loads.add(float64(took))
@@ -397,7 +371,7 @@
 func (c *Controller) giveUp(f *function) {
 	out := f.out()
 	for i, r := range slices.Clone(f.held) {
-		wait := c.drain(f, i+out)
+		wait := c.drain(f, i+out, 0)
 		if wait == never && c.now-c.loadSeen < loadNews {
 			wait = c.loadOf(f) // no copy can be used: a load is the way
 		} else if wait == never {
@@ -413,7 +387,7 @@
 // in an overload what is worth little by then; it acts when a usable copy exists and none is being loaded.
 func (c *Controller) short(r *request, wait time.Duration) bool {
 	late := r.excess || c.now+wait+c.runOf(r.f) > r.aim
-	return late && wait > 0 && !r.f.coming() && c.pickWarm(r.f, r) == nil
+	return late && wait > 0 && !r.f.coming() && c.pickWarm(r.f, r, never) == nil
 }
 
 // before orders functions by the worth of their class: what frees room goes to the most worth that is held.
@@ -434,12 +408,12 @@
 	}
 	slices.SortStableFunc(f.held, func(a, b *request) int { return c.rank(a) - c.rank(b) })
 	for _, r := range slices.Clone(f.held) {
-		if p := c.pickWarm(f, r); p != nil {
+		if p := c.pickWarm(f, r, c.price(f)+c.runOf(f)+c.usual); p != nil {
 			c.send(r, p)
 		} else if !r.ran {
 			break
 		} else if r.bound() && !f.waiting(c, r) {
-			c.lend(f, r, c.pickCold(f, r), 1)
+			c.lend(f, r, c.pickCold(f, r, 0), 1)
 		}
 	}
 	if len(f.held) > 0 {
@@ -463,13 +437,14 @@
 	r := f.held[0]
 	if !slices.ContainsFunc(f.replicas, func(p *replica) bool { return c.usable(p.w) }) {
 		if !c.ask(f) {
-			c.lend(f, r, c.pickCold(f, r), f.lanes+pipeSpare)
+			c.lend(f, r, c.pickCold(f, r, 0), f.lanes)
 		}
 		return
 	}
-	if w := c.pickCold(f, r); w != nil {
-		run := time.Duration(max(1, c.paceOf(w)) * float64(min(c.runOf(f), c.quiet(f.class))))
-		if c.drain(f, len(f.held)+f.out()) > c.loadOf(f)+run {
+	if w := c.pickCold(f, r, 0); w != nil {
+		n, run := len(f.held)+f.out(), min(c.runOf(f), c.quiet(f.class))
+		there := c.waitOf(w) + run
+		if c.drain(f, n, 0) > c.loadOf(f)+there || c.drain(f, n, 1) > c.price(f)+max(there, c.usual+run) {
 			c.lend(f, r, w, 0)
 			return
 		}
@@ -477,25 +452,36 @@
 	if f.coming() {
 		return
 	}
-	for _, w := range c.ranked(f) { // the design's probe of a worker none of ours reached for long
-		if c.now-w.seen >= probeIdle && w.State == Ready && !w.suspect && f.at(w) == nil && c.allowed(r, w) &&
-			c.roomFor(w, r) {
-			c.lend(f, r, w, 1)
-			return
+	if w := c.pickCold(f, r, probeIdle); w != nil { // the design's probe of a worker not reached for long
+		c.lend(f, r, w, 1)
+		return
+	}
+	for _, r := range slices.Clone(f.held) { // no load helps, however long the wait
+		if p := c.pickWarm(f, r, never); p != nil {
+			c.send(r, p)
 		}
 	}
 }
 
-// drain is how long the believed copies of f need for n requests, loads under way counted.
-func (c *Controller) drain(f *function, n int) time.Duration {
+// price is the time of a load of f and, as in the design's source, of loading again what it pushes out: as
+// often as copies that we counted on were found gone for each load of ours.
+func (c *Controller) price(f *function) time.Duration {
+	again := min(pushedMost, c.lost.now(c.now, pushedFade)/max(1, c.lent.now(c.now, pushedFade)))
+	return time.Duration(float64(c.loadOf(f)) * (1 + again))
+}
+
+// drain is how long the believed copies of f need for n requests, loads under way counted, and by share what
+// others have there.
+func (c *Controller) drain(f *function, n int, share time.Duration) time.Duration {
 	var sources []source
 	run, load := c.runOf(f), c.loadOf(f)
 	for _, p := range f.replicas {
 		if !c.usable(p.w) {
 			continue
 		}
-		here := float64(max(time.Millisecond, p.run.duration(run)))
-		s := source{rate: min(float64(f.lanes), p.w.limit) / here}
+		wait := share * c.waitOf(p.w)
+		here := float64(max(run/4, p.run.duration(run)-wait)) // its mean run has the wait in it
+		s := source{rate: min(float64(f.lanes), p.w.limit) / here, from: float64(wait)}
 		if p.loading {
 			s.from = float64(max(0, p.since+load-c.now))
 		}
@@ -505,24 +491,18 @@
 }
 
 // pickWarm is the scheduler's pick among the copies with room: fewest requests out, ties rotated.
-func (c *Controller) pickWarm(f *function, r *request) *replica {
+func (c *Controller) pickWarm(f *function, r *request, within time.Duration) *replica {
 	var best *replica
 	least := math.Inf(1)
+	run := float64(c.runOf(f))
 	n := len(f.replicas)
 	for i := range n {
 		p := f.replicas[(f.turn+i)%n]
-		room := f.lanes + pipeSpare
-		if p.loading {
-			room = p.slots
-		}
-		if p.ordered || p.out >= room || !c.usable(p.w) || !c.allowed(r, p.w) ||
+		if p.ordered || p.out >= p.room() || c.waitOf(p.w) > within || !c.usable(p.w) || !c.allowed(r, p.w) ||
 			p.w.suspect && r.class.Repeat == Unsafe || !c.roomFor(p.w, r) {
 			continue
 		}
-		cost := float64(len(p.w.out) + 1)
-		if pace := c.paceOf(p.w); pace > slowAt {
-			cost *= pace // a worker seen to be slow counts what it holds as many times
-		}
+		cost := float64(len(p.w.out)+1) + float64(c.waitOf(p.w))/run
 		if cost < least {
 			best, least = p, cost
 		}
@@ -532,16 +512,31 @@
 }
 
 // pickCold chooses the worker that loads f. Every front end ranks the workers of a function alike, so that
-// without a word between them they load it in the same places; a suspect is taken when nothing else is left.
-func (c *Controller) pickCold(f *function, r *request) *worker {
-	ready := c.healthy()
-	for _, w := range c.ranked(f) {
+// without a word between them they load it in the same places. The first that is no busier than the middle
+// worker is taken (a silent one looks idle), and a suspect when nothing else is left.
+func (c *Controller) pickCold(f *function, r *request, idle time.Duration) *worker {
+	var best *worker
+	ready, least := c.healthy(), never
+	for _, w := range c.near(f) {
+		wait := max(c.usual, c.waitOf(w))
 		if w.State == Ready && c.now >= w.noRoom && f.at(w) == nil && c.allowed(r, w) && c.roomFor(w, r) &&
-			(!w.suspect || ready == 0 || r.bound()) {
-			return w
+			(!w.suspect || ready == 0 || r.bound()) && c.now-w.seen >= idle && wait < least {
+			best, least = w, wait
 		}
 	}
-	return nil
+	return best
+}
+
+// near lists the workers in the order in which this front end would load f: the ranks, begun at its own place
+// among as many of the first as the calls of all front ends need.
+func (c *Controller) near(f *function) []*worker {
+	order := c.ranked(f)
+	n := min(len(order), int(math.Ceil(f.spread)))
+	if n < 2 {
+		return order
+	}
+	own := int(mix(uint64(f.id), uint64(c.set.Self+1)) % uint64(n))
+	return slices.Concat(order[own:n], order[:own], order[n:])
 }
 
 // ask finds copies that others loaded before a load is begun: it acts when no worker is believed warm, and
@@ -551,12 +546,15 @@
 	if !c.set.MayOrder || f.asks > 0 {
 		return f.asks > 0 && c.now-f.asked < askWait
 	}
-	order := c.ranked(f)
+	order := c.near(f)
 	first := min(askFirst, len(order))
 	if c.now-f.asked >= lately {
 		f.round, order = 0, order[:first]
-	} else if order = order[first:]; f.round != 1 || c.farHits < farWorth && f.turn%farTry != 0 {
-		return false
+	} else {
+		order = order[first:]
+		if f.round != 1 || c.farHits < farWorth*float64(len(order)) && f.turn%farTry != 0 {
+			return false
+		}
 	}
 	f.round, f.asked, f.found = f.round+1, c.now, false
 	for _, w := range order {
@@ -572,17 +570,17 @@
 // lend starts a load of f on a cold worker for r and the requests that follow it, up to slots of them, or two
 // or one by the worker's pace where slots is 0.
 func (c *Controller) lend(f *function, r *request, w *worker, slots int) {
-	most := c.loadLimit
+	most := loadsMost
 	if f.taken == 1 {
 		most /= 2 // what is called for the first time waits for what is known to be wanted
 	}
-	if w == nil || c.loading > 0 && float64(c.loading) >= most {
+	if w == nil || c.loading >= most {
 		return
 	}
-	if slots == 0 && c.paceOf(w) <= 1.2 { // no slower, but for noise
+	if slots == 0 && c.waitOf(w) <= c.quiet(f.class)/5 { // no slower, but for noise
 		slots = 2
 	}
-	p := &replica{w: w, loading: true, slots: max(1, slots), since: c.now, used: c.now}
+	p := &replica{w: w, f: f, loading: true, slots: max(1, slots), since: c.now, used: c.now}
 	if c.set.MissAnswered {
 		key := pair{w.ID, f.id}
 		if _, busy := c.orders[key]; busy || !c.set.MayOrder || !c.ration() {
@@ -594,6 +592,7 @@
 		c.send(r, p)
 	}
 	c.loading++
+	c.lent.add(c.now, pushedFade, 1)
 	f.replicas = append(f.replicas, p)
 }
 
@@ -656,13 +655,13 @@
 			w.failed *= 0.6
 			w.until = c.now
 			if w.failed < suspectAt {
-				w.suspect, w.down, w.backoff = false, false, 0
+				w.suspect, w.backoff = false, 0
 			}
 		}
 		return
 	}
 	w.failed += (1 - w.failed) * failWeight
-	if w.failed >= suspectAt || w.down {
+	if w.failed >= suspectAt {
 		c.suspicion(w, "fails")
 	}
 }
@@ -680,7 +679,7 @@
 
 // usable says whether w may be sent a call now; a suspect whose pause is over takes one at a time.
 func (c *Controller) usable(w *worker) bool {
-	return w.State == Ready && (!w.suspect || !w.down && c.now >= w.until && len(w.out) == 0)
+	return w.State == Ready && (!w.suspect || c.now >= w.until && len(w.out) == 0)
 }
 
 // patience is how long a call of r may stay unanswered before that says anything of its worker.
@@ -689,14 +688,6 @@
 // watch looks for silence: a worker that has taken calls and for long answers none of them, be it hung, cut
 // off or standing still. Calls that may run twice are called back and go elsewhere.
 func (c *Controller) watch(w *worker) {
-	if w.suspect && w.down && !w.probing && c.now >= w.until && w.State == Ready {
-		if c.set.MayProbe {
-			w.probing = true
-			c.act.Probe(w.ID)
-		} else {
-			w.down = false
-		}
-	}
 	var late []*function // with calls that should have been answered long since, were their copies warm
 	silent := false
 	for _, r := range w.out {
--- /dev/null
+++ b/control/many_test.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"testing"
+	"time"
+)
+
+// These tests are of what one front end among hundreds must see, with a call at a time and no backlog of its own.
+
+// crowd ends the latest attempt of r as a worker does that held crowd calls of the function when it came.
+func (s *script) crowd(r RequestID, status Status, crowd int) {
+	s.t.Helper()
+	s.c.Outcome(s.now, Outcome{Request: r, Attempt: len(s.sentTo[r]) - 1, Worker: s.at(r), Status: status,
+		Closed: status == OK, Warmth: FoundWarm, Crowd: crowd})
+}
+
+func TestCopyCrowdedByOthersIsLeftForALoad(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		took  time.Duration
+		crowd int
+		load  bool
+	}{
+		{"quick", 100 * ms, 0, false},
+		{"late behind others", 2500 * ms, 20, true},
+		{"late at a slow worker", 2500 * ms, 0, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := start(t, settings(), 4)
+			w := s.warm(7)
+			r := s.arrive(7, 0)
+			s.pass(test.took)
+			s.crowd(r, OK, test.crowd)
+			s.pass(time.Second)
+			r = s.arrive(7, 0)
+			if moved := s.at(r) != w; moved != test.load {
+				t.Errorf("after an answer in %v with %d others there the next call loads elsewhere: %v", test.took, test.crowd, moved)
+			}
+		})
+	}
+}
+
+func TestWaitIsForgotten(t *testing.T) {
+	s := start(t, settings(), 4)
+	w := s.c.workers[s.warm(7)]
+	r := s.arrive(7, 0)
+	s.pass(2500 * ms)
+	s.end(r, OK, FoundWarm)
+	before := s.c.waitOf(w)
+	s.pass(2 * waitFade)
+	if after := s.c.waitOf(w); before < time.Second || after > before/4 {
+		t.Errorf("a wait of %v counts as %v %v later", before, after, 2*waitFade)
+	}
+}
+
+func TestFullWorkerIsNotAskedAgainAtOnce(t *testing.T) {
+	s := start(t, settings(), 4)
+	w := s.warm(7)
+	r := s.arrive(7, 0)
+	s.crowd(r, Full, 20)
+	if sent := s.sentTo[r]; len(sent) != 2 || sent[1] == w {
+		t.Errorf("a call turned away at worker %d went on to %v", w, sent)
+	}
+}
+
+func TestSilentWorkerDoesNotLookIdle(t *testing.T) {
+	s := start(t, settings(), 8)
+	f := s.c.meet(7, 0)
+	order := s.c.ranked(f)
+	for _, w := range order[:6] {
+		w.wait = fading{float64(time.Second), s.now, s.now}
+	}
+	s.c.usual = s.c.middle()
+	r := &request{class: &s.c.set.Classes[0], f: f, aim: never}
+	if w := s.c.pickCold(f, r, 0); w != order[0] {
+		t.Errorf("worker %d is to load, want the first rank %d, no busier than the middle one", w.ID, order[0].ID)
+	}
+	order[0].wait.value *= 3
+	if w := s.c.pickCold(f, r, 0); w != order[1] {
+		t.Errorf("worker %d is to load, want the second rank %d, the first is busier than the middle one", w.ID, order[1].ID)
+	}
+}
+
+func TestFrontEndsSpreadACrowdedFunction(t *testing.T) {
+	first := func(self, crowd int) WorkerID {
+		set := settings()
+		set.Self, set.FrontEnds = self, 200
+		s := start(t, set, 30)
+		s.warm(7)
+		for range 8 {
+			r := s.arrive(7, 0)
+			s.pass(100 * ms)
+			s.crowd(r, OK, crowd)
+		}
+		return s.c.near(s.c.functions[7])[0].ID
+	}
+	places := func(crowd int) int {
+		met := map[WorkerID]bool{}
+		for self := range 20 {
+			met[first(self, crowd)] = true
+		}
+		return len(met)
+	}
+	if n := places(0); n != 1 {
+		t.Errorf("20 front ends begin at %d workers with a function that none finds crowded", n)
+	}
+	if n := places(12); n < 5 {
+		t.Errorf("20 front ends begin at %d workers with a function that all find crowded", n)
+	}
+}
+
+func TestBusyEverywhereIsNoReasonToSpread(t *testing.T) {
+	s := start(t, settings(), 4)
+	f := s.c.meet(7, 0)
+	f.lanes = 2
+	quiet := s.c.quiet(0)
+	s.c.usual = 4 * quiet
+	s.c.spread(f, 5*quiet, -1)
+	if f.spread > 1 {
+		t.Errorf("spread over %.1f workers by an answer that took what it takes everywhere", f.spread)
+	}
+	s.c.usual = 0
+	s.c.spread(f, 5*quiet, -1)
+	if f.spread <= 1 {
+		t.Error("not spread by an answer far slower than the middle worker's")
+	}
+}
+
+func TestLoadCostsWhatItPushesOut(t *testing.T) {
+	s := start(t, settings(), 4)
+	s.warm(7)
+	f := s.c.functions[7]
+	before := s.c.price(f)
+	for range 3 {
+		r := s.arrive(7, 0)
+		s.pass(700 * ms)
+		s.end(r, OK, BeganLoad) // the copy that we counted on was gone
+	}
+	if after := s.c.price(f); after < before+s.c.loadOf(f)/2 {
+		t.Errorf("a load costs %v after copies were found gone, %v before", after, before)
+	}
+}
+
+func TestAskingAllMustPayForEach(t *testing.T) {
+	for _, test := range []struct{ workers, asked int }{{10, 10}, {60, askFirst}} {
+		s := start(t, settings(), test.workers)
+		s.c.farHits = 0.3
+		s.arrive(7, 0)
+		for _, a := range s.asks[:askFirst] {
+			s.c.Loaded(s.now, Loaded{Worker: a.w, Function: a.f, Status: OK, Latency: ms})
+		}
+		if n := len(s.asks); n != test.asked {
+			t.Errorf("%d of %d workers asked while three rounds in ten find a copy, want %d", n, test.workers, test.asked)
+		}
+	}
+}
+
+func TestRunsOfNoTimeLeaveNoRequestUnanswered(t *testing.T) {
+	s := start(t, settings(), 2)
+	w := s.c.workers[s.warm(7)]
+	for range 30 {
+		s.end(s.arrive(7, 0), OK, FoundWarm)
+	}
+	w.limit = 1
+	s.arrive(7, 0)
+	held := s.arrive(7, 0)
+	s.pass(3 * time.Second)
+	if s.answers[held] == "" {
+		t.Errorf("no answer for a request held behind runs of no time, expected run %v", s.c.runOf(s.c.functions[7]))
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -36,16 +36,13 @@
 	out     []*request    // attempts out there, oldest first
 	sends   []time.Duration
 	heard   time.Duration // last answer to any attempt
-	pace    float64       // run times here over those of a quiet worker
-	paced   time.Duration // when pace was last learned
 	runs    []mean        // by class
 	limit   float64       // calls of ours that it may hold
 	cutAt   time.Duration // when limit was last cut
+	wait    fading        // beyond a quiet run, as last seen
 	noRoom  time.Duration // no loads there before this
 	failed  float64       // share of recent attempts that failed
 	suspect bool
-	down    bool // suspect because no connection holds: a probe tells more cheaply than a call
-	probing bool
 	until   time.Duration // when a suspect may be tried again
 	backoff time.Duration
 }
@@ -53,6 +50,7 @@
 // replica is the belief that a worker holds the function loaded, or is loading it for us.
 type replica struct {
 	w       *worker
+	f       *function
 	out     int
 	slots   int           // pipe while loading
 	loading bool          // no answer yet since we began the load
@@ -60,6 +58,7 @@
 	since   time.Duration // when the load began
 	used    time.Duration
 	done    time.Duration // last outcome
+	wait    fading        // beyond a quiet run, where its lanes were short
 	run     mean          // here
 }
 
@@ -77,9 +76,10 @@
 	turn     int
 	asks     int // answers awaited about standing copies
 	asked    time.Duration
-	taken    int  // requests so far
-	round    int  // of asking: 0 none, 1 the first workers, 2 all
-	found    bool // a standing copy, in this round
+	taken    int     // requests so far
+	round    int     // of asking: 0 none, 1 the first workers, 2 all
+	found    bool    // a standing copy, in this round
+	spread   float64 // workers that the calls of all front ends need
 	used     time.Duration
 }
 
@@ -104,32 +104,31 @@
 
 // Controller decides for one front end.
 type Controller struct {
-	set       Settings
-	act       Actions
-	now       time.Duration
-	workers   map[WorkerID]*worker
-	list      []*worker // by identifier
-	epoch     int
-	functions map[FunctionID]*function
-	active    []*function // all functions, in the order of before
-	requests  map[RequestID]*request
-	orders    map[pair]int // copies asked for, by order under way
-	runs      []mean       // by class
-	quietRun  []time.Duration
-	quietAt   []time.Duration
-	loads     mean // load times of all functions
-	ratio     mean // load times over what was told
-	loadTimes []time.Duration
-	farHits   float64         // share of second rounds of asking that found a copy
-	arrivals  []time.Duration // in the ration's window
-	served    fading          // answers, by which a cold worker's part is guessed
-	taken     []float64       // by tenant, fading
-	over      []float64       // by tenant, of a call that is too many
-	loading   int             // loads of ours under way
-	loadLimit float64         // that may be
-	loadQuiet float64         // load time where not told, while the store is quick
-	loadCut   time.Duration
-	loadSeen  time.Duration
+	set        Settings
+	act        Actions
+	now        time.Duration
+	workers    map[WorkerID]*worker
+	list       []*worker // by identifier
+	epoch      int
+	functions  map[FunctionID]*function
+	active     []*function // all functions, in the order of before
+	requests   map[RequestID]*request
+	orders     map[pair]int // copies asked for, by order under way
+	runs       []mean       // by class
+	quietRun   []time.Duration
+	quietAt    []time.Duration
+	loads      mean          // load times of all functions
+	lost, lent fading        // copies found gone that were counted on, loads of ours
+	usual      time.Duration // wait at the middle worker
+	ratio      mean          // load times over what was told
+	loadTimes  []time.Duration
+	farHits    float64         // share of second rounds of asking that found a copy
+	arrivals   []time.Duration // in the ration's window
+	served     fading          // answers, by which a cold worker's part is guessed
+	taken      []float64       // by tenant, fading
+	over       []float64       // by tenant, of a call that is too many
+	loading    int             // loads of ours under way
+	loadSeen   time.Duration
 }
 
 type pair struct {
@@ -248,7 +247,7 @@
 		}
 		if w.limit == 0 || info.Started > w.Started {
 			changed = append(changed, w)
-			*w = worker{out: w.out, sends: w.sends, seen: c.now, heard: c.now, limit: limitStart, pace: 1,
+			*w = worker{out: w.out, sends: w.sends, seen: c.now, heard: c.now, limit: limitStart,
 				runs: make([]mean, len(c.set.Classes))}
 		}
 		w.WorkerInfo = info
@@ -288,8 +287,8 @@
 
 // fading is a count that forgets as it ages.
 type fading struct {
-	value float64
-	at    time.Duration
+	value    float64
+	at, last time.Duration // when it was last read, and last learned
 }
 
 func (x *fading) now(t, memory time.Duration) float64 {
@@ -298,6 +297,16 @@
 	return x.value
 }
 
+// add counts n more.
+func (x *fading) add(t, memory time.Duration, n float64) { x.value = x.now(t, memory) + n }
+
+// learn takes a sample into a fading mean, the more of it the longer ago the last one was.
+func (x *fading) learn(t, memory time.Duration, sample float64) {
+	part := 1 - math.Exp(-float64(t-x.last)/float64(lately))
+	x.value = (1-part)*x.now(t, memory) + part*sample
+	x.last = t
+}
+
 // healthy counts the ready workers that are not suspect.
 func (c *Controller) healthy() (n int) {
 	for _, w := range c.list {
@@ -356,11 +365,6 @@
 	return f.load.duration(c.loads.duration(loadPrior))
 }
 
-// paceOf is a worker's pace, forgotten as it ages so that a slow worker is tried again.
-func (c *Controller) paceOf(w *worker) float64 {
-	return 1 + (w.pace-1)*math.Exp(-float64(c.now-w.paced)/float64(paceFade))
-}
-
 // bound says whether only the group that drops its repeats may be sent the request.
 func (r *request) bound() bool { return r.ran && r.class.Repeat == Keyed }
 
@@ -388,6 +392,31 @@
 	return p
 }
 
+// room is how many calls of ours the copy may hold.
+func (p *replica) room() int {
+	if p.loading {
+		return p.slots
+	}
+	return p.f.lanes
+}
+
+// underWay counts the loads of ours that are.
+func (c *Controller) underWay() (n int) {
+	for _, f := range c.active {
+		for _, p := range f.replicas {
+			if p.loading {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// waitOf is how long calls at a worker last waited beyond a quiet run, forgotten as it ages.
+func (c *Controller) waitOf(w *worker) time.Duration {
+	return time.Duration(w.wait.now(c.now, waitFade))
+}
+
 // coming says whether a copy of f is being loaded for us.
 func (f *function) coming() bool {
 	return slices.ContainsFunc(f.replicas, func(p *replica) bool { return p.loading })
@@ -397,10 +426,25 @@
 func (c *Controller) meet(id FunctionID, class int) *function {
 	f := c.functions[id]
 	if f == nil {
-		f = &function{id: id, class: class, asked: -never}
+		f = &function{id: id, class: class, asked: -never, spread: 1}
 		c.functions[id] = f
 		c.active = append(c.active, f)
 		slices.SortStableFunc(c.active, c.before)
 	}
 	return f
 }
+
+// middle is the wait at the middle one of the ready workers.
+func (c *Controller) middle() time.Duration {
+	var waits []float64
+	for _, w := range c.list {
+		if w.State == Ready {
+			waits = append(waits, w.wait.now(c.now, waitFade))
+		}
+	}
+	if len(waits) == 0 {
+		return 0
+	}
+	slices.Sort(waits)
+	return time.Duration(waits[len(waits)/2])
+}
