--- a/control/control.go
+++ b/control/control.go
@@ -221,7 +221,7 @@
 			}
 		} else {
 			w.runs[f.class].add(float64(run))
-			c.measure(w, f.class, run)
+			c.measure(p, run, o.Crowd)
 			p.run.add(float64(run))
 			f.run.add(float64(run))
 			c.runs[f.class].add(float64(run))
@@ -233,7 +233,7 @@
 			f.drop(p)
 		} else {
 			c.cut(w)
-			w.wait = fading{float64(2 * (c.price(f) + c.runOf(f))), c.now, c.now} // a load is sooner
+			p.wait = fading{float64(2 * (c.price(f) + c.runOf(f))), c.now, c.now} // a load is sooner
 		}
 	case Miss:
 		f.drop(p)
@@ -252,7 +252,7 @@
 		}
 		if waited := c.now - r.sent; !r.began {
 			if waited > c.waitOf(w) { // else its client was in a hurry
-				c.measure(w, f.class, waited)
+				c.measure(p, waited, o.Crowd)
 			}
 			if silent && waited > c.patience(r) {
 				c.judge(w, false)
@@ -261,13 +261,16 @@
 	}
 }
 
-// measure learns how long calls at a worker wait beyond a quiet run, and by it how many of ours it may hold.
-// It guards against crowding by whatever cause: neighbours, other front ends' calls, a cold or dying worker,
-// more lanes than cores.
-func (c *Controller) measure(w *worker, class int, took time.Duration) {
-	quiet := float64(c.quiet(class))
+// measure learns how long an answer waited beyond a quiet run: at the worker and, where calls crowd the lanes,
+// at the copy, and by it how many calls of ours the worker may hold. It guards against crowding by whatever
+// cause: neighbours, other front ends' calls, a cold or dying worker, more lanes than cores.
+func (c *Controller) measure(p *replica, took time.Duration, crowd int) {
+	w, quiet := p.w, float64(c.quiet(p.f.class))
 	wait := max(0, float64(took)-quiet)
 	w.wait.learn(c.now, waitFade, wait)
+	if crowd >= p.f.lanes {
+		p.wait.learn(c.now, waitFade, wait)
+	}
 	if w.wait.value > slowAt*quiet {
 		c.cut(w)
 	} else if float64(len(w.out)) >= w.limit-2 {
@@ -479,7 +482,7 @@
 		if !c.usable(p.w) {
 			continue
 		}
-		wait := share * c.waitOf(p.w)
+		wait := share * c.waitAt(p)
 		here := float64(max(run/4, p.run.duration(run)-wait)) // its mean run has the wait in it
 		s := source{rate: min(float64(f.lanes), p.w.limit) / here, from: float64(wait)}
 		if p.loading {
@@ -498,11 +501,11 @@
 	n := len(f.replicas)
 	for i := range n {
 		p := f.replicas[(f.turn+i)%n]
-		if p.ordered || p.out >= p.room() || c.waitOf(p.w) > within || !c.usable(p.w) || !c.allowed(r, p.w) ||
+		if p.ordered || p.out >= p.room() || c.waitAt(p) > within || !c.usable(p.w) || !c.allowed(r, p.w) ||
 			p.w.suspect && r.class.Repeat == Unsafe || !c.roomFor(p.w, r) {
 			continue
 		}
-		cost := float64(len(p.w.out)+1) + float64(c.waitOf(p.w))/run
+		cost := float64(len(p.w.out)+1) + float64(c.waitAt(p))/run
 		if cost < least {
 			best, least = p, cost
 		}
