--- a/control/control.go
+++ b/control/control.go
@@ -39,6 +39,8 @@
 	quietFloor  = 700 * time.Millisecond // silence that is never held against a worker
 	quietRuns   = 4                      // silence beyond it, in runs of the call that waits
 	coldPart    = 0.8                    // of the load that would push a cold worker over, for chance
+	coldLot     = 0.4                    // of the same, where a front end's part is less than a call
+	coldLeast   = 4.0                    // calls in a window that a cold worker may get of all front ends
 	limitStart  = 12.0                   // calls of ours at one worker, until crowding or room is seen
 	limitCut    = 0.9                    // of them left after a slow run, or after a call was turned away
 	limitPause  = 100 * time.Millisecond // between two cuts of a limit
@@ -221,7 +223,7 @@
 			}
 		} else {
 			w.runs[f.class].add(float64(run))
-			c.measure(p, run, o.Crowd)
+			c.measure(w, f.class, run)
 			p.run.add(float64(run))
 			f.run.add(float64(run))
 			c.runs[f.class].add(float64(run))
@@ -233,7 +235,7 @@
 			f.drop(p)
 		} else {
 			c.cut(w)
-			p.wait = fading{float64(2 * (c.price(f) + c.runOf(f))), c.now, c.now} // a load is sooner
+			w.wait = fading{float64(2 * (c.price(f) + c.runOf(f))), c.now, c.now} // a load is sooner
 		}
 	case Miss:
 		f.drop(p)
@@ -252,7 +254,7 @@
 		}
 		if waited := c.now - r.sent; !r.began {
 			if waited > c.waitOf(w) { // else its client was in a hurry
-				c.measure(p, waited, o.Crowd)
+				c.measure(w, f.class, waited)
 			}
 			if silent && waited > c.patience(r) {
 				c.judge(w, false)
@@ -261,16 +263,13 @@
 	}
 }
 
-// measure learns how long an answer waited beyond a quiet run: at the worker and, where calls crowd the lanes,
-// at the copy, and by it how many calls of ours the worker may hold. It guards against crowding by whatever
-// cause: neighbours, other front ends' calls, a cold or dying worker, more lanes than cores.
-func (c *Controller) measure(p *replica, took time.Duration, crowd int) {
-	w, quiet := p.w, float64(c.quiet(p.f.class))
+// measure learns how long calls at a worker wait beyond a quiet run, and by it how many of ours it may hold.
+// It guards against crowding by whatever cause: neighbours, other front ends' calls, a cold or dying worker,
+// more lanes than cores.
+func (c *Controller) measure(w *worker, class int, took time.Duration) {
+	quiet := float64(c.quiet(class))
 	wait := max(0, float64(took)-quiet)
 	w.wait.learn(c.now, waitFade, wait)
-	if crowd >= p.f.lanes {
-		p.wait.learn(c.now, waitFade, wait)
-	}
 	if w.wait.value > slowAt*quiet {
 		c.cut(w)
 	} else if float64(len(w.out)) >= w.limit-2 {
@@ -482,7 +481,7 @@
 		if !c.usable(p.w) {
 			continue
 		}
-		wait := share * c.waitAt(p)
+		wait := share * c.waitOf(p.w)
 		here := float64(max(run/4, p.run.duration(run)-wait)) // its mean run has the wait in it
 		s := source{rate: min(float64(f.lanes), p.w.limit) / here, from: float64(wait)}
 		if p.loading {
@@ -501,11 +500,11 @@
 	n := len(f.replicas)
 	for i := range n {
 		p := f.replicas[(f.turn+i)%n]
-		if p.ordered || p.out >= p.room() || c.waitAt(p) > within || !c.usable(p.w) || !c.allowed(r, p.w) ||
+		if p.ordered || p.out >= p.room() || c.waitOf(p.w) > within || !c.usable(p.w) || !c.allowed(r, p.w) ||
 			p.w.suspect && r.class.Repeat == Unsafe || !c.roomFor(p.w, r) {
 			continue
 		}
-		cost := float64(len(p.w.out)+1) + float64(c.waitAt(p))/run
+		cost := float64(len(p.w.out)+1) + float64(c.waitOf(p.w))/run
 		if cost < least {
 			best, least = p, cost
 		}
@@ -620,19 +619,20 @@
 }
 
 // roomCold keeps rule 4: a cold worker is sent less than would push it over if every front end sent it as
-// much. What it could do warm is guessed from what the warm ones serve this front end; a first call in each
-// window always goes.
+// much. What it could do warm is guessed from what the warm ones serve this front end. Where its part is less
+// than a call, calls go by lot, drawn anew in each window: as a cold worker's part of what a warm one gets.
 func (c *Controller) roomCold(w *worker) bool {
 	age := c.now - w.Started
-	if w.Started == LongAgo || age >= c.set.ColdTime {
+	if w.Started == LongAgo || age >= c.set.ColdTime || c.set.TipWindow <= 0 {
 		return true
 	}
 	w.sends = recent(w.sends, c.now-c.set.TipWindow)
-	ready := c.healthy()
 	part := c.set.ColdFrom + (1-c.set.ColdFrom)*max(0, float64(age))/float64(c.set.ColdTime)
-	rate := c.served.now(c.now, servedFade) / servedFade.Seconds() / float64(max(1, ready))
+	rate := c.served.now(c.now, servedFade) / servedFade.Seconds() / float64(max(1, c.healthy()))
 	budget := coldPart * c.set.TipMultiple * part * rate * c.set.TipWindow.Seconds()
-	return float64(len(w.sends)) < max(1, math.Floor(budget))
+	budget = max(budget, min(1, coldLot*c.set.TipMultiple*part), coldLeast/float64(max(1, c.set.FrontEnds)))
+	lot := mix(mix(c.set.Seed, uint64(w.ID)), uint64(age/c.set.TipWindow))
+	return float64(len(w.sends)) < math.Floor(budget+float64(lot>>11)/(1<<53))
 }
 
 // excess counts an arrival and says whether it lies beyond its tenant's share: of the calls of a tenant that
