Send no call to a worker where calls wait longer than its client will

A copy at a worker where calls lately waited longer than the client has left, less one run, is no room for that call. It should also hold against slow and dying workers; it could harm where one long run passes for a wait.

--- a/control/control.go
+++ b/control/control.go
@@ -492,16 +492,19 @@
 	return drainTime(sources, float64(max(1, n)))
 }
 
-// pickWarm is the scheduler's pick among the copies with room: fewest requests out, ties rotated.
+// pickWarm is the scheduler's pick among the copies with room: fewest requests out, ties rotated. There is
+// none where calls wait beyond within, or longer than the client of r will: that guards against work for nobody
+// when clients are impatient and their retries fill the queues.
 func (c *Controller) pickWarm(f *function, r *request, within time.Duration) *replica {
 	var best *replica
 	least := math.Inf(1)
 	run := float64(c.runOf(f))
+	left := r.deadline - c.now - min(c.runOf(f), c.quiet(f.class)) // who waits longer has left
 	n := len(f.replicas)
 	for i := range n {
 		p := f.replicas[(f.turn+i)%n]
-		if p.ordered || p.out >= p.room() || c.waitOf(p.w) > within || !c.usable(p.w) || !c.allowed(r, p.w) ||
-			p.w.suspect && r.class.Repeat == Unsafe || !c.roomFor(p.w, r) {
+		if p.ordered || p.out >= p.room() || c.waitOf(p.w) > min(within, left) || !c.usable(p.w) ||
+			!c.allowed(r, p.w) || p.w.suspect && r.class.Repeat == Unsafe || !c.roomFor(p.w, r) {
 			continue
 		}
 		cost := float64(len(p.w.out)+1) + float64(c.waitOf(p.w))/run
--- a/control/many_test.go
+++ b/control/many_test.go
@@ -169,3 +169,20 @@
 		t.Errorf("no answer for a request held behind runs of no time, expected run %v", s.c.runOf(s.c.functions[7]))
 	}
 }
+
+func TestNoCallWhereItsClientWillNotWait(t *testing.T) {
+	for _, test := range []struct {
+		budget time.Duration
+		answer string
+	}{{3 * time.Second, ""}, {450 * ms, "refused"}} {
+		s := start(t, settings(), 1)
+		w := s.c.workers[s.warm(7)]
+		w.wait = fading{float64(400 * ms), s.now, s.now}
+		s.nextID++
+		s.c.Arrive(s.now, Request{ID: s.nextID, Function: 7, Budget: test.budget, Lanes: 2})
+		s.pass(350 * ms)
+		if sent := len(s.sentTo[s.nextID]) > 0; sent != (test.answer == "") || s.answers[s.nextID] != test.answer {
+			t.Errorf("a call with %v left, for a worker where calls wait 400 ms: sent %v, answer %q", test.budget, sent, s.answers[s.nextID])
+		}
+	}
+}
