Call back what is out for a client that left; first calls may use all loads again

On the news that a client left, its attempt is called back where that is allowed. It should also help with retry storms; it cannot harm, as nothing is owed any longer.

--- a/control/control.go
+++ b/control/control.go
@@ -120,7 +120,6 @@
 	c.now = now
 	f := c.meet(in.Function, in.Class)
 	f.lanes, f.told, f.used = max(1, in.Lanes), in.LoadTime, now
-	f.taken++
 	cl := &c.set.Classes[in.Class]
 	r := &request{Request: in, class: cl, f: f, deadline: now + in.Budget, aim: now + cl.Aim}
 	r.excess = in.Tenant < len(c.taken) && c.excess(in.Tenant)
@@ -153,8 +152,16 @@
 	c.dispatchAll() // the room that came free goes to the most worth held
 }
 
-// Probed takes the answer to a probe; this module sends none: a call that may be repeated tells as much.
-func (c *Controller) Probed(now time.Duration, _ Probed) { c.now = now }
+// Gone takes the news that a client left: nothing is owed any longer, and what is out is work for nobody.
+func (c *Controller) Gone(now time.Duration, id RequestID) {
+	c.now = now
+	if r := c.requests[id]; r != nil {
+		if r.at != nil && c.set.MayCancel && !r.streamed {
+			c.act.Cancel(r.ID, r.attempts-1)
+		}
+		c.end(r)
+	}
+}
 
 // Loaded takes the answer to an order, or to the question how many copies stand.
 func (c *Controller) Loaded(now time.Duration, l Loaded) {
@@ -493,13 +500,13 @@
 }
 
 // pickWarm is the scheduler's pick among the copies with room: fewest requests out, ties rotated. There is
-// none where calls wait beyond within, or longer than the client of r will: that guards against work for nobody
-// when clients are impatient and their retries fill the queues.
+// none where calls wait beyond within, or longer than the client of r will. That guards against work for
+// nobody when clients are impatient and their retries fill the queues.
 func (c *Controller) pickWarm(f *function, r *request, within time.Duration) *replica {
 	var best *replica
 	least := math.Inf(1)
 	run := float64(c.runOf(f))
-	left := r.deadline - c.now - min(c.runOf(f), c.quiet(f.class)) // who waits longer has left
+	left := r.deadline - c.now - min(c.runOf(f), c.quiet(f.class))
 	n := len(f.replicas)
 	for i := range n {
 		p := f.replicas[(f.turn+i)%n]
@@ -575,11 +582,7 @@
 // lend starts a load of f on a cold worker for r and the requests that follow it, up to slots of them, or two
 // or one by the worker's pace where slots is 0.
 func (c *Controller) lend(f *function, r *request, w *worker, slots int) {
-	most := loadsMost
-	if f.taken == 1 {
-		most /= 2 // what is called for the first time waits for what is known to be wanted
-	}
-	if w == nil || c.loading >= most {
+	if w == nil || c.loading >= loadsMost {
 		return
 	}
 	if slots == 0 && c.waitOf(w) <= c.quiet(f.class)/5 { // no slower, but for noise
--- a/control/many_test.go
+++ b/control/many_test.go
@@ -186,3 +186,21 @@
 		}
 	}
 }
+
+func TestClientThatLeftIsWorkedForNoLonger(t *testing.T) {
+	for _, mayCancel := range []bool{true, false} {
+		set := settings()
+		set.MayCancel = mayCancel
+		s := start(t, set, 1)
+		s.warm(7)
+		r := s.arrive(7, 0)
+		s.c.Gone(s.now, r)
+		if called := s.count("cancel") == 1; called != mayCancel {
+			t.Errorf("called back %v after its client left, allowed %v", called, mayCancel)
+		}
+		s.end(r, Cancelled, WarmthUnknown)
+		if s.answers[r] != "" || len(s.sentTo[r]) != 1 {
+			t.Errorf("a call whose client left got answer %q, sent %d times", s.answers[r], len(s.sentTo[r]))
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -76,7 +76,6 @@
 	turn     int
 	asks     int // answers awaited about standing copies
 	asked    time.Duration
-	taken    int     // requests so far
 	round    int     // of asking: 0 none, 1 the first workers, 2 all
 	found    bool    // a standing copy, in this round
 	spread   float64 // workers that the calls of all front ends need
@@ -212,13 +211,8 @@
 	}
 }
 
-// Gone takes the news that a client left: nothing is owed any longer.
-func (c *Controller) Gone(now time.Duration, id RequestID) {
-	c.now = now
-	if r := c.requests[id]; r != nil {
-		c.end(r)
-	}
-}
+// Probed takes the answer to a probe; the module sends none, as a call that may be repeated tells as much.
+func (c *Controller) Probed(now time.Duration, _ Probed) { c.now = now }
 
 func (c *Controller) end(r *request) {
 	r.over = true
