--- a/control/control.go
+++ b/control/control.go
@@ -255,7 +255,7 @@
 		} else {
 			c.judge(w, false)
 		}
-	case Timeout:
+	case Timeout, Cancelled: // calls called back tell of a wait as well
 		if p.loading {
 			f.drop(p)
 		}
@@ -393,7 +393,7 @@
 }
 
 // short says whether a held request would be late after wait and finds no room. It guards against working off
-// in an overload what is worth little by then; it acts when a usable copy exists and none is being loaded.
+// in an overload what is worth little by then; it acts when no copy is being loaded.
 func (c *Controller) short(r *request, wait time.Duration) bool {
 	late := r.excess || c.now+wait+c.runOf(r.f) > r.aim
 	return late && wait > 0 && !r.f.coming() && c.pickWarm(r.f, r, never) == nil
--- a/control/many_test.go
+++ b/control/many_test.go
@@ -198,7 +198,11 @@
 		if called := s.count("cancel") == 1; called != mayCancel {
 			t.Errorf("called back %v after its client left, allowed %v", called, mayCancel)
 		}
+		s.pass(time.Second)
 		s.end(r, Cancelled, WarmthUnknown)
+		if w := s.c.workers[s.at(r)]; s.c.waitOf(w) < 400*ms {
+			t.Errorf("a call called back after a second tells of a wait of %v", s.c.waitOf(w))
+		}
 		if s.answers[r] != "" || len(s.sentTo[r]) != 1 {
 			t.Errorf("a call whose client left got answer %q, sent %d times", s.answers[r], len(s.sentTo[r]))
 		}
