--- a/control/state.go
+++ b/control/state.go
@@ -58,7 +58,6 @@
 	since   time.Duration // when the load began
 	used    time.Duration
 	done    time.Duration // last outcome
-	wait    fading        // beyond a quiet run, where its lanes were short
 	run     mean          // here
 }
 
