Worker links: one multiplexed connection a worker that knows what can have run

The link tells it by how many bytes the system took: a frame not handed over whole never ran, as the connection is closed on it. Drains take back what waits to be written; a write that stands still when the grace is over is cut. Answers stream within a window for each call, so that a slow client holds up nobody. When to dial again and when silence means death is decided in internal/decide/linkcare.

--- /dev/null
+++ b/internal/workerlink/io.go
@@ -0,0 +1,356 @@
+package workerlink
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"havencart/control"
+	"havencart/internal/decide/linkcare"
+	"havencart/internal/workerwire"
+)
+
+// batchBytes bounds what one write hands to the system: calls behind it can still be taken back.
+const batchBytes = 64 << 10
+
+func newBuffered(conn net.Conn) io.Reader { return bufio.NewReaderSize(conn, 32<<10) }
+
+// span says where in a batch an item's frame ends.
+type span struct {
+	item
+	end int
+}
+
+// write writes what is queued until the connection breaks or gone is closed, and keeps its pulse.
+func (l *Link) write(conn net.Conn, gone <-chan struct{}) error {
+	var buf []byte
+	var spans []span
+	for {
+		var faulty []item
+		buf, spans, faulty = l.claim(buf[:0], spans[:0])
+		l.tell(faulty, control.Moot, control.Error, "its frame cannot be encoded")
+		if len(buf) > 0 {
+			n, err := conn.Write(buf)
+			l.written(spans, n, err)
+			if err != nil {
+				return fmt.Errorf("write to %s: %w", l.cfg.Worker, err)
+			}
+			continue
+		}
+		verdict, next := l.check()
+		switch verdict {
+		case linkcare.Dead:
+			return fmt.Errorf("%s is silent: %w", l.cfg.Worker, errHalfOpen)
+		case linkcare.Ping:
+			continue // claimed above
+		}
+		timer := time.NewTimer(next - l.cfg.Now())
+		select {
+		case <-gone:
+			timer.Stop()
+			return nil
+		case <-l.kick:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+var errHalfOpen = errors.New("no sign of life")
+
+// check asks the pulse of the connection and queues the ping that it wants.
+func (l *Link) check() (linkcare.Verdict, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	verdict, next := l.pulse.Check(l.cfg.Now())
+	if verdict == linkcare.Ping {
+		l.push(item{kind: workerwire.TypePing})
+	}
+	return verdict, next
+}
+
+// claim encodes the next batch. What it takes is leaving from now: it can no longer be taken back.
+func (l *Link) claim(buf []byte, spans []span) (_ []byte, _ []span, faulty []item) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	taken := 0
+	for _, i := range l.queue {
+		if len(buf) >= batchBytes {
+			break
+		}
+		taken++
+		next, err := l.encode(buf, i)
+		if err != nil { // too long, say: it never left
+			i.end()
+			faulty = append(faulty, i)
+			continue
+		}
+		buf = next
+		spans = append(spans, span{i, len(buf)})
+	}
+	l.queue = append(l.queue[:0], l.queue[taken:]...)
+	if len(buf) > 0 && l.conn != nil {
+		l.setWriteDeadline(linkcare.WriteLimit())
+	}
+	return buf, spans, faulty
+}
+
+// encode appends the frame of i and marks it leaving.
+func (l *Link) encode(buf []byte, i item) ([]byte, error) {
+	switch {
+	case i.attempt != nil:
+		a := i.attempt
+		call := a.Call
+		call.Patience = max(0, (a.Deadline - l.cfg.Now()).Milliseconds())
+		call.Window = uint32(l.cfg.Window)
+		next, err := workerwire.Append(buf, workerwire.TypeCall, a.number, call, a.Body)
+		if err == nil {
+			a.state, l.work = leaving, true
+			l.attempts[a.number] = a
+		}
+		return next, err
+	case i.order != nil:
+		next, err := workerwire.Append(buf, workerwire.TypeLoad, i.order.number, i.order.Load, nil)
+		if err == nil {
+			i.order.state = leaving
+			l.work = l.work || i.order.Load.Copies > 0
+			l.orders[i.order.number] = i.order
+		}
+		return next, err
+	}
+	return workerwire.Append(buf, i.kind, i.number, i.header, nil)
+}
+
+// written takes the result of a write: whole frames have left, the others never ran, as the connection is
+// closed on them.
+func (l *Link) written(spans []span, n int, err error) {
+	l.mu.Lock()
+	l.work = false
+	var never []item
+	for _, s := range spans {
+		gone := s.end <= n
+		switch {
+		case s.attempt != nil && s.attempt.state == leaving:
+			if gone {
+				s.attempt.state = left
+				continue
+			}
+			delete(l.attempts, s.attempt.number)
+			never = append(never, s.item)
+			s.item.end()
+		case s.order != nil && s.order.state == leaving:
+			if gone {
+				s.order.state = left
+				continue
+			}
+			delete(l.orders, s.order.number)
+			never = append(never, s.item)
+			s.item.end()
+		}
+	}
+	l.mu.Unlock()
+	if len(never) > 0 {
+		l.tell(never, control.ConnectFailed, control.ConnectFailed, fmt.Sprintf("not written whole: %v", err))
+	}
+}
+
+// read handles frames until the connection breaks.
+func (l *Link) read(conn net.Conn, reader *workerwire.Reader) error {
+	for {
+		f, err := reader.Next()
+		if err == nil {
+			l.mu.Lock()
+			l.pulse.Heard(l.cfg.Now())
+			l.mu.Unlock()
+			err = l.handle(f)
+		}
+		if err != nil {
+			return fmt.Errorf("read from %s: %w", l.cfg.Worker, err)
+		}
+	}
+}
+
+func (l *Link) handle(f workerwire.Frame) error {
+	switch f.Type {
+	case workerwire.TypeAnswer:
+		return l.answer(f)
+	case workerwire.TypeData:
+		return l.data(f)
+	case workerwire.TypeEnd:
+		return l.finish(f)
+	case workerwire.TypeLoaded:
+		return l.loaded(f)
+	case workerwire.TypeProbed:
+		return l.probed(f)
+	case workerwire.TypePing:
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.push(item{kind: workerwire.TypePong})
+		return nil
+	case workerwire.TypePong:
+		return nil
+	}
+	return fmt.Errorf("%w: %v from a worker", workerwire.ErrMalformed, f.Type)
+}
+
+var statuses = map[workerwire.Status]control.Status{
+	workerwire.StatusOK: control.OK, workerwire.StatusError: control.Error,
+	workerwire.StatusFull: control.Full, workerwire.StatusMiss: control.Miss,
+}
+
+var warmths = map[workerwire.Warmth]control.Warmth{
+	workerwire.FoundWarm: control.FoundWarm, workerwire.BeganLoad: control.BeganLoad,
+	workerwire.WaitedForLoad: control.WaitedForLoad, workerwire.LoadFailed: control.LoadFailed,
+}
+
+// answer takes the end of an attempt, or the beginning of a long answer.
+func (l *Link) answer(f workerwire.Frame) error {
+	var in workerwire.Answer
+	if err := f.Decode(&in); err != nil {
+		return err
+	}
+	status, known := statuses[in.Status]
+	if !known || in.More && status != control.OK {
+		return fmt.Errorf("%w: answer with status %d, more %t", workerwire.ErrMalformed, in.Status, in.More)
+	}
+	r := Result{Status: status, Why: in.Problem, Warmth: warmths[in.Warmth], Crowd: -1, Report: in.Report}
+	if in.Crowd != nil {
+		r.Crowd = max(0, *in.Crowd)
+	}
+	l.mu.Lock()
+	a := l.attempts[f.Call]
+	issued := f.Call != 0 && f.Call-1 < l.last
+	if a == nil || a.stream != nil {
+		l.mu.Unlock()
+		if !issued || a != nil {
+			return fmt.Errorf("%w: answer to call %d, which is not under way", workerwire.ErrMalformed, f.Call)
+		}
+		l.events.Late(f.Call)
+		return nil
+	}
+	r.Answer = &Answer{Type: in.Type, Length: int64(len(f.Body))}
+	if !in.More {
+		delete(l.attempts, f.Call)
+		a.state = ended
+		l.mu.Unlock()
+		r.Answer.Body = append([]byte(nil), f.Body...)
+		l.events.Ended(a, r)
+		return nil
+	}
+	number := f.Call
+	a.stream = newStream(l.cfg.Window, func(n int) { l.allow(number, n) })
+	a.begun = &r
+	r.Answer.Stream, r.Answer.Length = a.stream, -1
+	if in.Length > 0 {
+		r.Answer.Length = in.Length
+	}
+	fits := a.stream.add(f.Body)
+	l.mu.Unlock()
+	if !fits {
+		return l.overrun(number)
+	}
+	l.events.Began(a, r)
+	return nil
+}
+
+func (l *Link) overrun(number uint32) error {
+	return fmt.Errorf("%w: more of the answer to call %d than was allowed", workerwire.ErrMalformed, number)
+}
+
+// allow gives the worker credit for n more bytes of an answer.
+func (l *Link) allow(number uint32, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.attempts[number] != nil {
+		l.push(item{kind: workerwire.TypeCredit, number: number, header: workerwire.Credit{Bytes: uint32(n)}})
+	}
+}
+
+// data takes the next part of an answer; parts of an answer that nobody waits for are dropped.
+func (l *Link) data(f workerwire.Frame) error {
+	l.mu.Lock()
+	a := l.attempts[f.Call]
+	l.mu.Unlock()
+	if a == nil {
+		return nil
+	}
+	if a.stream == nil {
+		return fmt.Errorf("%w: data for call %d before its answer", workerwire.ErrMalformed, f.Call)
+	}
+	if !a.stream.add(f.Body) {
+		return l.overrun(f.Call)
+	}
+	return nil
+}
+
+// finish takes the end of an answer that came in parts.
+func (l *Link) finish(f workerwire.Frame) error {
+	var in workerwire.End
+	if err := f.Decode(&in); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	a := l.attempts[f.Call]
+	if a == nil {
+		l.mu.Unlock()
+		return nil
+	}
+	if a.stream == nil {
+		l.mu.Unlock()
+		return fmt.Errorf("%w: end of call %d before its answer", workerwire.ErrMalformed, f.Call)
+	}
+	delete(l.attempts, f.Call)
+	a.state = ended
+	l.mu.Unlock()
+	r := *a.begun
+	if in.Broken != "" {
+		r.Status, r.Why = control.Error, in.Broken
+		a.stream.end(fmt.Errorf("%w: %s", ErrBroken, in.Broken))
+	} else {
+		a.stream.end(nil)
+	}
+	l.events.Ended(a, r)
+	return nil
+}
+
+func (l *Link) loaded(f workerwire.Frame) error {
+	var in workerwire.Loaded
+	if err := f.Decode(&in); err != nil {
+		return err
+	}
+	status, known := statuses[in.Status]
+	if !known {
+		return fmt.Errorf("%w: order answered with status %d", workerwire.ErrMalformed, in.Status)
+	}
+	l.mu.Lock()
+	o := l.orders[f.Call]
+	if o != nil {
+		delete(l.orders, f.Call)
+		o.state = ended
+	}
+	l.mu.Unlock()
+	if o != nil {
+		l.events.OrderEnded(o, status, max(0, in.Copies))
+	}
+	return nil
+}
+
+func (l *Link) probed(f workerwire.Frame) error {
+	var in workerwire.Probed
+	if err := f.Decode(&in); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	asked := l.probes > 0
+	if asked {
+		l.probes--
+	}
+	l.mu.Unlock()
+	if asked {
+		l.events.Probed(statuses[in.Status], in.Report)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/workerlink/link.go
@@ -0,0 +1,408 @@
+package workerlink
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"havencart/control"
+	"havencart/internal/decide/linkcare"
+	"havencart/internal/workerwire"
+)
+
+// errClosed is why a link that was closed by its owner is down.
+var errClosed = errors.New("link closed")
+
+// Link is the way to one worker. Its methods never block on the network.
+type Link struct {
+	cfg    Config
+	events Events
+	cancel context.CancelFunc
+	done   chan struct{}
+	kick   chan struct{} // something to write
+	wanted chan struct{} // something waits for a connection
+
+	mu       sync.Mutex
+	queue    []item
+	attempts map[uint32]*Attempt // that may have left
+	orders   map[uint32]*Order
+	probes   int    // asked, not answered
+	last     uint32 // number given last
+	conn     net.Conn
+	pulse    *linkcare.Pulse
+	draining bool
+	closed   bool
+	work     bool // the write under way holds attempts or orders to load
+}
+
+// item is one frame that waits to be written.
+type item struct {
+	attempt *Attempt
+	order   *Order
+	kind    workerwire.Type
+	number  uint32
+	header  any
+}
+
+// New starts a link; Close ends it.
+func New(cfg Config, events Events) *Link {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Link{cfg: cfg, events: events, cancel: cancel, done: make(chan struct{}), kick: make(chan struct{}, 1),
+		wanted: make(chan struct{}, 1), attempts: map[uint32]*Attempt{}, orders: map[uint32]*Order{}}
+	go l.run(ctx)
+	return l
+}
+
+// Stop ends the link. What was under way ends as on a broken connection; Done tells when all is told.
+func (l *Link) Stop() { l.cancel() }
+
+// Done is closed when the link's goroutines have ended, after Stop.
+func (l *Link) Done() <-chan struct{} { return l.done }
+
+// Send writes a as soon as it can and returns nil; its end is told by Events. What cannot be taken on returns
+// its end at once.
+func (l *Link) Send(a *Attempt) *Result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.draining:
+		a.state = ended
+		return &Result{Status: control.Moot, Why: "the worker drains", Crowd: -1}
+	case l.closed || len(l.queue) >= l.cfg.MaxQueue:
+		a.state = ended
+		return &Result{Status: control.ConnectFailed, Why: "the link's queue is full or closed", Crowd: -1}
+	}
+	a.number, a.state = l.number(), queued
+	l.push(item{attempt: a})
+	return nil
+}
+
+// Abandon gives an attempt up: its end is not told after this, unless it already was. It returns whether the
+// worker may have seen it; if so it is told that nobody waits.
+func (l *Link) Abandon(a *Attempt) (mayHaveLeft bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	was := a.state
+	a.state = ended
+	switch was {
+	case queued:
+		l.unqueue(func(i item) bool { return i.attempt == a })
+	case leaving, left:
+		delete(l.attempts, a.number)
+		if a.stream != nil {
+			a.stream.end(fmt.Errorf("%w: given up here", ErrBroken))
+		}
+		l.push(item{kind: workerwire.TypeCancel, number: a.number})
+	}
+	return was == leaving || was == left
+}
+
+// Load gives an order and returns 0; its answer is told by Events. What cannot be taken on returns its status
+// at once.
+func (l *Link) Load(o *Order) control.Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if status := l.orderable(o); status != 0 {
+		o.state = ended
+		return status
+	}
+	o.number, o.state = l.number(), queued
+	l.push(item{order: o})
+	return 0
+}
+
+// orderable says why an order cannot be written, 0 if it can.
+func (l *Link) orderable(o *Order) control.Status {
+	switch {
+	case l.draining && o.Load.Copies > 0:
+		return control.Full
+	case l.closed || len(l.queue) >= l.cfg.MaxQueue:
+		return control.ConnectFailed
+	}
+	return 0
+}
+
+// AbandonOrder gives an order up: its answer is not told after this.
+func (l *Link) AbandonOrder(o *Order) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.state == queued {
+		l.unqueue(func(i item) bool { return i.order == o })
+	}
+	o.state = ended
+	delete(l.orders, o.number)
+}
+
+// Unload asks the worker to unload the idle copies of a function. Nothing tells whether it did.
+func (l *Link) Unload(function string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.push(item{kind: workerwire.TypeUnload, header: workerwire.Unload{Function: function}})
+}
+
+// Probe asks the worker for its load; the answer is told by Events.
+func (l *Link) Probe() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.probes++
+	l.push(item{kind: workerwire.TypeProbe})
+}
+
+// Drain takes back all new work that has not left, returns it, and takes on none from now: none of it ran.
+// What is being written has until the grace is over. What has left goes on. Resume ends it.
+func (l *Link) Drain(grace time.Duration) (attempts []*Attempt, orders []*Order) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = true
+	if l.work && l.conn != nil {
+		l.setWriteDeadline(grace)
+	}
+	taken := l.unqueue(func(i item) bool { return i.attempt != nil || i.order != nil && i.order.Load.Copies > 0 })
+	for _, i := range taken {
+		if i.attempt != nil {
+			attempts = append(attempts, i.attempt)
+		} else {
+			orders = append(orders, i.order)
+		}
+	}
+	return attempts, orders
+}
+
+// Resume lets new work through again.
+func (l *Link) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = false
+}
+
+// Busy says whether attempts or orders are under way, with all that waits here.
+func (l *Link) Busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue)+len(l.attempts)+len(l.orders) > 0
+}
+
+// number gives the next call number; 0 is never one.
+func (l *Link) number() uint32 {
+	if l.last++; l.last == 0 {
+		l.last++
+	}
+	return l.last
+}
+
+// push adds an item; the lock is held.
+func (l *Link) push(i item) {
+	l.queue = append(l.queue, i)
+	wake := l.kick
+	if l.conn == nil {
+		wake = l.wanted
+	}
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+// unqueue takes the items that match out of the queue and marks them ended; the lock is held.
+func (l *Link) unqueue(match func(item) bool) (taken []item) {
+	keep := l.queue[:0]
+	for _, i := range l.queue {
+		if !match(i) {
+			keep = append(keep, i)
+			continue
+		}
+		i.end()
+		taken = append(taken, i)
+	}
+	clear(l.queue[len(keep):])
+	l.queue = keep
+	return taken
+}
+
+func (i item) end() {
+	if i.attempt != nil {
+		i.attempt.state = ended
+	}
+	if i.order != nil {
+		i.order.state = ended
+	}
+}
+
+// tell tells the ends of items; the lock is not held.
+func (l *Link) tell(items []item, call, order control.Status, why string) {
+	for _, i := range items {
+		switch {
+		case i.attempt != nil:
+			l.events.Ended(i.attempt, Result{Status: call, Why: why, Crowd: -1})
+		case i.order != nil:
+			l.events.OrderEnded(i.order, order, 0)
+		}
+	}
+}
+
+func (l *Link) setWriteDeadline(after time.Duration) {
+	_ = l.conn.SetWriteDeadline(time.Now().Add(after)) // fails on a closed connection only, whose writes fail too
+}
+
+// run dials, serves and dials again until the link is closed.
+func (l *Link) run(ctx context.Context) {
+	defer close(l.done)
+	redial := linkcare.NewRedial(l.cfg.Seed)
+	for {
+		err := l.connect(ctx, redial)
+		redial.Failed(l.cfg.Now())
+		if ctx.Err() != nil {
+			err = errClosed
+			l.mu.Lock()
+			l.closed = true
+			l.mu.Unlock()
+		}
+		l.lost(err)
+		if ctx.Err() != nil || !l.pause(ctx, redial) {
+			l.mu.Lock()
+			l.closed = true
+			l.mu.Unlock()
+			l.lost(errClosed)
+			return
+		}
+	}
+}
+
+// pause waits until the next attempt to connect is due. A call that waits makes it due sooner.
+func (l *Link) pause(ctx context.Context, redial *linkcare.Redial) bool {
+	for {
+		wait := redial.Next() - l.cfg.Now()
+		if wait <= 0 {
+			return true
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		case <-l.wanted:
+			redial.Wanted()
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// connect makes one connection and serves it until it breaks; it returns why it did.
+func (l *Link) connect(ctx context.Context, redial *linkcare.Redial) error {
+	conn, reader, welcome, err := l.greet(ctx)
+	if err != nil {
+		return err
+	}
+	redial.Up()
+	l.mu.Lock()
+	l.conn, l.pulse, l.work = conn, linkcare.NewPulse(l.cfg.Now()), false
+	l.mu.Unlock()
+	l.events.Up(welcome)
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	wrote, gone := make(chan error, 1), make(chan struct{})
+	go func() {
+		err := l.write(conn, gone)
+		conn.Close() // ends the reading below
+		wrote <- err
+	}()
+	err = l.read(conn, reader)
+	conn.Close()
+	close(gone)
+	if writeErr := <-wrote; writeErr != nil {
+		err = writeErr
+	}
+	l.mu.Lock()
+	l.conn = nil
+	l.mu.Unlock()
+	return err
+}
+
+// greet dials and exchanges Hello and Welcome, all within ConnectTimeout.
+func (l *Link) greet(ctx context.Context) (net.Conn, *workerwire.Reader, workerwire.Welcome, error) {
+	var welcome workerwire.Welcome
+	dialCtx, cancel := context.WithTimeout(ctx, l.cfg.ConnectTimeout)
+	defer cancel()
+	conn, err := new(net.Dialer).DialContext(dialCtx, "tcp", l.cfg.Address)
+	if err != nil {
+		return nil, nil, welcome, fmt.Errorf("connect to %s: %w", l.cfg.Worker, err)
+	}
+	stop := context.AfterFunc(dialCtx, func() { conn.Close() })
+	reader, welcome, err := l.handshake(conn)
+	if !stop() && err == nil {
+		err = context.Cause(dialCtx)
+	}
+	if err != nil {
+		conn.Close()
+		return nil, nil, welcome, fmt.Errorf("handshake with %s: %w", l.cfg.Worker, err)
+	}
+	return conn, reader, welcome, nil
+}
+
+func (l *Link) handshake(conn net.Conn) (*workerwire.Reader, workerwire.Welcome, error) {
+	var welcome workerwire.Welcome
+	hello, err := workerwire.Append(nil, workerwire.TypeHello, 0,
+		workerwire.Hello{Version: workerwire.Version, FrontEnd: l.cfg.FrontEnd}, nil)
+	if err != nil {
+		return nil, welcome, err
+	}
+	if _, err := conn.Write(hello); err != nil {
+		return nil, welcome, err
+	}
+	reader := workerwire.NewReader(newBuffered(conn), l.cfg.MaxFrame)
+	f, err := reader.Next()
+	if err != nil {
+		return nil, welcome, err
+	}
+	if f.Type != workerwire.TypeWelcome {
+		return nil, welcome, fmt.Errorf("%w: %v in place of welcome", workerwire.ErrMalformed, f.Type)
+	}
+	if err := f.Decode(&welcome); err != nil {
+		return nil, welcome, err
+	}
+	switch {
+	case welcome.Refused != "":
+		return nil, welcome, fmt.Errorf("refused: %s", welcome.Refused)
+	case welcome.Version != workerwire.Version:
+		return nil, welcome, fmt.Errorf("it speaks version %d, this is %d", welcome.Version, workerwire.Version)
+	case welcome.Worker != l.cfg.Worker:
+		return nil, welcome, fmt.Errorf("worker %q answers at %s", welcome.Worker, l.cfg.Address)
+	}
+	return reader, welcome, nil
+}
+
+// lost ends all that was under way on a connection that broke, or waited for one that cannot be had.
+func (l *Link) lost(why error) {
+	l.mu.Lock()
+	waiting := l.unqueue(func(item) bool { return true })
+	var out []item
+	for _, a := range l.attempts {
+		out = append(out, item{attempt: a})
+	}
+	for _, o := range l.orders {
+		out = append(out, item{order: o})
+	}
+	for _, i := range out {
+		i.end()
+	}
+	clear(l.attempts)
+	clear(l.orders)
+	probes := l.probes
+	l.probes = 0
+	l.mu.Unlock()
+	for _, i := range out {
+		if i.attempt != nil && i.attempt.stream != nil {
+			i.attempt.stream.end(fmt.Errorf("%w: %w", ErrBroken, why))
+		}
+	}
+	l.tell(waiting, control.ConnectFailed, control.ConnectFailed, why.Error())
+	l.tell(out, control.Reset, control.Reset, why.Error())
+	for range probes {
+		l.events.Probed(control.ConnectFailed, nil)
+	}
+	l.events.Down(why)
+}
--- /dev/null
+++ b/internal/workerlink/link_test.go
@@ -0,0 +1,513 @@
+package workerlink
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"havencart/control"
+	"havencart/internal/workerwire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// soon bounds each wait for something that must happen; a test that needs it has failed already.
+const soon = 20 * time.Second
+
+// heard gathers what a link tells.
+type heard struct {
+	began, ended chan Result
+	orders       chan control.Status
+	probes       chan control.Status
+	up           chan workerwire.Welcome
+	down         chan error
+	late         chan uint32
+}
+
+func newHeard() *heard {
+	return &heard{make(chan Result, 1000), make(chan Result, 1000), make(chan control.Status, 1000),
+		make(chan control.Status, 1000), make(chan workerwire.Welcome, 1000), make(chan error, 1000),
+		make(chan uint32, 1000)}
+}
+
+func (h *heard) Began(_ *Attempt, r Result)                        { h.began <- r }
+func (h *heard) Ended(_ *Attempt, r Result)                        { h.ended <- r }
+func (h *heard) OrderEnded(_ *Order, s control.Status, copies int) { h.orders <- s }
+func (h *heard) Probed(s control.Status, _ []float64)              { h.probes <- s }
+func (h *heard) Up(w workerwire.Welcome)                           { h.up <- w }
+func (h *heard) Down(err error) {
+	select {
+	case h.down <- err:
+	default:
+	}
+}
+func (h *heard) Late(n uint32) { h.late <- n }
+
+func await[T any](t *testing.T, what string, c <-chan T) T {
+	t.Helper()
+	select {
+	case x := <-c:
+		return x
+	case <-time.After(soon):
+		t.Fatalf("waited in vain for %s", what)
+		panic("unreachable")
+	}
+}
+
+// peer is a worker that does what a test says, frame by frame.
+type peer struct {
+	t        *testing.T
+	listener net.Listener
+	conn     net.Conn
+	in       *workerwire.Reader
+}
+
+func listen(t *testing.T) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return &peer{t: t, listener: l}
+}
+
+// accept takes the next connection without a word.
+func (p *peer) accept() *peer {
+	p.t.Helper()
+	conn, err := p.listener.Accept()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { conn.Close() })
+	p.conn, p.in = conn, workerwire.NewReader(bufio.NewReader(conn), 0)
+	return p
+}
+
+// greet takes the next connection and shakes hands.
+func (p *peer) greet(life uint64) *peer {
+	p.t.Helper()
+	p.accept()
+	if f := p.next(); f.Type != workerwire.TypeHello {
+		p.t.Fatalf("%v in place of hello", f.Type)
+	}
+	p.write(workerwire.TypeWelcome, 0, workerwire.Welcome{Version: workerwire.Version, Worker: "w", Life: life}, "")
+	return p
+}
+
+func (p *peer) next() workerwire.Frame {
+	p.t.Helper()
+	_ = p.conn.SetReadDeadline(time.Now().Add(soon))
+	f, err := p.in.Next()
+	if err != nil {
+		p.t.Fatalf("the peer reads: %v", err)
+	}
+	return f
+}
+
+// call is the next frame that is a call, whatever pings come before it.
+func (p *peer) call() (uint32, workerwire.Call) {
+	p.t.Helper()
+	for {
+		f := p.next()
+		if f.Type != workerwire.TypeCall {
+			continue
+		}
+		var c workerwire.Call
+		if err := f.Decode(&c); err != nil {
+			p.t.Fatal(err)
+		}
+		return f.Call, c
+	}
+}
+
+func (p *peer) write(kind workerwire.Type, number uint32, header any, body string) {
+	p.t.Helper()
+	raw, err := workerwire.Append(nil, kind, number, header, []byte(body))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if _, err := p.conn.Write(raw); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *peer) reset() { _ = p.conn.(*net.TCPConn).SetLinger(0); p.conn.Close() }
+
+func open(t *testing.T, p *peer, change func(*Config)) (*Link, *heard) {
+	t.Helper()
+	start := time.Now()
+	cfg := Config{Worker: "w", Address: p.listener.Addr().String(), FrontEnd: "fe", ConnectTimeout: soon,
+		Window: 1000, MaxQueue: 100, Now: func() time.Duration { return time.Since(start) }}
+	if change != nil {
+		change(&cfg)
+	}
+	h := newHeard()
+	l := New(cfg, h)
+	t.Cleanup(func() {
+		l.Stop()
+		await(t, "the link's end", l.Done())
+	})
+	return l, h
+}
+
+func attempt(id string) *Attempt {
+	return &Attempt{Call: workerwire.Call{Copy: workerwire.Copy{Function: "f", Lanes: 1}, ID: id}, Body: []byte("in"),
+		Deadline: time.Hour}
+}
+
+func TestAnAnswerEndsItsAttempt(t *testing.T) {
+	p := listen(t)
+	l, h := open(t, p, nil)
+	l.Send(attempt("a"))
+	l.Send(attempt("b"))
+	p.greet(1)
+	first, _ := p.call()
+	second, c := p.call()
+	if c.ID != "b" || c.Patience < 1000 {
+		t.Errorf("call %+v", c)
+	}
+	crowd := 3
+	p.write(workerwire.TypeAnswer, second, workerwire.Answer{Status: workerwire.StatusOK, Crowd: &crowd}, "out")
+	if r := await(t, "an answer", h.ended); r.Status != control.OK || string(r.Answer.Body) != "out" || r.Crowd != 3 {
+		t.Errorf("result %+v", r)
+	}
+	p.write(workerwire.TypeAnswer, first, workerwire.Answer{Status: workerwire.StatusMiss}, "")
+	if r := await(t, "an answer", h.ended); r.Status != control.Miss || r.Crowd != -1 {
+		t.Errorf("result %+v", r)
+	}
+}
+
+// TestWhatEachBreakSays holds the table of the package: rule 2 stands on it.
+func TestWhatEachBreakSays(t *testing.T) {
+	t.Run("reset after the frame left", func(t *testing.T) {
+		p := listen(t)
+		l, h := open(t, p, nil)
+		p.greet(1)
+		l.Send(attempt("a"))
+		p.call()
+		p.reset()
+		if r := await(t, "the end", h.ended); r.Status != control.Reset {
+			t.Errorf("%+v", r)
+		}
+	})
+	t.Run("nobody listens", func(t *testing.T) {
+		p := listen(t)
+		p.listener.Close()
+		l, h := open(t, p, nil)
+		if r := l.Send(attempt("a")); r == nil {
+			if r := await(t, "the end", h.ended); r.Status != control.ConnectFailed {
+				t.Errorf("%+v", r)
+			}
+		}
+	})
+	t.Run("never says welcome", func(t *testing.T) {
+		p := listen(t)
+		l, h := open(t, p, func(c *Config) { c.ConnectTimeout = 50 * time.Millisecond })
+		l.Send(attempt("a"))
+		p.accept()
+		if r := await(t, "the end", h.ended); r.Status != control.ConnectFailed {
+			t.Errorf("%+v", r)
+		}
+	})
+	t.Run("another worker answers", func(t *testing.T) {
+		p := listen(t)
+		l, h := open(t, p, func(c *Config) { c.Worker = "other" })
+		l.Send(attempt("a"))
+		p.greet(1)
+		if r := await(t, "the end", h.ended); r.Status != control.ConnectFailed || !strings.Contains(r.Why, `"w"`) {
+			t.Errorf("%+v", r)
+		}
+	})
+	t.Run("dies in the middle of an answer's frame", func(t *testing.T) {
+		p := listen(t)
+		l, h := open(t, p, nil)
+		p.greet(1)
+		l.Send(attempt("a"))
+		n, _ := p.call()
+		raw, _ := workerwire.Append(nil, workerwire.TypeAnswer, n, workerwire.Answer{Status: workerwire.StatusOK}, nil)
+		_, _ = p.conn.Write(raw[:len(raw)-2])
+		p.conn.Close()
+		if r := await(t, "the end", h.ended); r.Status != control.Reset || !strings.Contains(r.Why, "unexpected EOF") {
+			t.Errorf("%+v", r)
+		}
+	})
+	t.Run("garbage", func(t *testing.T) {
+		p := listen(t)
+		l, h := open(t, p, nil)
+		p.greet(1)
+		l.Send(attempt("a"))
+		p.call()
+		_, _ = p.conn.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n"))
+		if r := await(t, "the end", h.ended); r.Status != control.Reset || !strings.Contains(r.Why, "malformed") {
+			t.Errorf("%+v", r)
+		}
+	})
+}
+
+// TestAFrameCutShortNeverRan guards rule 2 in the other direction: what the worker cannot have read whole may
+// go elsewhere, also when it is unsafe.
+func TestAFrameCutShortNeverRan(t *testing.T) {
+	p := listen(t)
+	l, h := open(t, p, nil)
+	p.greet(1)
+	await(t, "the connection", h.up)
+	big := attempt("big")
+	big.Body = make([]byte, 15<<20) // more than the system takes while the peer reads nothing
+	l.Send(big)
+	whole := attempt("behind")
+	l.Send(whole)
+	_, _ = io.ReadFull(p.conn, make([]byte, 100)) // it is being written
+	p.reset()
+	for range 2 {
+		if r := await(t, "the end", h.ended); r.Status != control.ConnectFailed {
+			t.Errorf("%+v", r)
+		}
+	}
+}
+
+func TestDrainTakesBackWhatHasNotLeft(t *testing.T) {
+	p := listen(t)
+	l, h := open(t, p, nil)
+	a, b := attempt("a"), attempt("b")
+	l.Send(a)
+	l.Send(b)
+	l.Load(&Order{Load: workerwire.Load{Copies: 1}})
+	l.Load(&Order{Load: workerwire.Load{Copies: 0}})
+	attempts, orders := l.Drain(time.Second)
+	if len(attempts) != 2 || attempts[0] != a || len(orders) != 1 {
+		t.Fatalf("taken back: %d attempts, %d orders", len(attempts), len(orders))
+	}
+	if r := l.Send(attempt("c")); r == nil || r.Status != control.Moot {
+		t.Errorf("new work after the notice: %+v", r)
+	}
+	if s := l.Load(&Order{Load: workerwire.Load{Copies: 2}}); s != control.Full {
+		t.Errorf("an order after the notice: %v", s)
+	}
+	p.greet(1)
+	if f := p.next(); f.Type != workerwire.TypeLoad {
+		t.Errorf("%v left, only the question may", f.Type)
+	}
+	if len(h.ended) != 0 {
+		t.Error("an end was told of what was taken back")
+	}
+	l.Resume()
+	l.Send(attempt("d"))
+	if _, c := p.call(); c.ID != "d" {
+		t.Errorf("call %q left", c.ID)
+	}
+}
+
+// TestNothingLeavesAfterTheGrace guards against a call that stands half written while its worker drains.
+func TestNothingLeavesAfterTheGrace(t *testing.T) {
+	p := listen(t)
+	l, h := open(t, p, nil)
+	p.greet(1)
+	await(t, "the connection", h.up)
+	big := attempt("big")
+	big.Body = make([]byte, 15<<20)
+	l.Send(big)
+	_, _ = io.ReadFull(p.conn, make([]byte, 100))
+	l.Drain(10 * time.Millisecond)
+	if r := await(t, "the end", h.ended); r.Status != control.ConnectFailed {
+		t.Errorf("%+v", r)
+	}
+	got, _ := io.Copy(io.Discard, p.conn)
+	if got > 15<<20 {
+		t.Errorf("%d bytes arrived: the whole call", got)
+	}
+}
+
+func TestAbandonTellsWhetherItLeft(t *testing.T) {
+	p := listen(t)
+	l, h := open(t, p, nil)
+	a := attempt("a")
+	l.Send(a)
+	if l.Abandon(a) {
+		t.Error("an attempt without a connection left")
+	}
+	p.greet(1)
+	await(t, "the connection", h.up)
+	b := attempt("b")
+	l.Send(b)
+	n, c := p.call()
+	if c.ID != "b" {
+		t.Fatalf("call %q left", c.ID)
+	}
+	if !l.Abandon(b) {
+		t.Error("an attempt that was read did not leave")
+	}
+	if f := p.next(); f.Type != workerwire.TypeCancel || f.Call != n {
+		t.Errorf("the worker is told %v %d", f.Type, f.Call)
+	}
+	p.write(workerwire.TypeAnswer, n, workerwire.Answer{Status: workerwire.StatusOK}, "late")
+	if got := await(t, "a late answer", h.late); got != n {
+		t.Errorf("late answer to %d", got)
+	}
+	if len(h.ended) != 0 {
+		t.Error("the end of an abandoned attempt was told")
+	}
+}
+
+// TestAFormerLifeIsNotHeard: a worker came back under its address; answers of its former life, with numbers of
+// then, must not end attempts of now.
+func TestAFormerLifeIsNotHeard(t *testing.T) {
+	p := listen(t)
+	l, h := open(t, p, nil)
+	p.greet(1)
+	l.Send(attempt("a"))
+	old, _ := p.call()
+	former := p.conn
+	former.(*net.TCPConn).CloseWrite() // the worker's end of the old connection lives on
+	if r := await(t, "the end", h.ended); r.Status != control.Reset {
+		t.Fatalf("%+v", r)
+	}
+	l.Send(attempt("b"))
+	p.greet(2)
+	now, _ := p.call()
+	if now == old {
+		t.Fatal("a number was used again")
+	}
+	p.write(workerwire.TypeAnswer, old, workerwire.Answer{Status: workerwire.StatusOK}, "")
+	await(t, "a late answer", h.late)
+	p.write(workerwire.TypeAnswer, now, workerwire.Answer{Status: workerwire.StatusOK}, "")
+	if r := await(t, "the answer", h.ended); r.Status != control.OK {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestAnswersThatWereNeverAskedForBreakTheLink(t *testing.T) {
+	p := listen(t)
+	_, h := open(t, p, nil)
+	p.greet(1)
+	p.write(workerwire.TypeAnswer, 77, workerwire.Answer{Status: workerwire.StatusOK}, "")
+	if err := await(t, "the break", h.down); !errors.Is(err, workerwire.ErrMalformed) {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestLongAnswersStreamWithinTheWindow(t *testing.T) {
+	p := listen(t)
+	l, h := open(t, p, nil)
+	p.greet(1)
+	l.Send(attempt("a"))
+	n, c := p.call()
+	part := strings.Repeat("x", int(c.Window)/2)
+	p.write(workerwire.TypeAnswer, n, workerwire.Answer{Status: workerwire.StatusOK, More: true}, part)
+	p.write(workerwire.TypeData, n, nil, part)
+	begun := await(t, "the beginning", h.began)
+	got := 0
+	for range 2 {
+		b, err := begun.Answer.Stream.Next(context.Background(), soon)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got += len(b)
+	}
+	for credit := 0; credit < int(c.Window); {
+		f := p.next()
+		var in workerwire.Credit
+		if f.Type == workerwire.TypeCredit && f.Decode(&in) == nil {
+			credit += int(in.Bytes)
+		}
+	}
+	p.write(workerwire.TypeData, n, nil, "end")
+	p.write(workerwire.TypeEnd, n, workerwire.End{}, "")
+	if r := await(t, "the end", h.ended); r.Status != control.OK {
+		t.Errorf("%+v", r)
+	}
+	b, err := begun.Answer.Stream.Next(context.Background(), soon)
+	if rest, end := begun.Answer.Stream.Next(context.Background(), soon); string(b) != "end" || err != nil || rest != nil || end != nil {
+		t.Errorf("last part %q %v, then %q %v", b, err, rest, end)
+	}
+}
+
+// TestASlowClientHoldsUpNobody: one answer that nobody reads, and the worker sends no more than it may; another
+// call on the same link is answered meanwhile. A worker that sends more loses the connection.
+func TestASlowClientHoldsUpNobody(t *testing.T) {
+	p := listen(t)
+	l, h := open(t, p, nil)
+	p.greet(1)
+	l.Send(attempt("slow"))
+	l.Send(attempt("quick"))
+	slow, c := p.call()
+	quick, _ := p.call()
+	p.write(workerwire.TypeAnswer, slow, workerwire.Answer{Status: workerwire.StatusOK, More: true},
+		strings.Repeat("x", int(c.Window)))
+	p.write(workerwire.TypeAnswer, quick, workerwire.Answer{Status: workerwire.StatusOK}, "")
+	if r := await(t, "the quick answer", h.ended); r.Status != control.OK {
+		t.Errorf("%+v", r)
+	}
+	p.write(workerwire.TypeData, slow, nil, "too much")
+	if r := await(t, "the break", h.ended); r.Status != control.Reset || !strings.Contains(r.Why, "allowed") {
+		t.Errorf("%+v", r)
+	}
+	begun := await(t, "the beginning", h.began)
+	if _, err := begun.Answer.Stream.Next(context.Background(), soon); err != nil {
+		t.Errorf("what came before the break is lost: %v", err)
+	}
+	if _, err := begun.Answer.Stream.Next(context.Background(), soon); !errors.Is(err, ErrBroken) {
+		t.Errorf("the break shows as %v", err)
+	}
+}
+
+func TestOrdersAndProbesAreAnswered(t *testing.T) {
+	p := listen(t)
+	l, h := open(t, p, nil)
+	p.greet(1)
+	l.Load(&Order{Load: workerwire.Load{Copies: 1}})
+	f := p.next()
+	p.write(workerwire.TypeLoaded, f.Call, workerwire.Loaded{Status: workerwire.StatusOK, Copies: 1}, "")
+	if s := await(t, "the order's end", h.orders); s != control.OK {
+		t.Errorf("%v", s)
+	}
+	l.Probe()
+	for p.next().Type != workerwire.TypeProbe {
+	}
+	p.write(workerwire.TypeProbed, 0, workerwire.Probed{Status: workerwire.StatusOK}, "")
+	if s := await(t, "the probe's end", h.probes); s != control.OK {
+		t.Errorf("%v", s)
+	}
+	l.Probe()
+	p.reset()
+	if s := await(t, "the probe's end", h.probes); s != control.ConnectFailed {
+		t.Errorf("%v", s)
+	}
+}
+
+func TestAFullQueueTurnsAway(t *testing.T) {
+	p := listen(t)
+	l, _ := open(t, p, func(c *Config) { c.MaxQueue = 2 })
+	for i := range 2 {
+		if r := l.Send(attempt(fmt.Sprint(i))); r != nil {
+			t.Fatalf("%+v", r)
+		}
+	}
+	if r := l.Send(attempt("third")); r == nil || r.Status != control.ConnectFailed {
+		t.Errorf("%+v", r)
+	}
+}
+
+// TestAHalfOpenConnectionIsFound: the peer is gone without a word, the connection stands.
+func TestAHalfOpenConnectionIsFound(t *testing.T) {
+	p := listen(t)
+	var clock atomic.Int64
+	l, h := open(t, p, func(c *Config) { c.Now = func() time.Duration { return time.Duration(clock.Load()) } })
+	p.greet(1)
+	l.Send(attempt("a"))
+	p.call()
+	clock.Add(int64(time.Minute))
+	l.Unload("f") // wakes the writer, as its timer would
+	if r := await(t, "the end", h.ended); r.Status != control.Reset || !strings.Contains(r.Why, "sign of life") {
+		t.Errorf("%+v", r)
+	}
+}
