Directory edge and stand-ins: emulated worker, function store and directory on sockets

Need: the front end must follow a list of workers that comes late, in part or not at all, and must be proved against peers that misbehave. The list is read by Consul's blocking queries or from a watched file; a list that cannot be read is refused whole, an index that goes back is asked anew. From when a worker counts as started is decided in internal/decide/roster out of the list's and the worker's own word. The worker's and the store's models are driven by a clock and callbacks, so that virtual time can drive them later.

--- /dev/null
+++ b/internal/decide/roster/roster.go
@@ -0,0 +1,77 @@
+// Package roster decides from when a worker's process counts as started, out of what the list of workers says
+// and what the worker says of itself. The rule that no cold worker is pushed over stands on that time, and
+// neither source is sure: the list comes late and its times are another machine's wall clock; the worker's own
+// word is exact but comes only once there is a connection.
+package roster
+
+import (
+	"time"
+
+	"havencart/control"
+)
+
+// sameStart is how far apart two tellings of one start may lie.
+const sameStart = 2 * time.Second
+
+// Roster remembers what was said of each worker.
+type Roster struct {
+	workers map[control.WorkerID]*entry
+}
+
+type entry struct {
+	info   control.WorkerInfo // as last given to the module
+	listed time.Duration      // start as the list last told it, uncorrected
+	life   uint64             // as the worker last told it, 0 if it never did
+}
+
+// New returns a Roster that knows nobody.
+func New() *Roster { return &Roster{workers: map[control.WorkerID]*entry{}} }
+
+// Listed takes a list at now, whose Started fields are the list's own, and returns it with the times that
+// count. Workers that a whole list lacks are kept in mind, as they may come back with the same process.
+//
+// A start told in the future is now: it guards against a worker's clock that is ahead, which would leave it
+// cold for good. A start is corrected once, when the list first tells it, so that it does not move with each
+// list. A start earlier than the one that counts changes nothing: a list may be older than a connection.
+func (r *Roster) Listed(now time.Duration, list []control.WorkerInfo) []control.WorkerInfo {
+	out := make([]control.WorkerInfo, len(list))
+	for i, info := range list {
+		e := r.workers[info.ID]
+		told := info.Started
+		switch {
+		case e == nil:
+			e = &entry{}
+			r.workers[info.ID] = e
+			info.Started = min(told, now)
+		case told == e.listed || told <= e.info.Started+sameStart:
+			info.Started = e.info.Started
+		default:
+			info.Started = min(told, now)
+		}
+		e.info, e.listed = info, told
+		out[i] = info
+	}
+	return out
+}
+
+// Met takes at now what a worker says on a new connection: a number that differs between its lives, and how
+// long its process runs by its own monotonic clock. It returns the worker's entry and whether it is news.
+//
+// It guards against a list that tells a restart late or, its clock being wrong, not at all.
+func (r *Roster) Met(now time.Duration, id control.WorkerID, life uint64, up time.Duration) (control.WorkerInfo, bool) {
+	e := r.workers[id]
+	if e == nil {
+		return control.WorkerInfo{}, false // nobody may be sent to that no list named
+	}
+	another := e.life != 0 && e.life != life
+	e.life = life
+	started := now - max(0, up)
+	if another {
+		started = max(started, e.info.Started+1) // whatever its clock says, it is not the process of before
+	}
+	if !another && started <= e.info.Started+sameStart {
+		return e.info, false
+	}
+	e.info.Started = started
+	return e.info, true
+}
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,223 @@
+package directory_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"havencart/control"
+	"havencart/internal/directory"
+	lab "havencart/lab/directory"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const soon = 20 * time.Second
+
+type sink struct {
+	lists chan []directory.Worker
+	fails chan error
+}
+
+func (s sink) Listed(l []directory.Worker) { s.lists <- l }
+func (s sink) ListFailed(err error)        { s.fails <- err }
+
+func (s sink) list(t *testing.T) []directory.Worker {
+	t.Helper()
+	select {
+	case l := <-s.lists:
+		return l
+	case <-time.After(soon):
+		t.Fatal("waited in vain for a list")
+		return nil
+	}
+}
+
+func (s sink) failure(t *testing.T) error {
+	t.Helper()
+	select {
+	case err := <-s.fails:
+		return err
+	case <-time.After(soon):
+		t.Fatal("waited in vain for a failure")
+		return nil
+	}
+}
+
+func follow(t *testing.T, source directory.Source) sink {
+	t.Helper()
+	s := sink{make(chan []directory.Worker, 100), make(chan error, 100)}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); source.Run(ctx, s) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return s
+}
+
+func names(list []directory.Worker) string {
+	var all []string
+	for _, w := range list {
+		all = append(all, fmt.Sprintf("%s:%d", w.Name, w.State))
+	}
+	return strings.Join(all, " ")
+}
+
+func start(t *testing.T, n int) (*lab.Server, sink, *directory.Consul) {
+	t.Helper()
+	d, err := lab.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	for i := range n {
+		d.Set(entry(i+1, control.Ready))
+	}
+	c := directory.NewConsul(d.URL(), "workers")
+	return d, follow(t, c), c
+}
+
+func entry(i int, state control.WorkerState) lab.Entry {
+	return lab.Entry{Name: fmt.Sprint("w", i), Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), Cell: "c", State: state,
+		Started: time.UnixMilli(1000)}
+}
+
+func TestChangesAreToldAsTheyCome(t *testing.T) {
+	d, s, _ := start(t, 2)
+	list := s.list(t)
+	if names(list) != "w1:1 w2:1" || list[0].Cell != "c" || !list[0].Started.Equal(time.UnixMilli(1000)) {
+		t.Fatalf("%+v", list)
+	}
+	d.Set(entry(1, control.Draining))
+	if got := names(s.list(t)); got != "w1:2 w2:1" {
+		t.Error(got)
+	}
+	d.Set(entry(1, control.Gone))
+	if got := names(s.list(t)); got != "w2:1" {
+		t.Error(got)
+	}
+	critical := entry(2, control.Gone)
+	critical.Critical = true
+	d.Set(critical)
+	if got := names(s.list(t)); got != "w2:3" {
+		t.Error(got)
+	}
+}
+
+func TestAPartialListIsBelievedAndUndone(t *testing.T) {
+	d, s, _ := start(t, 4)
+	s.list(t)
+	d.Partial(0.5)
+	if got := names(s.list(t)); got != "w1:1 w2:1" {
+		t.Error(got)
+	}
+	d.Partial(1)
+	if got := names(s.list(t)); got != "w1:1 w2:1 w3:1 w4:1" {
+		t.Error(got)
+	}
+}
+
+func TestADirectoryThatIsDownIsAskedAgainWhenWanted(t *testing.T) {
+	d, s, c := start(t, 1)
+	s.list(t)
+	d.Down(true)
+	s.failure(t)
+	c.Follow()
+	s.failure(t)
+	d.Down(false)
+	c.Follow()
+	if got := names(s.list(t)); got != "w1:1" {
+		t.Error(got)
+	}
+}
+
+func TestAnIndexThatGoesBackIsFollowed(t *testing.T) {
+	d, s, _ := start(t, 3)
+	s.list(t)
+	d.Back()
+	d.Set(entry(3, control.Draining))
+	for range 3 { // the list as it was may be told once more
+		if got := names(s.list(t)); got == "w1:1 w2:1 w3:2" {
+			return
+		}
+	}
+	t.Error("the change after the loss was not told")
+}
+
+func TestBadAnswersAreRefusedWhole(t *testing.T) {
+	for name, body := range map[string]string{
+		"no JSON":      "<html>",
+		"no address":   `[{"Service":{"ID":"w1"}}]`,
+		"a name twice": `[{"Service":{"ID":"w","Address":"h","Port":1}},{"Service":{"ID":"w","Address":"h","Port":2}}]`,
+		"bad scale":    `[{"Service":{"ID":"w","Address":"h","Port":1,"Meta":{"scale":"-1"}}}]`,
+		"bad start":    `[{"Service":{"ID":"w","Address":"h","Port":1,"Meta":{"started":"noon"}}}]`,
+	} {
+		if _, err := directory.ParseConsul([]byte(body)); !errors.Is(err, directory.ErrMalformed) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "[]") }))
+	defer server.Close()
+	if err := follow(t, directory.NewConsul(server.URL, "workers")).failure(t); !errors.Is(err, directory.ErrMalformed) {
+		t.Errorf("an answer without an index: %v", err)
+	}
+}
+
+func TestAFileIsFollowed(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "workers")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("worker w1 127.0.0.1:9001 zone a # the first\n\nworker w2 127.0.0.1:9002 state draining\n")
+	source := directory.NewFile(path)
+	s := follow(t, source)
+	if got := names(s.list(t)); got != "w1:1 w2:2" {
+		t.Error(got)
+	}
+	write("worker w1 127.0.0.1:9001 colour red\n")
+	if err := s.failure(t); !errors.Is(err, directory.ErrMalformed) || !strings.Contains(err.Error(), "workers:1: found \"colour\"") {
+		t.Error(err)
+	}
+	write("worker w3 127.0.0.1:9003\n")
+	if got := names(s.list(t)); got != "w3:1" {
+		t.Error(got)
+	}
+}
+
+func FuzzParseConsul(f *testing.F) {
+	f.Add([]byte(`[{"Node":{"Address":"h"},"Service":{"ID":"w","Port":1,"Meta":{"scale":"1","started":"5"}},"Checks":[{"CheckID":"_node_maintenance","Status":"critical"}]}]`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		list, err := directory.ParseConsul(raw)
+		for _, w := range list {
+			if err == nil && (w.Name == "" || w.Address == "" || !(w.Scale > 0) || w.State == 0) {
+				t.Fatalf("accepted %+v", w)
+			}
+		}
+	})
+}
+
+func FuzzParseFile(f *testing.F) {
+	f.Add("worker w1 127.0.0.1:9001 zone a scale 2 started 2026-01-02T03:04:05Z state gone # text")
+	f.Fuzz(func(t *testing.T, text string) {
+		list, err := directory.ParseFile("f", text)
+		for _, w := range list {
+			if err == nil && (w.Name == "" || w.Address == "" || !(w.Scale > 0) || w.State == 0) {
+				t.Fatalf("accepted %+v", w)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/lab/worker/conn.go
@@ -0,0 +1,320 @@
+package worker
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"havencart/internal/workerwire"
+	"havencart/lab/model"
+)
+
+// partBytes is the most that goes into one frame of an answer; longer answers come in parts.
+const partBytes = 16 << 10
+
+// conn is one front end's connection.
+type conn struct {
+	s        *Server
+	net      net.Conn
+	frontEnd string
+
+	mu      sync.Mutex
+	out     []byte
+	kick    chan struct{}
+	done    chan struct{}
+	once    sync.Once
+	streams map[uint32]*outgoing
+	calls   map[uint32]*model.Call
+}
+
+// outgoing is an answer that is being sent in parts.
+type outgoing struct{ left, credit int }
+
+func (s *Server) serve(nc net.Conn) {
+	c := &conn{s: s, net: nc, kick: make(chan struct{}, 1), done: make(chan struct{}),
+		streams: map[uint32]*outgoing{}, calls: map[uint32]*model.Call{}}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		nc.Close()
+		return
+	}
+	s.conns[c] = true
+	s.tasks.Go(c.write)
+	s.tasks.Go(func() {
+		_ = c.read() // however it ends, the connection is over; the front end judges why
+		c.close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	})
+}
+
+func (c *conn) close() {
+	c.once.Do(func() {
+		close(c.done)
+		c.net.Close()
+	})
+}
+
+// write writes what is queued, so that nobody within the world waits for a socket.
+func (c *conn) write() {
+	for {
+		select {
+		case <-c.kick:
+		case <-c.done:
+			return
+		}
+		c.mu.Lock()
+		out := c.out
+		c.out = nil
+		c.mu.Unlock()
+		if _, err := c.net.Write(out); err != nil {
+			c.close()
+			return
+		}
+	}
+}
+
+func (c *conn) send(kind workerwire.Type, number uint32, header any, body []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.append(kind, number, header, body)
+}
+
+// append queues a frame; the lock is held.
+func (c *conn) append(kind workerwire.Type, number uint32, header any, body []byte) {
+	out, err := workerwire.Append(c.out, kind, number, header, body)
+	if err != nil {
+		panic(err) // the emulator's own messages are short
+	}
+	c.out = out
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (c *conn) read() error {
+	in := workerwire.NewReader(bufio.NewReader(c.net), 0)
+	if err := c.greet(in); err != nil {
+		return err
+	}
+	for {
+		f, err := in.Next()
+		if err != nil {
+			return err
+		}
+		if err := c.handle(f); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *conn) greet(in *workerwire.Reader) error {
+	f, err := in.Next()
+	if err != nil {
+		return err
+	}
+	var hello workerwire.Hello
+	if f.Type != workerwire.TypeHello || f.Decode(&hello) != nil {
+		return fmt.Errorf("%v in place of hello", f.Type)
+	}
+	if wait := c.s.troubles().handshake; wait != 0 {
+		if wait < 0 {
+			wait = time.Hour
+		}
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-c.done:
+			return nil
+		}
+	}
+	c.frontEnd = hello.FrontEnd
+	_, up, life := c.s.Running()
+	welcome := workerwire.Welcome{Version: workerwire.Version, Worker: c.s.cfg.Name, Life: uint64(life),
+		UpMillis: up.Milliseconds(), Reports: []string{"queue"}}
+	if hello.Version != workerwire.Version {
+		welcome.Refused = fmt.Sprintf("version %d is not spoken here", hello.Version)
+	}
+	c.send(workerwire.TypeWelcome, 0, welcome, nil)
+	return nil
+}
+
+func (c *conn) handle(f workerwire.Frame) error {
+	switch f.Type {
+	case workerwire.TypeCall:
+		return c.call(f)
+	case workerwire.TypeCancel:
+		c.cancel(f.Call)
+	case workerwire.TypeCredit:
+		var in workerwire.Credit
+		if err := f.Decode(&in); err != nil {
+			return err
+		}
+		c.credit(f.Call, int(in.Bytes))
+	case workerwire.TypeLoad:
+		return c.load(f)
+	case workerwire.TypeUnload:
+		var in workerwire.Unload
+		if err := f.Decode(&in); err != nil {
+			return err
+		}
+		c.s.Do(func(w *model.Worker) { w.Unload(in.Function) })
+	case workerwire.TypeProbe:
+		c.s.Do(func(w *model.Worker) {
+			c.send(workerwire.TypeProbed, 0, workerwire.Probed{Status: workerwire.StatusOK,
+				Report: []float64{float64(w.Waiting())}}, nil)
+		})
+	case workerwire.TypePing:
+		c.send(workerwire.TypePong, 0, nil, nil)
+	case workerwire.TypePong:
+	default:
+		return fmt.Errorf("%v from a front end", f.Type)
+	}
+	return nil
+}
+
+// Body is what the body of a call asks of an emulated worker, as text: "work 120ms reply 2000".
+func Body(work time.Duration, reply int) []byte {
+	return fmt.Appendf(nil, "work %v reply %d", work, reply)
+}
+
+// parseBody reads what Body writes; what is missing or no such text leaves the worker's own.
+func parseBody(text string, work time.Duration) (time.Duration, int) {
+	words, reply := strings.Fields(text), 0
+	for i := 0; i+1 < len(words); i += 2 {
+		switch words[i] {
+		case "work":
+			if d, err := time.ParseDuration(words[i+1]); err == nil {
+				work = max(0, d)
+			}
+		case "reply":
+			if n, err := strconv.Atoi(words[i+1]); err == nil {
+				reply = min(max(0, n), 64<<20)
+			}
+		}
+	}
+	return work, reply
+}
+
+func (c *conn) call(f workerwire.Frame) error {
+	var in workerwire.Call
+	if err := f.Decode(&in); err != nil {
+		return err
+	}
+	work, reply := parseBody(string(f.Body), c.s.cfg.Work)
+	number, window := f.Call, int(in.Window)
+	c.s.Do(func(w *model.Worker) {
+		call := &model.Call{ID: in.ID, Attempt: in.Attempt, FrontEnd: c.frontEnd, Class: in.Class, Key: in.Key,
+			Function: in.Copy.Function, MemoryMB: in.Copy.MemoryMB, Lanes: max(1, in.Copy.Lanes),
+			Load: millis(in.Copy.LoadMillis), Work: work,
+			Expires: c.s.world.Now() + time.Duration(in.Patience)*time.Millisecond}
+		c.mu.Lock()
+		c.calls[number] = call
+		c.mu.Unlock()
+		w.Handle(call, func(a model.Answer) { c.answer(number, window, reply, a) })
+	})
+	return nil
+}
+
+func millis(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+
+// answer sends a worker's answer, with the troubles that the socket has. It is called within the world.
+func (c *conn) answer(number uint32, window, size int, a model.Answer) {
+	t := c.s.troubles()
+	if t.late > 0 {
+		c.s.world.After(t.late, func() { c.reply(number, window, size, a, t) })
+		return
+	}
+	c.reply(number, window, size, a, t)
+}
+
+func (c *conn) reply(number uint32, window, size int, a model.Answer, t faults) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.calls, number)
+	if t.garbage {
+		c.out = append(c.out, "\x00\x00\x00\x03garbage, no frame"...)
+		c.append(workerwire.TypePong, 0, nil, nil)
+		return
+	}
+	crowd := a.Crowd
+	head := workerwire.Answer{Status: workerwire.Status(a.Outcome), Warmth: workerwire.Warmth(a.Warmth), Crowd: &crowd,
+		Report: []float64{float64(a.Waiting)}, Type: "text/plain"}
+	if a.Outcome != model.OK {
+		head.Problem, size = "emulated", 0
+	}
+	times := 1
+	if t.twice {
+		times = 2
+	}
+	for range times {
+		if size <= partBytes {
+			c.append(workerwire.TypeAnswer, number, head, make([]byte, size))
+			continue
+		}
+		head.More, head.Length = true, int64(size)
+		c.append(workerwire.TypeAnswer, number, head, nil)
+		c.streams[number] = &outgoing{left: size, credit: window}
+		c.pump(number)
+	}
+}
+
+// pump sends what the credit allows; the lock is held.
+func (c *conn) pump(number uint32) {
+	o := c.streams[number]
+	if o == nil {
+		return
+	}
+	for o.left > 0 && o.credit > 0 {
+		n := min(partBytes, o.left, o.credit)
+		c.append(workerwire.TypeData, number, nil, make([]byte, n))
+		o.left, o.credit = o.left-n, o.credit-n
+	}
+	if o.left == 0 {
+		delete(c.streams, number)
+		c.append(workerwire.TypeEnd, number, workerwire.End{}, nil)
+	}
+}
+
+func (c *conn) credit(number uint32, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o := c.streams[number]; o != nil {
+		o.credit += n
+		c.pump(number)
+	}
+}
+
+func (c *conn) cancel(number uint32) {
+	c.mu.Lock()
+	delete(c.streams, number)
+	call := c.calls[number]
+	delete(c.calls, number)
+	c.mu.Unlock()
+	if call != nil {
+		c.s.Do(func(w *model.Worker) { w.Cancel(call.ID, call.Attempt) })
+	}
+}
+
+func (c *conn) load(f workerwire.Frame) error {
+	var in workerwire.Load
+	if err := f.Decode(&in); err != nil {
+		return err
+	}
+	number := f.Call
+	c.s.Do(func(w *model.Worker) {
+		w.Order(c.frontEnd, in.Copy.Function, in.Copies, in.Copy.MemoryMB, in.Copy.Lanes, millis(in.Copy.LoadMillis),
+			func(o model.Outcome, copies int) {
+				c.send(workerwire.TypeLoaded, number, workerwire.Loaded{Status: workerwire.Status(o), Copies: copies}, nil)
+			})
+	})
+	return nil
+}
--- /dev/null
+++ b/lab/worker/worker.go
@@ -0,0 +1,245 @@
+// Package worker puts the model of a worker behind a socket: an emulated worker that speaks the protocol of
+// docs/protocol.md as a real one does, and misbehaves on command.
+package worker
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"havencart/lab/model"
+)
+
+// Config describes an emulated worker and its socket.
+type Config struct {
+	model.WorkerConfig
+	Address string        // host:port; port 0 takes a free one
+	Work    time.Duration // of a call whose body does not tell
+}
+
+// Server is one emulated worker.
+type Server struct {
+	cfg   Config
+	world *model.World
+	model *model.Worker // within world
+
+	mu       sync.Mutex
+	address  string
+	listener net.Listener
+	conns    map[*conn]bool
+	faults   faults
+	closed   bool
+	tasks    sync.WaitGroup
+}
+
+// faults are the troubles of the socket; those of the process are the model's.
+type faults struct {
+	handshake time.Duration // before welcome; negative: never
+	late      time.Duration // added to each answer
+	twice     bool
+	garbage   bool
+}
+
+// Start starts a worker that runs since long ago.
+func Start(world *model.World, cfg Config, store model.Fetcher, group *model.Group, seen model.Observer) (*Server, error) {
+	s := &Server{cfg: cfg, world: world, conns: map[*conn]bool{}, address: cfg.Address}
+	world.Do(func() { s.model = model.NewWorker(world, cfg.WorkerConfig, store, group, fallen{seen, s}) })
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// fallen closes the sockets of a worker that fell over.
+type fallen struct {
+	model.Observer
+	s *Server
+}
+
+func (f fallen) Fell(w *model.Worker) {
+	f.Observer.Fell(w)
+	f.s.unplug()
+}
+
+// Address is where the worker listens.
+func (s *Server) Address() string { return s.address }
+
+// Name is the worker's name.
+func (s *Server) Name() string { return s.cfg.Name }
+
+func (s *Server) listen() error {
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return fmt.Errorf("worker %s: %w", s.cfg.Name, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener, s.address = l, l.Addr().String()
+	s.tasks.Go(func() { s.accept(l) })
+	return nil
+}
+
+func (s *Server) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return // closed: the process ended
+		}
+		s.serve(c)
+	}
+}
+
+// unplug closes the sockets as the end of a process does.
+func (s *Server) unplug() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener.Close()
+	for c := range s.conns {
+		c.close()
+	}
+}
+
+// Close ends the worker and all its goroutines.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.world.Do(s.model.Die)
+	s.unplug()
+	s.tasks.Wait()
+}
+
+// Running says whether the process runs, and since when by its own clock.
+func (s *Server) Running() (up bool, uptime time.Duration, life int) {
+	s.world.Do(func() { up, uptime, life = s.model.Up(), s.model.Uptime(), s.model.Life() })
+	return up, uptime, life
+}
+
+// Do runs f on the model, between its events.
+func (s *Server) Do(f func(*model.Worker)) { s.world.Do(func() { f(s.model) }) }
+
+// Commands names the commands that Command takes, each with its argument.
+const Commands = "die | start | drain on|off | hang on|off | pause on|off | slow FACTOR | fail SHARE | flush " +
+	"[FUNCTION] | reset | handshake DURATION|never | late DURATION | twice on|off | garbage on|off"
+
+// Command makes the worker misbehave, or behave again.
+func (s *Server) Command(line string) error {
+	words := strings.Fields(line)
+	if len(words) == 0 {
+		return fmt.Errorf("no command; allowed: %s", Commands)
+	}
+	argument := ""
+	if len(words) > 1 {
+		argument = words[1]
+	}
+	if err := s.command(words[0], argument); err != nil {
+		return fmt.Errorf("command %q: %w; allowed: %s", line, err, Commands)
+	}
+	return nil
+}
+
+func (s *Server) command(verb, argument string) error {
+	switch verb {
+	case "die":
+		s.world.Do(s.model.Die)
+		s.unplug()
+		return nil
+	case "start":
+		return s.restart()
+	case "reset":
+		s.reset()
+		return nil
+	case "flush":
+		s.Do(func(w *model.Worker) { w.Flush(argument) })
+		return nil
+	case "slow", "fail":
+		x, err := strconv.ParseFloat(argument, 64)
+		if err != nil || x < 0 {
+			return fmt.Errorf("%q is no factor or share", argument)
+		}
+		s.Do(func(w *model.Worker) {
+			if verb == "slow" {
+				w.Slow(x)
+			} else {
+				w.Fail(x)
+			}
+		})
+		return nil
+	case "handshake", "late":
+		return s.delay(verb, argument)
+	}
+	return s.toggle(verb, argument)
+}
+
+func (s *Server) toggle(verb, argument string) error {
+	if argument != "on" && argument != "off" {
+		return fmt.Errorf("%q is neither on nor off", argument)
+	}
+	on := argument == "on"
+	switch verb {
+	case "drain":
+		s.Do(func(w *model.Worker) { w.Drain(on) })
+	case "hang":
+		s.Do(func(w *model.Worker) { w.Hang(on) })
+	case "pause":
+		s.Do(func(w *model.Worker) { w.Pause(on) })
+	case "twice":
+		s.fault(func(f *faults) { f.twice = on })
+	case "garbage":
+		s.fault(func(f *faults) { f.garbage = on })
+	default:
+		return fmt.Errorf("unknown")
+	}
+	return nil
+}
+
+func (s *Server) delay(verb, argument string) error {
+	d, err := time.ParseDuration(argument)
+	if verb == "handshake" && argument == "never" {
+		d, err = -1, nil
+	}
+	if err != nil {
+		return err
+	}
+	s.fault(func(f *faults) {
+		if verb == "late" {
+			f.late = d
+		} else {
+			f.handshake = d
+		}
+	})
+	return nil
+}
+
+func (s *Server) fault(change func(*faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+}
+
+func (s *Server) troubles() faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// restart starts the process anew at its address: cold and empty, under its old name.
+func (s *Server) restart() error {
+	s.unplug()
+	s.fault(func(f *faults) { *f = faults{} })
+	s.world.Do(s.model.Start)
+	return s.listen()
+}
+
+// reset breaks all connections with a reset; the process lives on.
+func (s *Server) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.net.(*net.TCPConn).SetLinger(0)
+		c.close()
+	}
+}
