--- a/internal/directory/consul.go
+++ b/internal/directory/consul.go
@@ -32,12 +32,14 @@
 	poke
 	base   string // http://host:port
 	name   string
+	agent  string
 	client *http.Client
 }
 
-// NewConsul returns a source that asks the service at base, such as http://127.0.0.1:8500, for name.
-func NewConsul(base, name string) *Consul {
-	return &Consul{poke: make(poke, 1), base: strings.TrimSuffix(base, "/"), name: name,
+// NewConsul returns a source that asks the service at base, such as http://127.0.0.1:8500, for name. agent is
+// how this front end calls itself there.
+func NewConsul(base, name, agent string) *Consul {
+	return &Consul{poke: make(poke, 1), base: strings.TrimSuffix(base, "/"), name: name, agent: agent,
 		client: &http.Client{Transport: &http.Transport{}, Timeout: queryWait + queryWait/16 + answerSlack}}
 }
 
@@ -75,6 +77,7 @@
 	if err != nil {
 		return nil, 0, fmt.Errorf("list of workers: %w", err)
 	}
+	request.Header.Set("User-Agent", c.agent)
 	response, err := c.client.Do(request)
 	if err != nil {
 		return nil, 0, fmt.Errorf("list of workers: %w", err)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -81,7 +81,7 @@
 	for i := range n {
 		d.Set(entry(i+1, control.Ready))
 	}
-	c := directory.NewConsul(d.URL(), "workers")
+	c := directory.NewConsul(d.URL(), "workers", "test")
 	return d, follow(t, c), c
 }
 
@@ -166,7 +166,7 @@
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "[]") }))
 	defer server.Close()
-	if err := follow(t, directory.NewConsul(server.URL, "workers")).failure(t); !errors.Is(err, directory.ErrMalformed) {
+	if err := follow(t, directory.NewConsul(server.URL, "workers", "test")).failure(t); !errors.Is(err, directory.ErrMalformed) {
 		t.Errorf("an answer without an index: %v", err)
 	}
 }
--- /dev/null
+++ b/internal/gateway/actions.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"time"
+
+	"havencart/control"
+	"havencart/internal/workerlink"
+	"havencart/internal/workerwire"
+)
+
+// This file carries out what the module asks: Front is its control.Actions. What comes back at once is told
+// to the module after its turn, never within it.
+
+// Send starts an attempt.
+func (f *Front) Send(id control.RequestID, to control.WorkerID, until time.Duration) {
+	c, w := f.calls[id], f.workers[to]
+	if c == nil {
+		f.log.Error().Uint32("request", uint32(id)).Msg("send of a call that is not in hand")
+		return
+	}
+	if until <= 0 || until > c.deadline {
+		until = c.deadline
+	}
+	a := &attempt{Attempt: workerlink.Attempt{Body: c.Body, Deadline: until, Call: workerwire.Call{Copy: c.Copy, ID: c.ID,
+		Attempt: c.attempts, Class: f.set.Classes[c.Class], Tenant: f.tenant(c.Tenant), Key: c.Key}},
+		call: c, number: c.attempts, worker: w, sent: f.now}
+	c.attempts++
+	c.out = a
+	f.counts.Attempts++
+	if w == nil || c.state != waiting || until <= f.now {
+		f.later = append(f.later, func() { f.ended(a, workerlink.Result{Status: control.Moot, Crowd: -1}) })
+		return
+	}
+	f.attempts[&a.Attempt] = a
+	f.timers.set(timer{at: until, attempt: a})
+	if r := w.link.Send(&a.Attempt); r != nil {
+		f.later = append(f.later, func() { f.ended(a, *r) })
+	}
+}
+
+func (f *Front) tenant(n int) string {
+	if n < len(f.set.Tenants) {
+		return f.set.Tenants[n]
+	}
+	return ""
+}
+
+// Refuse gives the final answer that promises that a repeat does no harm.
+func (f *Front) Refuse(id control.RequestID, retryAfter time.Duration) {
+	if c := f.calls[id]; c != nil {
+		why := "no worker could answer in time"
+		if c.why != "" {
+			why += "; last: " + c.why
+		}
+		f.final(c, Final{Kind: Refused, Why: why, RetryAfter: retryAfter})
+	}
+}
+
+// Fail gives the final answer that promises nothing.
+func (f *Front) Fail(id control.RequestID) {
+	if c := f.calls[id]; c != nil {
+		f.final(c, Final{Kind: Failed, Why: c.why, TimedOut: c.last == control.Timeout || c.last == control.Cancelled})
+	}
+}
+
+// Cancel stops waiting for an attempt.
+func (f *Front) Cancel(id control.RequestID, number int) {
+	c := f.calls[id]
+	if c == nil || c.out == nil || c.out.number != number || c.out.begun {
+		return
+	}
+	a := c.out
+	f.later = append(f.later, func() { f.giveUp(a, control.Cancelled, "called back") })
+}
+
+// Load orders copies held, or asks how many stand.
+func (f *Front) Load(to control.WorkerID, id control.FunctionID, copies int) {
+	w, fn := f.workers[to], f.functions[id]
+	o := &order{worker: w, function: id, given: f.now}
+	if w == nil || fn == nil {
+		f.later = append(f.later, func() {
+			f.module.Loaded(f.now, control.Loaded{Worker: to, Function: id, Status: control.ConnectFailed})
+		})
+		return
+	}
+	if copies > 0 {
+		f.counts.Loads++
+	} else {
+		f.counts.Asks++
+	}
+	o.Order.Load = workerwire.Load{Copy: fn.copy, Copies: copies}
+	f.orders[&o.Order] = o
+	f.timers.set(timer{at: f.now + f.set.Control.OrderTimeout, order: o})
+	if status := w.link.Load(&o.Order); status != 0 {
+		f.later = append(f.later, func() { f.orderEnded(o, status, 0) })
+	}
+}
+
+// Unload has the idle copies of a function unloaded.
+func (f *Front) Unload(to control.WorkerID, id control.FunctionID) {
+	if w, fn := f.workers[to], f.functions[id]; w != nil && fn != nil {
+		w.link.Unload(fn.copy.Function)
+	}
+}
+
+// Probe asks a worker for its load.
+func (f *Front) Probe(to control.WorkerID) {
+	if w := f.workers[to]; w != nil {
+		f.counts.Probes++
+		w.probes = append(w.probes, f.now)
+		w.link.Probe()
+	}
+}
+
+// Wake sets a timer of the module's.
+func (f *Front) Wake(after time.Duration, token uint64) {
+	f.timers.set(timer{at: f.now + max(after, f.set.Control.Resolution), wake: true, token: token})
+}
+
+// Follow asks the directory anew.
+func (f *Front) Follow() { f.outside.Follow() }
+
+// Log writes a line of the module's.
+func (f *Front) Log(text string) { f.log.Info().Str("from", "module").Msg(text) }
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,96 @@
+// Package gateway is one front end: a loop that owns a control.Controller, tells it what happens on the
+// connections of clients and workers, and carries out what it decides. It is in two parts. Front is the state
+// machine of the calls: it is told events with their time, one at a time, and does no I/O, so that it runs in
+// real time, in tests and in virtual time alike. Loop is the goroutine that owns a Front.
+package gateway
+
+import (
+	"time"
+
+	"havencart/control"
+	"havencart/internal/workerlink"
+	"havencart/internal/workerwire"
+)
+
+// Kind is the kind of a final answer.
+type Kind int
+
+// The kinds of final answers.
+const (
+	Served  Kind = iota + 1 // a worker's answer
+	Refused                 // with a promise: the call did not run, or repeating it does no harm
+	Failed                  // no promise: it may have run
+)
+
+// String is the kind as clients read it.
+func (k Kind) String() string { return [...]string{"none", "served", "refused", "failed"}[k] }
+
+// Final is the one final answer of a call.
+type Final struct {
+	Kind       Kind
+	Why        string             // for people
+	RetryAfter time.Duration      // advice with Refused; 0 is none
+	TimedOut   bool               // with Failed: nothing was heard in time
+	Answer     *workerlink.Answer // with Served
+	Worker     string             // with Served
+	Attempts   int
+}
+
+// Call is one call of one client. The exported fields are the client edge's and stay as they are from Submit
+// on; the others belong to the Front that took it.
+type Call struct {
+	ID       string // the client's name for it, for records; empty: one is made
+	Class    int
+	Tenant   int
+	Key      string
+	Copy     workerwire.Copy
+	Cost     time.Duration // rough work, 0 if not told
+	Body     []byte
+	Patience time.Duration // until the client gives up, counted from Since
+	Since    time.Duration // when the client began, on the loop's clock
+
+	answer   chan Final
+	state    callState
+	id       control.RequestID
+	deadline time.Duration // final answer due
+	attempts int
+	out      *attempt
+	ran      bool // an attempt may have run
+	last     control.Status
+	why      string
+}
+
+// callState is where a call stands. It moves forward only; answered and left are entered once.
+type callState uint8
+
+const (
+	fresh    callState = iota // with the client edge
+	waiting                   // taken: one final answer is owed
+	answered                  // the final answer was given
+	left                      // the client left before it
+)
+
+// NewCall returns a call that waits for Submit.
+func NewCall() *Call { return &Call{answer: make(chan Final, 1)} }
+
+// Answer gives the final answer, once.
+func (c *Call) Answer() <-chan Final { return c.answer }
+
+// settle gives the final answer, if none was given and the client is there. All final answers go through here.
+func (c *Call) settle(f Final) bool {
+	if c.state >= answered {
+		return false
+	}
+	c.state = answered
+	f.Attempts = c.attempts
+	c.answer <- f
+	return true
+}
+
+// mayHaveRun notes how an attempt ended, for what may be promised.
+func (c *Call) mayHaveRun(s control.Status) {
+	switch s {
+	case control.Error, control.Timeout, control.Reset, control.Cancelled:
+		c.ran = true
+	}
+}
--- /dev/null
+++ b/internal/gateway/front.go
@@ -0,0 +1,352 @@
+package gateway
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"havencart/control"
+	"havencart/internal/decide/roster"
+	"havencart/internal/directory"
+	"havencart/internal/workerlink"
+	"havencart/internal/workerwire"
+)
+
+// Settings are what a Front needs beside the module's own.
+type Settings struct {
+	Control  control.Settings
+	Name     string        // of this front end, unique among all
+	Classes  []string      // names, in the order of Control.Classes
+	Tenants  []string      // names, in the order of Control.Tenants
+	Zones    []string      // names; Control.Zone is an index into them
+	Margin   time.Duration // the final answer is due this long before the client gives up
+	MaxCalls int           // calls in hand; more are refused at once
+	Began    time.Time     // wall time at 0 of the clock
+}
+
+// Link is the way to one worker, as workerlink.Link is.
+type Link interface {
+	Send(*workerlink.Attempt) *workerlink.Result
+	Abandon(*workerlink.Attempt) (mayHaveLeft bool)
+	Load(*workerlink.Order) control.Status
+	AbandonOrder(*workerlink.Order)
+	Unload(function string)
+	Probe()
+	Drain(grace time.Duration) ([]*workerlink.Attempt, []*workerlink.Order)
+	Resume()
+	Busy() bool
+	Stop()
+}
+
+// Outside is what a Front reaches beside its links.
+type Outside interface {
+	// Open begins a link; what happens on it is told to the Front with this worker's identifier.
+	Open(id control.WorkerID, w directory.Worker) Link
+	// Follow asks the directory anew.
+	Follow()
+}
+
+// Counts are a Front's totals since its start.
+type Counts struct {
+	Taken, Served, Refused, Failed, Left uint64
+	TurnedAway                           uint64 // refused without being taken
+	Attempts, Loads, Asks, Probes        uint64
+	Late                                 uint64 // answers that nobody waited for any longer
+	Overdue                              uint64 // final answers that the module did not give in time
+}
+
+// Front is the state machine of one front end. Its methods are called one at a time, with times that never go
+// back.
+type Front struct {
+	set     Settings
+	outside Outside
+	log     zerolog.Logger
+	module  *control.Controller
+	roster  *roster.Roster
+	now     time.Duration
+	timers  timers
+	later   []func() // what came back at once; told after the module's turn
+
+	calls     map[control.RequestID]*Call
+	lastID    control.RequestID
+	attempts  map[*workerlink.Attempt]*attempt
+	orders    map[*workerlink.Order]*order
+	workers   map[control.WorkerID]*worker
+	functions map[control.FunctionID]*function
+	zones     map[string]int
+	cells     map[string]int
+	kinds     map[string]int
+	closing   bool
+	counts    Counts
+}
+
+type attempt struct {
+	workerlink.Attempt
+	call    *Call
+	number  int
+	worker  *worker
+	sent    time.Duration
+	begun   bool // its answer is on the way to the client
+	settled bool // its outcome was told to the module
+}
+
+type order struct {
+	workerlink.Order
+	worker   *worker
+	function control.FunctionID
+	given    time.Duration
+	settled  bool
+}
+
+type worker struct {
+	directory.Worker
+	id      control.WorkerID
+	link    Link
+	state   control.WorkerState
+	probes  []time.Duration // asked, oldest first
+	down    bool
+	retired []Link // of addresses of before, with calls still under way
+}
+
+type function struct {
+	copy workerwire.Copy
+	used time.Duration
+}
+
+// nameKept is how long the name of a function is kept after its last call. The module forgets a function
+// sooner.
+const nameKept = 10 * time.Minute
+
+const sweepEvery = time.Second
+
+// New returns a Front that starts at now and knows no workers.
+func New(now time.Duration, set Settings, outside Outside, log zerolog.Logger) *Front {
+	f := &Front{set: set, outside: outside, log: log, roster: roster.New(), now: now,
+		calls: map[control.RequestID]*Call{}, attempts: map[*workerlink.Attempt]*attempt{},
+		orders: map[*workerlink.Order]*order{}, workers: map[control.WorkerID]*worker{},
+		functions: map[control.FunctionID]*function{}, zones: map[string]int{}, cells: map[string]int{},
+		kinds: map[string]int{}}
+	for _, z := range set.Zones {
+		intern(f.zones, z)
+	}
+	f.module = control.New(now, set.Control, f)
+	f.timers.set(timer{at: now + sweepEvery, sweep: true})
+	return f
+}
+
+// intern numbers names in the order in which they are met.
+func intern(table map[string]int, name string) int {
+	n, known := table[name]
+	if !known {
+		n = len(table)
+		table[name] = n
+	}
+	return n
+}
+
+// sortedKeys are the keys in order: what follows from a table must not follow from the order of its hashes.
+func sortedKeys[K cmp.Ordered, V any](table map[K]V) []K { return slices.Sorted(maps.Keys(table)) }
+
+// Counts returns the totals.
+func (f *Front) Counts() Counts { return f.counts }
+
+// InHand is the number of calls that are owed a final answer.
+func (f *Front) InHand() (n int) {
+	for _, c := range f.calls {
+		if c.state == waiting {
+			n++
+		}
+	}
+	return n
+}
+
+// Idle says whether nothing is under way: neither calls nor answers on their way to clients.
+func (f *Front) Idle() bool { return len(f.calls) == 0 && len(f.attempts) == 0 }
+
+// settleLater tells the module what came back within its own turn.
+func (f *Front) settleLater() {
+	for len(f.later) > 0 {
+		next := f.later[0]
+		f.later = f.later[1:]
+		next()
+	}
+}
+
+// Arrive takes a call from the client edge, or refuses it at once.
+func (f *Front) Arrive(now time.Duration, c *Call) {
+	f.now = now
+	c.deadline = c.Since + c.Patience - f.set.Margin
+	switch {
+	case f.closing:
+		f.turnAway(c, "this front end is closing")
+	case len(f.calls) >= f.set.MaxCalls:
+		f.turnAway(c, "too many calls in hand")
+	case c.deadline <= now:
+		f.turnAway(c, "no time is left")
+	default:
+		f.take(c)
+	}
+	f.settleLater()
+}
+
+func (f *Front) turnAway(c *Call, why string) {
+	f.counts.TurnedAway++
+	c.settle(Final{Kind: Refused, Why: why, RetryAfter: f.set.Control.MaxRetryAfter})
+}
+
+func (f *Front) take(c *Call) {
+	id := control.FunctionID(xxhash.Sum64String(c.Copy.Function))
+	known := f.functions[id]
+	switch {
+	case known == nil:
+		f.functions[id] = &function{copy: c.Copy, used: f.now}
+	case known.copy.Function != c.Copy.Function: // two names with one hash: made on purpose, or a great chance
+		f.turnAway(c, "this function's name cannot be told from another's")
+		return
+	default:
+		known.copy, known.used = c.Copy, f.now
+	}
+	for f.lastID++; f.calls[f.lastID] != nil || f.lastID == 0; f.lastID++ {
+	}
+	c.id, c.state = f.lastID, waiting
+	if c.ID == "" {
+		c.ID = fmt.Sprintf("%s-%x-%d", f.set.Name, f.set.Began.UnixNano(), c.id)
+	}
+	if c.Key == "" && f.set.Control.Classes[c.Class].Repeat == control.Keyed {
+		c.Key = c.ID // so that at least our own repeats are dropped
+	}
+	f.calls[c.id] = c
+	f.counts.Taken++
+	f.timers.set(timer{at: c.deadline + f.set.Margin/2, call: c})
+	f.module.Arrive(f.now, control.Request{ID: c.id, Class: c.Class, Tenant: c.Tenant, Function: id,
+		Budget: c.deadline - f.now, Cost: c.Cost, MemoryMB: c.Copy.MemoryMB, Lanes: c.Copy.Lanes,
+		LoadTime: time.Duration(c.Copy.LoadMillis * float64(time.Millisecond))})
+}
+
+// Left takes the news that a call's client is gone. It may come at any time, also after the final answer: then
+// an answer that is still on its way is given up.
+func (f *Front) Left(now time.Duration, c *Call) {
+	f.now = now
+	if c.state == waiting {
+		c.state = left
+		f.counts.Left++
+		f.module.Gone(now, c.id)
+	}
+	if c.out != nil && c.out.begun {
+		f.giveUp(c.out, control.Cancelled, "the client left")
+	}
+	f.forget(c)
+	f.settleLater()
+}
+
+// forget drops a call once nothing of it is under way.
+func (f *Front) forget(c *Call) {
+	if c.state >= answered && c.out == nil {
+		delete(f.calls, c.id)
+	}
+}
+
+// Next is when the next timer is due.
+func (f *Front) Next() time.Duration { return f.timers.list[0].at }
+
+// Tick fires the timers that are due at now.
+func (f *Front) Tick(now time.Duration) {
+	f.now = now
+	for {
+		t, due := f.timers.due(now)
+		if !due {
+			return
+		}
+		f.fire(t)
+		f.settleLater()
+	}
+}
+
+func (f *Front) fire(t timer) {
+	switch {
+	case t.wake:
+		f.module.Woke(f.now, t.token)
+	case t.sweep:
+		f.sweep()
+		f.timers.set(timer{at: f.now + sweepEvery, sweep: true})
+	case t.attempt != nil:
+		if !t.attempt.settled && !t.attempt.begun {
+			f.giveUp(t.attempt, control.Timeout, "nothing heard in time")
+		}
+	case t.order != nil:
+		if !t.order.settled {
+			t.order.worker.link.AbandonOrder(&t.order.Order)
+			f.orderEnded(t.order, control.Timeout, 0)
+		}
+	case t.call != nil && t.call.state == waiting:
+		f.overdue(t.call)
+	}
+}
+
+// overdue gives the final answer that the module should have given. It must never be needed.
+func (f *Front) overdue(c *Call) {
+	f.counts.Overdue++
+	f.log.Error().Str("call", c.ID).Str("function", c.Copy.Function).Int("attempts", c.attempts).Msg("answer overdue")
+	f.abort(c, "no answer in time")
+}
+
+// abort ends a call against the module's will: refused only where no attempt can have run. The call is over
+// before the module is told of its attempt, so that it is not sent again.
+func (f *Front) abort(c *Call, why string) {
+	if c.state != waiting {
+		return
+	}
+	a, as := c.out, control.Moot
+	if a != nil && a.worker.abandon(a) {
+		as = control.Cancelled
+	}
+	c.mayHaveRun(as)
+	kind := Refused
+	if c.ran {
+		kind = Failed
+	}
+	f.final(c, Final{Kind: kind, Why: why, TimedOut: true, RetryAfter: f.set.Control.MaxRetryAfter})
+	f.module.Gone(f.now, c.id)
+	if a != nil {
+		f.ended(a, workerlink.Result{Status: as, Why: why, Crowd: -1})
+	}
+}
+
+// Close makes the Front refuse what arrives from now on; what it has goes on.
+func (f *Front) Close(now time.Duration) { f.now, f.closing = now, true }
+
+// Abort ends all that is under way at once, each with its final answer.
+func (f *Front) Abort(now time.Duration) {
+	f.now = now
+	for _, id := range sortedKeys(f.calls) {
+		f.abort(f.calls[id], "this front end stops")
+		f.settleLater()
+	}
+	for _, id := range sortedKeys(f.workers) {
+		w := f.workers[id]
+		for _, l := range append(w.retired, w.link) {
+			l.Stop()
+		}
+	}
+}
+
+// final gives a call its final answer and counts it.
+func (f *Front) final(c *Call, answer Final) {
+	if !c.settle(answer) {
+		return
+	}
+	switch answer.Kind {
+	case Served:
+		f.counts.Served++
+	case Refused:
+		f.counts.Refused++
+	case Failed:
+		f.counts.Failed++
+	}
+	f.forget(c)
+}
--- /dev/null
+++ b/internal/gateway/loop.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"havencart/control"
+	"havencart/internal/directory"
+	"havencart/internal/workerlink"
+	"havencart/internal/workerwire"
+)
+
+// LoopConfig is what a Loop needs beside its Front's settings.
+type LoopConfig struct {
+	Settings
+	Link     workerlink.Config // Worker, Address, Seed and Now are set for each link
+	Source   directory.Source
+	Queue    int           // arrivals that may wait for the loop; more are refused at once
+	Events   int           // events from links that may wait; beyond, the links stop reading
+	StopWait time.Duration // how long a stop waits for what is in hand
+}
+
+// Loop owns a Front: one goroutine tells it everything, in the order in which it came.
+type Loop struct {
+	cfg      LoopConfig
+	log      zerolog.Logger
+	front    *Front
+	arrivals chan *Call
+	events   chan func(now time.Duration)
+	links    []*workerlink.Link // begun and not known to have ended; the loop's alone
+	done     chan struct{}
+}
+
+// NewLoop returns a Loop that begins with Run.
+func NewLoop(cfg LoopConfig, log zerolog.Logger) *Loop {
+	return &Loop{cfg: cfg, log: log, arrivals: make(chan *Call, cfg.Queue), done: make(chan struct{}),
+		events: make(chan func(time.Duration), cfg.Events)}
+}
+
+// Now is the loop's clock: the time since Settings.Began, monotonic.
+func (l *Loop) Now() time.Duration { return time.Since(l.cfg.Began) }
+
+// Submit hands a call over; its final answer comes on c.Answer. A loop whose queue is full, or that has ended,
+// refuses at once.
+func (l *Loop) Submit(c *Call) {
+	select {
+	case <-l.done:
+	default:
+		select {
+		case l.arrivals <- c:
+			return
+		default:
+		}
+	}
+	c.settle(Final{Kind: Refused, Why: "the front end's queue is full", RetryAfter: l.cfg.Control.MaxRetryAfter})
+}
+
+// Leave tells that a call's client is gone.
+func (l *Loop) Leave(c *Call) { l.post(func(now time.Duration) { l.front.Left(now, c) }) }
+
+// Counts returns the Front's totals, zero once the loop has ended.
+func (l *Loop) Counts() (c Counts) {
+	answer := make(chan Counts, 1)
+	l.post(func(time.Duration) { answer <- l.front.Counts() })
+	select {
+	case c = <-answer:
+	case <-l.done:
+	}
+	return c
+}
+
+// post queues an event. It waits where the queue is full: who posts stops reading meanwhile.
+func (l *Loop) post(event func(now time.Duration)) {
+	select {
+	case l.events <- event:
+	case <-l.done:
+	}
+}
+
+// Run serves until ctx ends; then it refuses what arrives, waits for what is in hand, StopWait at most, and
+// gives the rest its final answers. It returns the totals, and whether all ended in time.
+func (l *Loop) Run(ctx context.Context) (Counts, bool) {
+	l.front = New(l.Now(), l.cfg.Settings, l, l.log)
+	follow, stop := context.WithCancel(context.Background())
+	followed := make(chan struct{})
+	go func() { defer close(followed); l.cfg.Source.Run(follow, listSink{l}) }()
+	clean := l.serve(ctx)
+	l.front.Abort(l.Now())
+	stop()
+	l.refuseRest()
+	<-followed
+	for _, link := range l.links {
+		<-link.Done()
+	}
+	return l.front.Counts(), clean
+}
+
+// serve is the loop. It returns whether nothing was left in hand.
+func (l *Loop) serve(ctx context.Context) bool {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var bound <-chan time.Time
+	ending := ctx.Done()
+	for {
+		now := l.Now()
+		l.front.Tick(now)
+		if ending == nil && l.front.Idle() && len(l.arrivals) == 0 {
+			return true
+		}
+		timer.Reset(max(0, l.front.Next()-now))
+		select {
+		case c := <-l.arrivals:
+			l.front.Arrive(l.Now(), c)
+		case event := <-l.events:
+			event(l.Now())
+		case <-timer.C:
+		case <-ending:
+			l.front.Close(l.Now())
+			ending, bound = nil, time.After(l.cfg.StopWait)
+		case <-bound:
+			return false
+		}
+	}
+}
+
+// refuseRest answers what was submitted and never seen by the Front, and lets go of who posts.
+func (l *Loop) refuseRest() {
+	close(l.done)
+	for {
+		select {
+		case c := <-l.arrivals:
+			l.front.Arrive(l.Now(), c) // it is closing: refused
+		default:
+			return
+		}
+	}
+}
+
+// Open implements Outside.
+func (l *Loop) Open(id control.WorkerID, w directory.Worker) Link {
+	cfg := l.cfg.Link
+	cfg.Worker, cfg.Address, cfg.Now = w.Name, w.Address, l.Now
+	cfg.FrontEnd, cfg.Seed = l.cfg.Name, l.cfg.Control.Seed^uint64(id)
+	link := workerlink.New(cfg, linkEvents{l, id})
+	keep := l.links[:0]
+	for _, old := range l.links {
+		select {
+		case <-old.Done():
+		default:
+			keep = append(keep, old)
+		}
+	}
+	l.links = append(keep, link)
+	return link
+}
+
+// Follow implements Outside.
+func (l *Loop) Follow() { l.cfg.Source.Follow() }
+
+// listSink posts what a directory tells.
+type listSink struct{ l *Loop }
+
+func (s listSink) Listed(list []directory.Worker) {
+	s.l.post(func(now time.Duration) { s.l.front.Listed(now, list) })
+}
+
+func (s listSink) ListFailed(err error) {
+	s.l.post(func(now time.Duration) { s.l.front.ListFailed(now, err) })
+}
+
+// linkEvents posts what happens on the link to one worker.
+type linkEvents struct {
+	l  *Loop
+	id control.WorkerID
+}
+
+func (e linkEvents) Began(a *workerlink.Attempt, r workerlink.Result) {
+	e.l.post(func(now time.Duration) { e.l.front.Began(now, a, r) })
+}
+
+func (e linkEvents) Ended(a *workerlink.Attempt, r workerlink.Result) {
+	e.l.post(func(now time.Duration) { e.l.front.Ended(now, a, r) })
+}
+
+func (e linkEvents) OrderEnded(o *workerlink.Order, s control.Status, copies int) {
+	e.l.post(func(now time.Duration) { e.l.front.OrderEnded(now, o, s, copies) })
+}
+
+func (e linkEvents) Probed(s control.Status, report []float64) {
+	e.l.post(func(now time.Duration) { e.l.front.Probed(now, e.id, s, report) })
+}
+
+func (e linkEvents) Up(w workerwire.Welcome) {
+	e.l.post(func(now time.Duration) { e.l.front.Met(now, e.id, w) })
+}
+
+func (e linkEvents) Down(why error) {
+	e.l.post(func(now time.Duration) { e.l.front.Down(now, e.id, why) })
+}
+
+func (e linkEvents) Late(uint32) { e.l.post(func(now time.Duration) { e.l.front.Late(now) }) }
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"havencart/control"
+	"havencart/internal/directory"
+	"havencart/internal/workerlink"
+	"havencart/internal/workerwire"
+)
+
+// This file takes what comes from the workers and the directory.
+
+// WorkerID is the module's name for the worker of a name, the same at all front ends.
+func WorkerID(name string) control.WorkerID { return control.WorkerID(xxhash.Sum64String(name)) }
+
+// Listed takes a whole list of workers. Links of workers that drain or are gone take back what has not left
+// before the module is told, so that nothing new can leave from here on.
+func (f *Front) Listed(now time.Duration, list []directory.Worker) {
+	f.now = now
+	infos := make([]control.WorkerInfo, 0, len(list))
+	named := map[control.WorkerID]bool{}
+	for _, in := range list {
+		id := WorkerID(in.Name)
+		if named[id] {
+			f.log.Error().Str("worker", in.Name).Msg("two workers' names have one hash; this one is left out")
+			continue
+		}
+		named[id] = true
+		f.meet(id, in)
+		infos = append(infos, control.WorkerInfo{ID: id, Zone: intern(f.zones, in.Zone), Cell: intern(f.cells, in.Cell),
+			Kind: intern(f.kinds, in.Kind), Scale: in.Scale, Started: f.started(in.Started), State: in.State})
+	}
+	for _, id := range sortedKeys(f.workers) {
+		if !named[id] {
+			f.turn(f.workers[id], control.Gone)
+		}
+	}
+	f.module.Workers(now, f.roster.Listed(now, infos), true)
+	f.settleLater()
+}
+
+// started turns a wall time into one of the clock.
+func (f *Front) started(at time.Time) time.Duration {
+	if at.IsZero() {
+		return control.LongAgo
+	}
+	return at.Sub(f.set.Began)
+}
+
+// meet takes an entry of the list: it opens a link to a new worker, or to one at a new address.
+func (f *Front) meet(id control.WorkerID, in directory.Worker) {
+	w := f.workers[id]
+	if w == nil {
+		if in.State == control.Gone {
+			return // nothing goes there
+		}
+		w = &worker{id: id}
+		f.workers[id] = w
+	}
+	if w.link == nil || w.Address != in.Address {
+		if w.link != nil {
+			f.takeBack(w)
+			w.retired = append(w.retired, w.link)
+		}
+		w.link = f.outside.Open(id, in)
+		w.state = control.Ready
+	}
+	w.Worker = in
+	f.turn(w, in.State)
+}
+
+// turn notes a worker's state and shuts or opens its link for new work.
+func (f *Front) turn(w *worker, state control.WorkerState) {
+	if w.state == state {
+		return
+	}
+	f.log.Info().Str("worker", w.Name).Int("state", int(state)).Msg("listed anew")
+	was := w.state
+	w.state = state
+	switch {
+	case state == control.Ready:
+		w.link.Resume()
+	case was == control.Ready:
+		f.takeBack(w)
+	}
+}
+
+// takeBack shuts a link for new work; what had not left ends as never sent.
+func (f *Front) takeBack(w *worker) {
+	attempts, orders := w.link.Drain(f.set.Control.DrainGrace)
+	for _, x := range attempts {
+		if a := f.attempts[x]; a != nil {
+			f.later = append(f.later, func() {
+				f.ended(a, workerlink.Result{Status: control.Moot, Why: "the worker drains", Crowd: -1})
+			})
+		}
+	}
+	for _, x := range orders {
+		if o := f.orders[x]; o != nil {
+			f.later = append(f.later, func() { f.orderEnded(o, control.Full, 0) })
+		}
+	}
+}
+
+// sweep stops links that nothing needs any longer and forgets functions that nobody calls.
+func (f *Front) sweep() {
+	for _, id := range sortedKeys(f.workers) {
+		w := f.workers[id]
+		keep := w.retired[:0]
+		for _, l := range w.retired {
+			if l.Busy() {
+				keep = append(keep, l)
+			} else {
+				l.Stop()
+			}
+		}
+		w.retired = keep
+		if w.state == control.Gone && len(keep) == 0 && !w.link.Busy() {
+			w.link.Stop()
+			delete(f.workers, id)
+		}
+	}
+	for id, fn := range f.functions {
+		if f.now-fn.used > nameKept {
+			delete(f.functions, id)
+		}
+	}
+}
+
+// ListFailed takes the news that the list could not be had.
+func (f *Front) ListFailed(now time.Duration, err error) {
+	f.now = now
+	f.log.Warn().Err(err).Msg("no list of workers; the one of before stays in force")
+	f.module.ListFailed(now)
+	f.settleLater()
+}
+
+// Met takes what a worker said on a new connection.
+func (f *Front) Met(now time.Duration, id control.WorkerID, in workerwire.Welcome) {
+	f.now = now
+	w := f.workers[id]
+	if w == nil {
+		return
+	}
+	w.down = false
+	up := time.Duration(in.UpMillis) * time.Millisecond
+	f.log.Debug().Str("worker", w.Name).Dur("up", up).Msg("connected")
+	if info, news := f.roster.Met(now, id, in.Life, up); news && w.state == control.Ready {
+		f.log.Info().Str("worker", w.Name).Dur("up", up).Msg("started anew, by its own word")
+		f.module.Workers(now, []control.WorkerInfo{info}, false)
+	}
+	f.settleLater()
+}
+
+// Down takes the news that there is no connection to a worker.
+func (f *Front) Down(now time.Duration, id control.WorkerID, why error) {
+	f.now = now
+	if w := f.workers[id]; w != nil && !w.down {
+		w.down = true
+		f.log.Warn().Str("worker", w.Name).Err(why).Msg("no connection")
+	}
+}
+
+// Late takes the news of an answer that nobody waits for.
+func (f *Front) Late(time.Duration) { f.counts.Late++ }
+
+// Began takes the beginning of a long answer: it is the final answer, and goes on from here to the client.
+func (f *Front) Began(now time.Duration, x *workerlink.Attempt, r workerlink.Result) {
+	f.now = now
+	a := f.attempts[x]
+	if a == nil {
+		return
+	}
+	if a.call.state != waiting {
+		f.giveUp(a, control.Cancelled, "nobody waits")
+	} else {
+		a.begun = true
+		f.module.Started(now, a.call.id)
+		f.final(a.call, Final{Kind: Served, Answer: r.Answer, Worker: a.worker.Name})
+	}
+	f.settleLater()
+}
+
+// Ended takes the end of an attempt from its link.
+func (f *Front) Ended(now time.Duration, x *workerlink.Attempt, r workerlink.Result) {
+	f.now = now
+	if a := f.attempts[x]; a != nil {
+		f.ended(a, r)
+	}
+	f.settleLater()
+}
+
+// giveUp ends an attempt from this side. One that never left ends as that: called back it is moot, and if its
+// time passed in the queue there was no connection that took it.
+func (f *Front) giveUp(a *attempt, as control.Status, why string) {
+	if a.settled {
+		return
+	}
+	if !a.worker.abandon(a) {
+		if as == control.Timeout {
+			as, why = control.ConnectFailed, "not sent in time"
+		} else {
+			as = control.Moot
+		}
+	}
+	f.ended(a, workerlink.Result{Status: as, Why: why, Crowd: -1})
+}
+
+// abandon gives an attempt up on the link that has it.
+func (w *worker) abandon(a *attempt) bool {
+	left := w.link.Abandon(&a.Attempt)
+	for _, l := range w.retired {
+		left = l.Abandon(&a.Attempt) || left
+	}
+	return left
+}
+
+// ended tells the module the outcome of an attempt, once.
+func (f *Front) ended(a *attempt, r workerlink.Result) {
+	if a.settled {
+		return
+	}
+	a.settled = true
+	delete(f.attempts, &a.Attempt)
+	c := a.call
+	c.out, c.last, c.why = nil, r.Status, r.Why
+	c.mayHaveRun(r.Status)
+	if r.Status == control.OK && c.state == waiting {
+		f.final(c, Final{Kind: Served, Answer: r.Answer, Worker: a.worker.Name})
+	}
+	out := control.Outcome{Request: c.id, Attempt: a.number, Status: r.Status, Latency: f.now - a.sent,
+		Closed: c.state != waiting, Warmth: r.Warmth, Crowd: r.Crowd, Report: r.Report}
+	if a.worker != nil {
+		out.Worker = a.worker.id
+	}
+	f.module.Outcome(f.now, out)
+	f.forget(c)
+}
+
+// OrderEnded takes the answer to an order from its link.
+func (f *Front) OrderEnded(now time.Duration, x *workerlink.Order, s control.Status, copies int) {
+	f.now = now
+	if o := f.orders[x]; o != nil {
+		f.orderEnded(o, s, copies)
+	}
+	f.settleLater()
+}
+
+func (f *Front) orderEnded(o *order, s control.Status, copies int) {
+	if o.settled {
+		return
+	}
+	o.settled = true
+	delete(f.orders, &o.Order)
+	f.module.Loaded(f.now, control.Loaded{Worker: o.worker.id, Function: o.function, Status: s, Latency: f.now - o.given,
+		Copies: copies})
+}
+
+// Probed takes the answer to a probe.
+func (f *Front) Probed(now time.Duration, id control.WorkerID, s control.Status, report []float64) {
+	f.now = now
+	w := f.workers[id]
+	if w == nil || len(w.probes) == 0 {
+		return
+	}
+	asked := w.probes[0]
+	w.probes = w.probes[1:]
+	f.module.Probed(now, control.Probed{Worker: id, Status: s, Latency: now - asked, Report: report})
+	f.settleLater()
+}
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"havencart/control"
+	"havencart/internal/callhttp"
+	"havencart/internal/config"
+	"havencart/internal/directory"
+	"havencart/internal/workerlink"
+	"havencart/internal/workerwire"
+)
+
+// Service is a gateway process: its loops, and the clients' listener before them.
+type Service struct {
+	set      *config.Settings
+	log      zerolog.Logger
+	loops    []*Loop
+	listener net.Listener
+	clients  *callhttp.Server
+	next     atomic.Uint64
+}
+
+// ErrUnclean is returned by Run where calls were in hand when the time for a stop was over. Each got its final
+// answer all the same.
+var ErrUnclean = errors.New("calls were in hand when the stop's time was over")
+
+// reportNames are the values of a load report that workers are asked for.
+var reportNames = []string{"queue"}
+
+// eventQueue bounds the events that wait for a loop; beyond, links stop reading.
+const eventQueue = 4096
+
+// linkQueue bounds what waits for one worker's connection.
+const linkQueue = 4096
+
+// NewService prepares a gateway and begins to listen; Run serves.
+func NewService(set *config.Settings, log zerolog.Logger) (*Service, error) {
+	l, err := net.Listen("tcp", set.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("clients' listener: %w", err)
+	}
+	s := &Service{set: set, log: log, listener: l}
+	catalog := catalogOf(set)
+	began := time.Now()
+	for i := range set.Loops {
+		s.loops = append(s.loops, NewLoop(loopConfig(set, i, began), log.With().Int("front-end", set.First+i).Logger()))
+	}
+	s.clients = callhttp.New(callhttp.Config{Idle: set.IdleTime, Header: set.HeaderTime, Body: set.BodyTime,
+		Write: set.WriteTime, Stall: set.StallTime, MaxHeader: set.MaxHeader, MaxBody: set.MaxBody, Pipeline: set.Pipeline,
+		MaxConns: set.MaxConns, KeepHalves: set.HalfClosed}, func() callhttp.Handler {
+		return edge{s.loops[s.next.Add(1)%uint64(len(s.loops))], catalog}
+	}, log)
+	return s, nil
+}
+
+// Address is where clients connect.
+func (s *Service) Address() string { return s.listener.Addr().String() }
+
+// Counts are the totals of all loops.
+func (s *Service) Counts() (all Counts) {
+	for _, l := range s.loops {
+		all.add(l.Counts())
+	}
+	return all
+}
+
+func (c *Counts) add(x Counts) {
+	c.Taken += x.Taken
+	c.Served += x.Served
+	c.Refused += x.Refused
+	c.Failed += x.Failed
+	c.Left += x.Left
+	c.TurnedAway += x.TurnedAway
+	c.Attempts += x.Attempts
+	c.Loads += x.Loads
+	c.Asks += x.Asks
+	c.Probes += x.Probes
+	c.Late += x.Late
+	c.Overdue += x.Overdue
+}
+
+// Run serves until ctx ends, then stops: no new connections; what is in hand gets its final answer, and what
+// has none when StopWait is over gets it then. It returns the totals.
+func (s *Service) Run(ctx context.Context) (Counts, error) {
+	var mu sync.Mutex
+	var all Counts
+	clean := true
+	var loops sync.WaitGroup
+	for _, l := range s.loops {
+		loops.Go(func() {
+			counts, ok := l.Run(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			all.add(counts)
+			clean = clean && ok
+		})
+	}
+	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
+	defer stop()
+	err := s.clients.Serve(s.listener)
+	s.listener.Close()
+	bound, cancel := context.WithTimeout(context.Background(), s.set.StopWait+s.set.WriteTime)
+	defer cancel()
+	s.clients.Shutdown(bound)
+	loops.Wait()
+	if err == nil && !clean {
+		err = ErrUnclean
+	}
+	return all, err
+}
+
+func loopConfig(set *config.Settings, i int, began time.Time) LoopConfig {
+	cfg := LoopConfig{Settings: frontSettings(set, i, began), Queue: set.Queue, Events: eventQueue, StopWait: set.StopWait,
+		Link: workerlink.Config{ConnectTimeout: set.ConnectTimeout, Window: set.Window, MaxQueue: linkQueue}}
+	if set.Directory.Kind == "file" {
+		cfg.Source = directory.NewFile(set.Directory.Where)
+	} else {
+		cfg.Source = directory.NewConsul(set.Directory.Where, set.Directory.Service, cfg.Name)
+	}
+	return cfg
+}
+
+func frontSettings(set *config.Settings, i int, began time.Time) Settings {
+	out := Settings{Name: fmt.Sprintf("%s-%d", set.Name, set.First+i), Margin: set.AnswerMargin, MaxCalls: set.MaxCalls,
+		Began: began, Zones: append([]string{set.Zone}, set.Zones...)}
+	out.Control = control.Settings{Seed: rand.Uint64(), Self: set.First + i, FrontEnds: set.FrontEnds,
+		MissAnswered: set.MissAnswered, MayOrder: set.Orders, TellsWarm: set.TellsWarm, TellsCrowd: set.TellsCrowd,
+		KeepAlive: set.KeepAlive, OrderTimeout: set.OrderTimeout, LoadWindow: set.LoadWindow, LoadFree: set.LoadFree,
+		LoadShare: set.LoadShare, MayProbe: true, MayCancel: set.Cancel, MaxAttempts: set.MaxAttempts,
+		MaxRetryAfter: set.MaxRetryAfter, ConnectTimeout: set.ConnectTimeout, DrainGrace: set.DrainGrace,
+		ColdFrom: set.ColdFrom, ColdTime: set.ColdTime, TipMultiple: set.TipMultiple, TipWindow: set.TipWindow,
+		Resolution: time.Millisecond, Reports: reportNames}
+	for _, c := range set.Classes {
+		out.Classes = append(out.Classes, c.Name)
+		out.Control.Classes = append(out.Control.Classes, control.Class{Aim: c.Aim, Deadline: c.GiveUp, Worth: c.Worth,
+			LateWorth: c.Late, Repeat: c.Repeat, Scope: c.Scope, Memory: c.Memory})
+	}
+	for _, t := range set.Tenants {
+		out.Tenants = append(out.Tenants, t.Name)
+		out.Control.Tenants = append(out.Control.Tenants, control.Tenant{Share: t.Share, Quota: t.Quota})
+	}
+	return out
+}
+
+func catalogOf(set *config.Settings) *Catalog {
+	k := &Catalog{Functions: map[string]CatalogFunction{}, Listed: set.FunctionsOnly}
+	for _, c := range set.Classes {
+		k.Classes = append(k.Classes, CatalogClass{Name: c.Name, Patience: c.GiveUp, Copy: workerwire.Copy{
+			MemoryMB: float64(c.Size), Lanes: c.Lanes, LoadMillis: millis(c.Load)}})
+	}
+	for _, t := range set.Tenants {
+		k.Tenants = append(k.Tenants, t.Name)
+	}
+	for _, f := range set.Functions {
+		k.Functions[f.Name] = CatalogFunction{Class: max(0, set.Class(f.Class)), Copy: workerwire.Copy{
+			MemoryMB: float64(f.Size), Lanes: f.Lanes, LoadMillis: millis(f.Load)}}
+	}
+	return k
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/lab/client/client.go
@@ -0,0 +1,172 @@
+// Package client is the lab's clients: they call front ends over their own sockets, have patience, leave early
+// when told to, repeat by their habits, and note what they saw.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"havencart/lab/audit"
+	"havencart/lab/worker"
+)
+
+// Call is what a client asks for.
+type Call struct {
+	ID, Function, Class, Tenant, Key string
+	Patience                         time.Duration
+	Work                             time.Duration // that the worker is to do
+	Reply                            int           // bytes that the worker is to answer
+	MemoryMB                         float64
+	Lanes                            int
+	Load                             time.Duration
+	LeaveAfter                       time.Duration // the client closes then; 0: it stays
+}
+
+// Seen is what a client got.
+type Seen struct {
+	Outcome    string // served, refused, failed, or empty: none
+	RetryAfter time.Duration
+	Took       time.Duration
+	Bytes      int
+}
+
+// Pool keeps connections to one front end.
+type Pool struct {
+	Name    string // of the front end
+	Address string
+	Book    *audit.Book
+	Grace   time.Duration // how much longer than its patience a client listens, to note a late answer
+
+	mu   sync.Mutex
+	free []*conn
+}
+
+type conn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+// Do makes one call and notes what came of it. An error says that no connection could be had: then nothing
+// was asked.
+func (p *Pool) Do(c Call) (Seen, error) {
+	n, err := p.get()
+	if err != nil {
+		return Seen{}, err
+	}
+	ask := p.Book.Ask(audit.Ask{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, FrontEnd: p.Name,
+		Patience: c.Patience})
+	if c.LeaveAfter > 0 {
+		timer := time.AfterFunc(c.LeaveAfter, func() { n.Close() })
+		defer timer.Stop()
+	}
+	began := time.Now()
+	seen, err := p.exchange(n, ask, c)
+	seen.Took = time.Since(began)
+	if err != nil {
+		n.Close()
+		p.Book.End(ask, c.LeaveAfter > 0 && seen.Took >= c.LeaveAfter)
+		return seen, nil
+	}
+	if n.in.Buffered() > 0 { // more than one answer to one call
+		p.Book.Reply(ask, "unasked", false)
+		n.Close()
+		return seen, nil
+	}
+	p.put(n)
+	return seen, nil
+}
+
+func (p *Pool) get() (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.free) > 0 {
+		n := p.free[len(p.free)-1]
+		p.free = p.free[:len(p.free)-1]
+		if n.alive() {
+			return n, nil
+		}
+		n.Close()
+	}
+	c, err := net.DialTimeout("tcp", p.Address, time.Second)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", p.Name, err)
+	}
+	return &conn{c, bufio.NewReader(c)}, nil
+}
+
+// alive says whether an idle connection still stands.
+func (n *conn) alive() bool {
+	_ = n.SetReadDeadline(time.Now().Add(100 * time.Microsecond))
+	_, err := n.in.Peek(1)
+	var passing net.Error
+	return errors.As(err, &passing) && passing.Timeout()
+}
+
+func (p *Pool) put(n *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.free = append(p.free, n)
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range p.free {
+		n.Close()
+	}
+	p.free = nil
+}
+
+func (p *Pool) exchange(n *conn, ask *audit.Ask, c Call) (Seen, error) {
+	_ = n.SetDeadline(time.Now().Add(c.Patience + p.Grace))
+	if _, err := n.Write(request(c)); err != nil {
+		return Seen{}, err
+	}
+	r, err := http.ReadResponse(n.in, nil)
+	if err != nil {
+		return Seen{}, err
+	}
+	got, err := io.Copy(io.Discard, r.Body)
+	r.Body.Close()
+	seen := Seen{Outcome: r.Header.Get("Call-Outcome"), Bytes: int(got)}
+	if ms, bad := strconv.Atoi(r.Header.Get("Retry-After-Ms")); bad == nil {
+		seen.RetryAfter = time.Duration(ms) * time.Millisecond
+	}
+	if id := r.Header.Get("Call-Id"); seen.Outcome != "invalid" && id != "" && id != c.ID {
+		p.Book.Reply(ask, "another call's", false)
+	}
+	p.Book.Reply(ask, seen.Outcome, err == nil)
+	if r.Close || err != nil {
+		n.Close() // found dead when it is next taken
+	}
+	return seen, nil
+}
+
+func request(c Call) []byte {
+	body := worker.Body(c.Work, c.Reply)
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "POST /call/%s HTTP/1.1\r\nHost: lab\r\nContent-Length: %d\r\nCall-Id: %s\r\nCall-Patience: %d\r\n",
+		c.Function, len(body), c.ID, c.Patience.Milliseconds())
+	for _, h := range []struct{ name, value string }{{"Call-Class", c.Class}, {"Call-Tenant", c.Tenant},
+		{"Idempotency-Key", c.Key}} {
+		if h.value != "" {
+			fmt.Fprintf(&out, "%s: %s\r\n", h.name, h.value)
+		}
+	}
+	if c.MemoryMB > 0 {
+		fmt.Fprintf(&out, "Call-Memory: %g\r\nCall-Lanes: %d\r\nCall-Load: %v\r\n", c.MemoryMB, max(1, c.Lanes),
+			max(time.Millisecond, c.Load))
+	}
+	out.WriteString("\r\n")
+	out.Write(body)
+	return out.Bytes()
+}
--- a/lab/directory/directory.go
+++ b/lab/directory/directory.go
@@ -27,7 +27,7 @@
 // Notice is one list as it was sent to one client.
 type Notice struct {
 	At     time.Time
-	Client string // the remote address
+	Client string // as it calls itself (User-Agent)
 	States map[string]control.WorkerState
 }
 
@@ -187,7 +187,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.notices = append(s.notices, Notice{At: time.Now(), Client: r.RemoteAddr, States: states})
+	s.notices = append(s.notices, Notice{At: time.Now(), Client: r.UserAgent(), States: states})
 }
 
 func (e Entry) instance() (i list.Instance) {
--- /dev/null
+++ b/lab/fleet/fleet.go
@@ -0,0 +1,221 @@
+// Package fleet sets up a whole installation on loopback: function store, directory, emulated workers, front
+// ends, clients, and a Book of what all of them saw.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"havencart/control"
+	"havencart/internal/config"
+	"havencart/internal/gateway"
+	"havencart/lab/audit"
+	"havencart/lab/client"
+	"havencart/lab/directory"
+	"havencart/lab/model"
+	"havencart/lab/origin"
+	"havencart/lab/worker"
+)
+
+// Config describes an installation.
+type Config struct {
+	Workers   int
+	Cells     int
+	FrontEnds int
+	Worker    model.WorkerConfig // of each; its name and cell are made
+	Store     model.StoreConfig
+	Settings  string        // text of the front ends' settings, without listen, directory, name and numbers
+	Slack     time.Duration // for the auditor
+	Log       zerolog.Logger
+}
+
+// Fleet is a running installation.
+type Fleet struct {
+	cfg       Config
+	Settings  *config.Settings
+	World     *model.World
+	Book      *audit.Book
+	Origin    *origin.Server
+	Directory *directory.Server
+	Workers   []*worker.Server
+	FrontEnds []*FrontEnd
+	fetcher   *origin.Client
+}
+
+// FrontEnd is one front end of a Fleet and the way to it.
+type FrontEnd struct {
+	fleet   *Fleet
+	number  int
+	address string
+
+	mu      sync.Mutex
+	service *gateway.Service
+	pool    *client.Pool
+	cancel  context.CancelFunc
+	done    chan struct{}
+	counts  gateway.Counts
+	err     error
+}
+
+// Start sets an installation up. Close ends it.
+func Start(cfg Config) (*Fleet, error) {
+	f := &Fleet{cfg: cfg, World: model.NewWorld(), Book: audit.NewBook()}
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() (err error) {
+	if f.Origin, err = origin.Start(f.World, f.cfg.Store, "127.0.0.1:0"); err != nil {
+		return err
+	}
+	f.fetcher = origin.NewClient(f.World, f.Origin.Address())
+	if f.Directory, err = directory.Start("127.0.0.1:0"); err != nil {
+		return err
+	}
+	groups := make([]*model.Group, max(1, f.cfg.Cells))
+	for i := range groups {
+		groups[i] = model.NewGroup()
+	}
+	for i := range f.cfg.Workers {
+		cell := i % len(groups)
+		wc := f.cfg.Worker
+		wc.Name, wc.Cell = fmt.Sprintf("worker-%d", i+1), fmt.Sprintf("cell-%d", cell+1)
+		w, err := worker.Start(f.World, worker.Config{WorkerConfig: wc, Address: "127.0.0.1:0", Work: 50 * time.Millisecond},
+			f.fetcher, groups[cell], f.Book)
+		if err != nil {
+			return err
+		}
+		f.Workers = append(f.Workers, w)
+		f.List(w, control.Ready)
+	}
+	for i := range f.cfg.FrontEnds {
+		e := &FrontEnd{fleet: f, number: i, address: "127.0.0.1:0"}
+		if err := e.Start(); err != nil {
+			return err
+		}
+		f.FrontEnds = append(f.FrontEnds, e)
+	}
+	return nil
+}
+
+// List tells the directory of a worker as it is now.
+func (f *Fleet) List(w *worker.Server, state control.WorkerState) {
+	_, up, _ := w.Running()
+	cell := ""
+	w.Do(func(m *model.Worker) { cell = m.Config.Cell })
+	f.Directory.Set(directory.Entry{Name: w.Name(), Address: w.Address(), Cell: cell, Started: time.Now().Add(-up),
+		State: state})
+}
+
+// Close ends the installation: front ends first, each with a clean stop.
+func (f *Fleet) Close() {
+	for _, e := range f.FrontEnds {
+		_ = e.Stop() // told where a test asks for it
+	}
+	if f.Directory != nil {
+		f.Directory.Close()
+	}
+	if f.fetcher != nil {
+		f.fetcher.Close()
+	}
+	for _, w := range f.Workers {
+		w.Close()
+	}
+	if f.Origin != nil {
+		f.Origin.Close()
+	}
+}
+
+// Judge judges all that was seen. It is to be called when everything has ended.
+func (f *Fleet) Judge() ([]audit.Break, audit.Tally) {
+	for _, n := range f.Directory.Notices() {
+		f.Book.Notice(audit.Notice{At: f.Book.At(n.At), FrontEnd: n.Client, States: n.States})
+	}
+	s := f.Settings
+	terms := audit.Terms{Classes: map[string]control.Class{}, DrainGrace: s.DrainGrace, LoadWindow: s.LoadWindow,
+		LoadFree: s.LoadFree, LoadShare: s.LoadShare, Slack: f.cfg.Slack}
+	for _, c := range s.Classes {
+		terms.Classes[c.Name] = control.Class{Aim: c.Aim, Deadline: c.GiveUp, Repeat: c.Repeat, Scope: c.Scope, Memory: c.Memory}
+	}
+	return f.Book.Judge(terms)
+}
+
+// Name is the front end's name, as workers and the directory hear it.
+func (e *FrontEnd) Name() string { return fmt.Sprintf("fe-%d", e.number) }
+
+// Pool is the clients' connections to the front end.
+func (e *FrontEnd) Pool() *client.Pool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pool
+}
+
+// Start starts the front end, again at its old address if it had one.
+func (e *FrontEnd) Start() error {
+	f := e.fleet
+	text := fmt.Sprintf("name fe\nlisten %s\ndirectory consul %s workers\nfirst %d\nfront-ends %d\n%s", e.address,
+		f.Directory.URL(), e.number, f.cfg.FrontEnds, f.cfg.Settings)
+	set, err := config.Parse(e.Name(), text)
+	if err != nil {
+		return err
+	}
+	f.Settings = set
+	service, err := gateway.NewService(set, f.cfg.Log.With().Str("of", e.Name()).Logger())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.address, e.service, e.cancel, e.done = service.Address(), service, cancel, done
+	if e.pool == nil {
+		e.pool = &client.Pool{Name: e.Name(), Address: e.address, Book: f.Book, Grace: f.cfg.Slack}
+	}
+	go func() {
+		defer close(done)
+		counts, err := service.Run(ctx)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.counts, e.err = counts, err
+	}()
+	return nil
+}
+
+// Counts are the totals of the front end's last life that ended.
+func (e *FrontEnd) Counts() gateway.Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counts
+}
+
+// Service is the front end at work.
+func (e *FrontEnd) Service() *gateway.Service {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.service
+}
+
+// Stop stops the front end cleanly and returns how that went.
+func (e *FrontEnd) Stop() error {
+	e.mu.Lock()
+	cancel, done, pool := e.cancel, e.done, e.pool
+	e.mu.Unlock()
+	if cancel == nil {
+		return errors.New("never started")
+	}
+	cancel()
+	<-done
+	pool.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.err
+}
--- /dev/null
+++ b/lab/fleet/fleet_test.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"havencart/lab/client"
+	"havencart/lab/model"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const threeClasses = `
+keep-alive 10s
+max-retry-after 200ms
+cold-time 3s
+tip-window 1s
+class quote
+  aim 500ms
+  give-up 2s
+  worth 2
+  repeat safe
+end
+class log
+  aim 1s
+  give-up 2s
+  worth 2
+  repeat keyed
+  scope cell
+  memory 4s
+end
+class unlock
+  aim 400ms
+  give-up 2s
+  worth 6
+  repeat unsafe
+end
+tenant palermo
+  share 0.8
+end
+tenant catania
+  share 0.2
+end
+`
+
+func small(workers, frontEnds int) Config {
+	return Config{Workers: workers, Cells: 2, FrontEnds: frontEnds, Settings: threeClasses, Slack: time.Second,
+		Log: zerolog.Nop(),
+		Worker: model.WorkerConfig{Cores: 4, Speed: 1, MemoryMB: 8000, Queue: 200, LoadsAtOnce: 4, KeepAlive: 10 * time.Second,
+			ColdFrom: 0.2, ColdTime: 3 * time.Second, TipMultiple: 3, TipWindow: time.Second, KeyMemory: 4 * time.Second},
+		Store: model.StoreConfig{Places: 20, Limit: 100}}
+}
+
+func start(t *testing.T, cfg Config) *Fleet {
+	t.Helper()
+	f, err := Start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+func TestCallsAreServedThroughSockets(t *testing.T) {
+	f := start(t, small(4, 2))
+	var all sync.WaitGroup
+	for i := range 60 {
+		all.Go(func() {
+			class := []string{"quote", "log", "unlock"}[i%3]
+			seen, err := f.FrontEnds[i%2].Pool().Do(client.Call{ID: fmt.Sprint("call-", i), Class: class,
+				Function: class + "-f", Patience: 2 * time.Second, Work: 2 * time.Millisecond, Reply: 100000 * (i % 2),
+				Load: 50 * time.Millisecond, MemoryMB: 200, Lanes: 2})
+			if err != nil || seen.Outcome != "served" || seen.Bytes != 100000*(i%2) {
+				t.Errorf("call %d: %+v, %v", i, seen, err)
+			}
+		})
+	}
+	all.Wait()
+	for _, e := range f.FrontEnds {
+		if err := e.Stop(); err != nil {
+			t.Error(err)
+		}
+	}
+	breaks, tally := f.Judge()
+	if len(breaks) > 0 || !tally.Balanced() || tally.Served != 60 || tally.Runs != 60 {
+		t.Errorf("%v; broken: %v", tally, breaks)
+	}
+}
--- a/lab/model/worker.go
+++ b/lab/model/worker.go
@@ -76,6 +76,8 @@
 type Observer interface {
 	// Received tells of an attempt that arrived, before anything becomes of it.
 	Received(w *Worker, c *Call)
+	// Answered tells how an attempt is answered.
+	Answered(w *Worker, c *Call, o Outcome)
 	// Ran tells that a call's effect took place, at the end of its run.
 	Ran(w *Worker, c *Call)
 	// Ordered tells of an order to load that arrived.
@@ -189,8 +191,8 @@
 	return w.Config.ColdFrom + (1-w.Config.ColdFrom)*age
 }
 
-// cold says whether the worker is still warming.
-func (w *Worker) cold() bool { return w.Config.ColdFrom > 0 && w.Uptime() < w.Config.ColdTime }
+// Cold says whether the worker is still warming.
+func (w *Worker) Cold() bool { return w.Config.ColdFrom > 0 && w.Uptime() < w.Config.ColdTime }
 
 // pace sets the speed of the cores by all that slows them.
 func (w *Worker) pace() {
@@ -203,7 +205,7 @@
 		w.coldStep()
 		w.coldStep = nil
 	}
-	if w.up && w.cold() {
+	if w.up && w.Cold() {
 		w.coldStep = w.clock.After(w.Config.ColdTime/20, func() { w.coldStep = nil; w.pace() })
 	}
 }
@@ -234,6 +236,7 @@
 }
 
 func (w *Worker) answer(k *work, o Outcome) {
+	w.seen.Answered(w, k.Call, o)
 	if !k.gone {
 		k.gone = true
 		k.reply(Answer{Outcome: o, Warmth: k.warmth, Crowd: k.crowd, Waiting: len(w.waiting)})
@@ -257,7 +260,7 @@
 
 // tips counts work that arrives while the worker is cold, and says whether it fell over.
 func (w *Worker) tips(work time.Duration) bool {
-	if !w.cold() || w.Config.TipWindow <= 0 {
+	if !w.Cold() || w.Config.TipWindow <= 0 {
 		w.received = nil
 		return false
 	}
