--- a/internal/callhttp/server.go
+++ b/internal/callhttp/server.go
@@ -99,5 +99,15 @@
 	<-done
 }
 
+// Kill breaks all connections at once.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+	for c := range s.conns {
+		c.abort()
+	}
+}
+
 // deadline is d from now.
 func deadline(d time.Duration) time.Time { return time.Now().Add(d) }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -30,12 +30,13 @@
 	arrivals chan *Call
 	events   chan func(now time.Duration)
 	links    []*workerlink.Link // begun and not known to have ended; the loop's alone
+	kill     chan struct{}
 	done     chan struct{}
 }
 
 // NewLoop returns a Loop that begins with Run.
 func NewLoop(cfg LoopConfig, log zerolog.Logger) *Loop {
-	return &Loop{cfg: cfg, log: log, arrivals: make(chan *Call, cfg.Queue), done: make(chan struct{}),
+	return &Loop{cfg: cfg, log: log, arrivals: make(chan *Call, cfg.Queue), done: make(chan struct{}), kill: make(chan struct{}),
 		events: make(chan func(time.Duration), cfg.Events)}
 }
 
@@ -71,6 +72,9 @@
 	return c
 }
 
+// Kill ends Run at once, once.
+func (l *Loop) Kill() { close(l.kill) }
+
 // post queues an event. It waits where the queue is full: who posts stops reading meanwhile.
 func (l *Loop) post(event func(now time.Duration)) {
 	select {
@@ -121,6 +125,8 @@
 			ending, bound = nil, time.After(l.cfg.StopWait)
 		case <-bound:
 			return false
+		case <-l.kill:
+			return false
 		}
 	}
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -69,12 +69,13 @@
 // Counts are the totals of all loops.
 func (s *Service) Counts() (all Counts) {
 	for _, l := range s.loops {
-		all.add(l.Counts())
+		all.Add(l.Counts())
 	}
 	return all
 }
 
-func (c *Counts) add(x Counts) {
+// Add adds the totals of another Front.
+func (c *Counts) Add(x Counts) {
 	c.Taken += x.Taken
 	c.Served += x.Served
 	c.Refused += x.Refused
@@ -101,7 +102,7 @@
 			counts, ok := l.Run(ctx)
 			mu.Lock()
 			defer mu.Unlock()
-			all.add(counts)
+			all.Add(counts)
 			clean = clean && ok
 		})
 	}
@@ -119,6 +120,16 @@
 	return all, err
 }
 
+// Kill breaks all connections at once, those of clients and of workers, with no final answers: what is left of
+// a process that was killed. Run then ends. It is for tests and emulations of that.
+func (s *Service) Kill() {
+	s.listener.Close()
+	s.clients.Kill()
+	for _, l := range s.loops {
+		l.Kill()
+	}
+}
+
 func loopConfig(set *config.Settings, i int, began time.Time) LoopConfig {
 	cfg := LoopConfig{Settings: frontSettings(set, i, began), Queue: set.Queue, Events: eventQueue, StopWait: set.StopWait,
 		Link: workerlink.Config{ConnectTimeout: set.ConnectTimeout, Window: set.Window, MaxQueue: linkQueue}}
--- /dev/null
+++ b/lab/fleet/demo.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"havencart/lab/audit"
+	"havencart/lab/model"
+	"havencart/lab/script"
+)
+
+// DemoDay is a short bad day.
+const DemoDay = `
+at 2s  crash 25% for 2s
+at 4s  store-slow factor 3 for 2s
+at 5s  hang 10% for 2s
+at 7s  deploy 50% over 3s drain 300ms
+at 9s  fail 10% rate 0.6 for 1s
+`
+
+// DemoSettings are those of the demo's front ends: three classes as a scooter service has them.
+const DemoSettings = `
+keep-alive 10s
+max-retry-after 300ms
+cold-time 4s
+tip-window 1s
+class fare-quote      # read-only
+  aim 500ms
+  give-up 2s
+  worth 2
+  repeat safe
+end
+class status-log      # carries a key; the workers of one cell drop a repeat
+  aim 1s
+  give-up 2s
+  worth 2
+  repeat keyed
+  scope cell
+  memory 6s
+end
+class unlock-charge   # must never run twice
+  aim 400ms
+  give-up 2s
+  worth 6
+  repeat unsafe
+end
+tenant palermo
+  share 0.8
+end
+tenant catania
+  share 0.2
+end
+`
+
+// DemoWorker is one emulated worker of the demo.
+func DemoWorker() model.WorkerConfig {
+	return model.WorkerConfig{Cores: 4, Speed: 1, MemoryMB: 4000, Queue: 100, LoadsAtOnce: 4, KeepAlive: 10 * time.Second,
+		ColdFrom: 0.2, ColdTime: 4 * time.Second, TipMultiple: 3, TipWindow: time.Second, KeyMemory: 6 * time.Second}
+}
+
+// Demo is a whole installation with a small load and a script of troubles.
+type Demo struct {
+	Workers, FrontEnds int
+	Rate               float64 // calls a second
+	Lasts              time.Duration
+	Script             string
+	Seed               uint64
+	Log                zerolog.Logger
+	Tell               func(string) // what happens, as it happens
+}
+
+// Result is how a Demo went.
+type Result struct {
+	Seen   map[string]int // clients' calls by how they ended, with their repeats counted as one
+	Tally  audit.Tally
+	Breaks []audit.Break
+}
+
+// Run plays the demo until its time or ctx is over.
+func (d Demo) Run(ctx context.Context) (Result, error) {
+	troubles, err := script.Parse("script", d.Script)
+	if err != nil {
+		return Result{}, err
+	}
+	f, err := Start(Config{Workers: d.Workers, Cells: 3, FrontEnds: d.FrontEnds, Worker: DemoWorker(),
+		Store:    model.StoreConfig{Places: 8, Limit: 40, FallMultiple: 3, FallAfter: 3 * time.Second, FallFor: 2 * time.Second},
+		Settings: DemoSettings, Slack: time.Second, Log: d.Log})
+	if err != nil {
+		return Result{}, err
+	}
+	defer f.Close()
+	d.Tell("front ends, emulated workers, store and directory run on loopback")
+	played := make(chan error, 1)
+	day, end := context.WithCancel(ctx)
+	defer end()
+	go func() { played <- f.Play(day, troubles, d.Seed, d.Tell) }()
+	watched := make(chan struct{})
+	go func() { defer close(watched); f.watch(day, d.Tell) }()
+	seen := f.Run(ctx, DemoMix(d.Rate), d.Lasts, d.Seed)
+	end()
+	<-watched
+	if err := <-played; err != nil {
+		return Result{}, err
+	}
+	for _, e := range f.FrontEnds {
+		if err := e.Stop(); err != nil {
+			return Result{}, err
+		}
+	}
+	breaks, tally := f.Judge()
+	return Result{seen, tally, breaks}, nil
+}
+
+// DemoMix is what the demo's clients ask for.
+func DemoMix(rate float64) Mix {
+	return Mix{Rate: rate, Functions: 8, Work: 40 * time.Millisecond, Load: 400 * time.Millisecond, MemoryMB: 300,
+		Patience: 2 * time.Second, Retries: 1}
+}
+
+// watch tells the front ends' totals each second.
+func (f *Fleet) watch(ctx context.Context, tell func(string)) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			tell(f.progress())
+		}
+	}
+}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -44,6 +44,7 @@
 	Directory *directory.Server
 	Workers   []*worker.Server
 	FrontEnds []*FrontEnd
+	Clients   Clients
 	fetcher   *origin.Client
 }
 
@@ -204,6 +205,20 @@
 	return e.service
 }
 
+// Kill ends the front end as a kill -9 of its process does, as far as others can see: its listener and all its
+// connections close at once, with no word to anybody. Its goroutines, which a process would take with it, are
+// waited for.
+func (e *FrontEnd) Kill() {
+	e.mu.Lock()
+	cancel, done, pool, service := e.cancel, e.done, e.pool, e.service
+	e.mu.Unlock()
+	e.fleet.Book.Kill(e.Name())
+	service.Kill()
+	cancel()
+	<-done
+	pool.Close()
+}
+
 // Stop stops the front end cleanly and returns how that went.
 func (e *FrontEnd) Stop() error {
 	e.mu.Lock()
@@ -219,3 +234,13 @@
 	defer e.mu.Unlock()
 	return e.err
 }
+
+// progress is the front ends' totals in a line.
+func (f *Fleet) progress() string {
+	var all gateway.Counts
+	for _, e := range f.FrontEnds {
+		all.Add(e.Service().Counts())
+	}
+	return fmt.Sprintf("  taken %d, served %d, refused %d, failed %d, left %d; attempts %d, loads %d", all.Taken, all.Served,
+		all.Refused, all.Failed, all.Left, all.Attempts, all.Loads)
+}
--- a/lab/origin/origin.go
+++ b/lab/origin/origin.go
@@ -53,6 +53,12 @@
 // Do runs f on the model, between its events.
 func (s *Server) Do(f func(*model.Store)) { s.world.Do(func() { f(s.store) }) }
 
+// Stop makes the store turn everything away for d.
+func (s *Server) Stop(d time.Duration) { s.Do(func(m *model.Store) { m.Stop(d) }) }
+
+// Slow makes fetches take factor times as long; 1 ends it.
+func (s *Server) Slow(factor float64) { s.Do(func(m *model.Store) { m.Slow(factor) }) }
+
 // fetch answers 200 once an artefact has been served, 503 where the store turns it away.
 func (s *Server) fetch(w http.ResponseWriter, r *http.Request) {
 	took, err := time.ParseDuration(r.URL.Query().Get("takes"))
--- /dev/null
+++ b/lab/script/script_test.go
@@ -0,0 +1,46 @@
+package script
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestTroublesAreReadInTheOrderOfTheirTimes(t *testing.T) {
+	list, err := Parse("day", "# a day\nat 6s deploy 75% over 4s drain 400ms\nat 2s crash 25% for 3s # a quarter\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []Trouble{{At: 2 * time.Second, Verb: "crash", Share: 0.25, For: 3 * time.Second, Line: 3},
+		{At: 6 * time.Second, Verb: "deploy", Share: 0.75, Over: 4 * time.Second, Drain: 400 * time.Millisecond, Line: 2}}
+	if len(list) != 2 || list[0] != want[0] || list[1] != want[1] {
+		t.Errorf("%+v", list)
+	}
+}
+
+func TestAllErrorsAreToldWithTheirPlace(t *testing.T) {
+	_, err := Parse("day", "at 2s crash 25% for 3s\nat noon crash 25% for 3s\nat 1s explode\nat 1s crash 250% for 3s\n"+
+		"at 1s fail 20% rate 2 for 1s\nat 1s crash 25% during 3s\nat 1s end now\ncrash\nat 1s kill 0 for 1s\n")
+	if !errors.Is(err, ErrScript) {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"day:2:4: ", "day:3:7: found \"explode\"", "day:4:13: ", "day:5:21: ", "day:6:17: found \"during\"",
+		"day:7:11: ", "day:8:1: ", "day:9:12: "} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no %q in:\n%v", want, err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("at 2s crash 25% for 3s\nat 9s fail 20% rate 0.5 for 2s\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		list, err := Parse("day", text)
+		for _, x := range list {
+			if err == nil && (verbs[x.Verb] == nil && x.Verb != "end" && x.Verb != "directory-back" || x.At < 0 || x.Share < 0 || x.Share > 1) {
+				t.Fatalf("accepted %+v", x)
+			}
+		}
+	})
+}
