--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,133 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"havencart/control"
+)
+
+const good = `
+listen 127.0.0.1:0      # any port
+directory consul http://127.0.0.1:8500 "my workers"
+max-body 2m
+class unlock-charge
+  aim 500ms
+  worth 6
+  repeat unsafe
+end
+class log
+  repeat keyed
+  scope zone
+end
+tenant palermo
+  share 0.82
+end
+function quote
+  class log
+  lanes 4
+end
+`
+
+func TestSettingsAreRead(t *testing.T) {
+	s, err := Parse("f", good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Directory != (Directory{"consul", "http://127.0.0.1:8500", "my workers"}) || s.MaxBody != 2<<20 ||
+		len(s.Classes) != 2 || s.Classes[0].Aim != 500*time.Millisecond || s.Classes[0].Repeat != control.Unsafe ||
+		s.Classes[1].Scope != control.ScopeZone || s.Tenants[0].Share != 0.82 || s.Functions[0].Lanes != 4 {
+		t.Errorf("%+v", s)
+	}
+	if s.MaxCalls != 20000 || s.Classes[1].GiveUp != 2*time.Second || s.MissAnswered {
+		t.Errorf("defaults: %+v", s)
+	}
+}
+
+func TestAllErrorsAreToldWithTheirPlace(t *testing.T) {
+	_, err := Parse("f", strings.Join([]string{
+		"listen nowhere",       // 1
+		"colour red",           // 2
+		"loops 0",              // 3
+		"  max-body 9g",        // 4
+		"queue 5 6",            // 5
+		"loops 2",              // 6
+		"class a",              // 7
+		"  repeat often",       // 8
+		"  listen x",           // 9
+		"end",                  // 10
+		"class a",              // 11
+		"  aim 5s",             // 12
+		"end",                  // 13
+		"function f",           // 14
+		"  class b",            // 15
+		"end",                  // 16
+		"directory \"file",     // 17
+		"include nothing.conf", // 18
+		"tenant",               // 19
+		"end",                  // 20
+		"on-miss sometimes",    // 21
+		"tenant open",          // 22
+	}, "\n"))
+	if !errors.Is(err, ErrSettings) {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"f:2:1: found \"colour\"; allowed: name, listen", "f:3:7: loops: found \"0\"; allowed: a whole number, 1 to 256",
+		"f:4:12: max-body", "f:5:7: queue: found \"5 6\"", "f:6:1: loops is given twice", "f:8:10: repeat: found \"often\"; allowed: one of safe, keyed, unsafe",
+		"f:9:3: found \"listen\"", "f:11:7: class \"a\" is given twice", "f:17:11: a quote is not closed", "f:18:9:", "f:19:1:",
+		"f:21:9: on-miss", "f:22:1: block \"tenant\" has no end", "aim 5s is past give-up 2s", "no class \"b\"", "listen: ", "directory is not given"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no %q in:\n%v", want, err)
+		}
+	}
+}
+
+func TestIncludedFilesAreReadInPlace(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{"main": "include \"sub/part\"\ndirectory file list\n", "sub/part": "class a\nend\ninclude other\n",
+		"sub/other": "queue 7\n", "loop": "include loop\n"} {
+		if err := os.MkdirAll(filepath.Dir(filepath.Join(dir, name)), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s, err := Load(filepath.Join(dir, "main")); err != nil || s.Queue != 7 || len(s.Classes) != 1 {
+		t.Errorf("%+v, %v", s, err)
+	}
+	if _, err := Load(filepath.Join(dir, "loop")); !errors.Is(err, ErrSettings) {
+		t.Errorf("a file that includes itself: %v", err)
+	}
+	if _, err := Load(filepath.Join(dir, "none")); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("no file: %v", err)
+	}
+}
+
+// TestTheReferenceIsTrue holds docs/settings.md to the table.
+func TestTheReferenceIsTrue(t *testing.T) {
+	page, err := os.ReadFile("../../docs/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != Reference() {
+		t.Error("docs/settings.md is not what `havencart reference` prints")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, text string) {
+		if strings.Contains(text, "include") {
+			return // reads files
+		}
+		s, err := Parse("f", text)
+		if err == nil && (len(s.Classes) == 0 || s.Directory.Kind == "" || s.Loops < 1 || s.MaxBody < 1) {
+			t.Fatalf("accepted %+v", s)
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/front_test.go
@@ -0,0 +1,466 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"havencart/control"
+	"havencart/internal/directory"
+	"havencart/internal/workerlink"
+	"havencart/internal/workerwire"
+)
+
+const ms = time.Millisecond
+
+// fakeLink stands for a link: it keeps what the Front gave it until a test says what became of it.
+type fakeLink struct {
+	name     string
+	queued   []*workerlink.Attempt // not left
+	left     []*workerlink.Attempt
+	orders   []*workerlink.Order
+	canceled []*workerlink.Attempt
+	drained  bool
+	stopped  bool
+	holds    bool // what is sent stays in the write buffer
+	turns    *workerlink.Result
+}
+
+func (l *fakeLink) Send(a *workerlink.Attempt) *workerlink.Result {
+	switch {
+	case l.turns != nil:
+		return l.turns
+	case l.drained:
+		return &workerlink.Result{Status: control.Moot, Crowd: -1}
+	case l.holds:
+		l.queued = append(l.queued, a)
+	default:
+		l.left = append(l.left, a)
+	}
+	return nil
+}
+
+func (l *fakeLink) Abandon(a *workerlink.Attempt) bool {
+	was := slices.Contains(l.left, a)
+	if was {
+		l.canceled = append(l.canceled, a)
+	}
+	l.drop(a)
+	return was
+}
+
+func (l *fakeLink) drop(a *workerlink.Attempt) {
+	match := func(x *workerlink.Attempt) bool { return x == a }
+	l.queued, l.left = slices.DeleteFunc(l.queued, match), slices.DeleteFunc(l.left, match)
+}
+
+func (l *fakeLink) Load(o *workerlink.Order) control.Status { l.orders = append(l.orders, o); return 0 }
+func (l *fakeLink) AbandonOrder(*workerlink.Order)          {}
+func (l *fakeLink) Unload(string)                           {}
+func (l *fakeLink) Probe()                                  {}
+func (l *fakeLink) Resume()                                 { l.drained = false }
+func (l *fakeLink) Busy() bool                              { return len(l.queued)+len(l.left) > 0 }
+func (l *fakeLink) Stop()                                   { l.stopped = true }
+func (l *fakeLink) Drain(time.Duration) ([]*workerlink.Attempt, []*workerlink.Order) {
+	l.drained = true
+	taken := l.queued
+	l.queued = nil
+	return taken, nil
+}
+
+// bench plays events to a Front.
+type bench struct {
+	*testing.T
+	*Front
+	at      time.Duration
+	links   map[string]*fakeLink
+	opened  int
+	follows int
+}
+
+func (b *bench) Open(_ control.WorkerID, w directory.Worker) Link {
+	b.opened++
+	l := &fakeLink{name: w.Name}
+	b.links[w.Name] = l
+	return l
+}
+
+func (b *bench) Follow() { b.follows++ }
+
+func classes() control.Settings {
+	return control.Settings{Seed: 1, FrontEnds: 1, KeepAlive: 10 * time.Second, TellsWarm: true, MayCancel: true, MaxAttempts: 4,
+		OrderTimeout: time.Second, MaxRetryAfter: 500 * ms, DrainGrace: 500 * ms, Resolution: ms, Classes: []control.Class{
+			{Aim: 500 * ms, Deadline: 2 * time.Second, Worth: 1, Repeat: control.Safe},
+			{Aim: 500 * ms, Deadline: 2 * time.Second, Worth: 1, Repeat: control.Keyed, Scope: control.ScopeCell, Memory: time.Second},
+			{Aim: 500 * ms, Deadline: 2 * time.Second, Worth: 1, Repeat: control.Unsafe}}}
+}
+
+const (
+	safe = iota
+	keyed
+	unsafe
+)
+
+func newBench(t *testing.T, workers int, change func(*Settings)) *bench {
+	b := &bench{T: t, at: time.Minute, links: map[string]*fakeLink{}}
+	set := Settings{Control: classes(), Name: "fe", Classes: []string{"safe", "keyed", "unsafe"}, Margin: 20 * ms, MaxCalls: 100,
+		Began: time.Unix(0, 0)}
+	if change != nil {
+		change(&set)
+	}
+	b.Front = New(b.at, set, b, zerolog.Nop())
+	b.list(workers, nil)
+	return b
+}
+
+// list tells a list of workers, all ready but those in states.
+func (b *bench) list(n int, states map[string]control.WorkerState) {
+	var list []directory.Worker
+	for i := range n {
+		w := directory.Worker{Name: fmt.Sprint("w", i), Address: fmt.Sprint("h:", i+1), Cell: fmt.Sprint(i % 2), Scale: 1, State: control.Ready}
+		if s := states[w.Name]; s != 0 {
+			w.State = s
+		}
+		list = append(list, w)
+	}
+	b.Listed(b.at, list)
+}
+
+func (b *bench) call(class int) *Call {
+	c := NewCall()
+	c.Class, c.Since, c.Patience = class, b.at, 2*time.Second
+	c.Copy = workerwire.Copy{Function: "f", MemoryMB: 100, Lanes: 2}
+	b.Arrive(b.at, c)
+	return c
+}
+
+func (b *bench) pass(d time.Duration) {
+	for end := b.at + d; b.at < end; {
+		b.at = min(end, max(b.at, b.Next()))
+		b.Tick(b.at)
+	}
+}
+
+// out is the link and the attempt that is out for c.
+func (b *bench) out(c *Call) (*fakeLink, *workerlink.Attempt) {
+	b.Helper()
+	for _, l := range b.links {
+		for _, a := range slices.Concat(l.left, l.queued) {
+			if a.Call.ID == c.ID {
+				return l, a
+			}
+		}
+	}
+	b.Fatalf("call %s is not out", c.ID)
+	return nil, nil
+}
+
+func (b *bench) isOut(c *Call) bool { return c.out != nil }
+
+func (b *bench) end(c *Call, s control.Status) *fakeLink {
+	b.Helper()
+	l, a := b.out(c)
+	l.drop(a)
+	b.Ended(b.at, a, workerlink.Result{Status: s, Crowd: -1, Answer: &workerlink.Answer{Body: []byte("x")}})
+	return l
+}
+
+func (b *bench) final(c *Call) Kind {
+	select {
+	case f := <-c.Answer():
+		return f.Kind
+	default:
+		return 0
+	}
+}
+
+func (b *bench) want(c *Call, k Kind) {
+	b.Helper()
+	if got := b.final(c); got != k {
+		b.Errorf("final answer %v, want %v", got, k)
+	}
+	if got := b.final(c); got != 0 {
+		b.Errorf("a second final answer: %v", got)
+	}
+}
+
+func TestACallIsServedAndForgotten(t *testing.T) {
+	b := newBench(t, 2, nil)
+	c := b.call(safe)
+	b.end(c, control.OK)
+	b.want(c, Served)
+	if !b.Idle() || b.Counts().Served != 1 {
+		t.Errorf("%+v", b.Counts())
+	}
+}
+
+// TestAnUnsafeCallIsNeverSentAgainOnceItMayHaveRun is rule 2 through the links' statuses.
+func TestAnUnsafeCallIsNeverSentAgainOnceItMayHaveRun(t *testing.T) {
+	for _, s := range []control.Status{control.Reset, control.Error, control.Timeout, control.Cancelled} {
+		b := newBench(t, 3, nil)
+		c := b.call(unsafe)
+		b.end(c, s)
+		b.want(c, Failed)
+		if c.attempts != 1 {
+			t.Errorf("status %d: %d attempts", s, c.attempts)
+		}
+	}
+	for _, s := range []control.Status{control.ConnectFailed, control.Full, control.Miss, control.Moot} {
+		b := newBench(t, 3, nil)
+		c := b.call(unsafe)
+		b.end(c, s)
+		b.pass(100 * ms)
+		if c.attempts < 2 || !b.isOut(c) {
+			t.Errorf("status %d: %d attempts, out %t: it never ran", s, c.attempts, b.isOut(c))
+		}
+	}
+}
+
+// TestADrainTakesBackWhatStandsInTheWriteBuffer: it goes elsewhere, even when it is unsafe.
+func TestADrainTakesBackWhatStandsInTheWriteBuffer(t *testing.T) {
+	b := newBench(t, 2, nil)
+	for _, l := range b.links {
+		l.holds = true
+	}
+	c := b.call(unsafe)
+	l, _ := b.out(c)
+	b.list(2, map[string]control.WorkerState{l.name: control.Draining})
+	b.pass(100 * ms)
+	next, a := b.out(c)
+	if next == l || a.Call.Attempt != 1 {
+		t.Errorf("attempt %d at %s after the notice", a.Call.Attempt, next.name)
+	}
+	b.end(c, control.OK)
+	b.want(c, Served)
+}
+
+func TestWhatHasLeftADrainingWorkerIsWaitedFor(t *testing.T) {
+	b := newBench(t, 2, nil)
+	c := b.call(unsafe)
+	l, _ := b.out(c)
+	b.list(2, map[string]control.WorkerState{l.name: control.Gone})
+	b.pass(3 * sweepEvery / 2)
+	if l.stopped {
+		t.Fatal("the link was stopped with a call under way")
+	}
+	b.end(c, control.OK)
+	b.want(c, Served)
+	b.pass(2 * sweepEvery)
+	if !l.stopped {
+		t.Error("the link of a worker that is gone stays")
+	}
+}
+
+func TestAWorkerAtANewAddressGetsANewLink(t *testing.T) {
+	b := newBench(t, 1, nil)
+	old := b.links["w0"]
+	c := b.call(safe)
+	b.Listed(b.at, []directory.Worker{{Name: "w0", Address: "elsewhere:1", Scale: 1, State: control.Ready}})
+	if b.opened != 2 || !old.drained || old.stopped {
+		t.Fatalf("opened %d, old link drained %t, stopped %t", b.opened, old.drained, old.stopped)
+	}
+	a := old.left[0]
+	old.drop(a)
+	b.Ended(b.at, a, workerlink.Result{Status: control.OK, Crowd: -1, Answer: &workerlink.Answer{}})
+	b.want(c, Served)
+	b.pass(2 * sweepEvery)
+	if !old.stopped {
+		t.Error("the old link stays")
+	}
+}
+
+// TestTheFinalAnswerLeavesBeforeTheClientGivesUp: silence of all workers, every class.
+func TestTheFinalAnswerLeavesBeforeTheClientGivesUp(t *testing.T) {
+	for class, want := range []Kind{safe: Refused, keyed: Failed, unsafe: Failed} {
+		b := newBench(t, 2, nil)
+		c := b.call(class)
+		end := b.at + c.Patience
+		for b.at < end && c.state == waiting {
+			b.pass(ms)
+		}
+		if b.at >= end {
+			t.Errorf("class %d: no answer in time", class)
+		}
+		b.want(c, want)
+		if b.Counts().Overdue != 0 {
+			t.Errorf("class %d: the module gave none", class)
+		}
+	}
+}
+
+// TestACallThatNeverLeftIsRefused: its time passed in the write buffer; the promise can be given.
+func TestACallThatNeverLeftIsRefused(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.links["w0"].holds = true
+	c := b.call(unsafe)
+	b.pass(2 * time.Second)
+	b.want(c, Refused)
+}
+
+func TestALateAnswerAfterATimeOutChangesNothing(t *testing.T) {
+	b := newBench(t, 1, nil)
+	c := b.call(unsafe)
+	_, a := b.out(c)
+	b.pass(2 * time.Second)
+	b.want(c, Failed)
+	b.Ended(b.at, a, workerlink.Result{Status: control.OK, Crowd: -1, Answer: &workerlink.Answer{}})
+	b.want(c, 0)
+}
+
+func TestAClientThatLeavesIsOwedNothing(t *testing.T) {
+	t.Run("while its call is out", func(t *testing.T) {
+		b := newBench(t, 1, nil)
+		c := b.call(safe)
+		l, _ := b.out(c)
+		b.Left(b.at, c)
+		if len(l.canceled) != 1 || !b.Idle() {
+			t.Errorf("called back %d, idle %t", len(l.canceled), b.Idle())
+		}
+		b.want(c, 0)
+	})
+	t.Run("while its call is held", func(t *testing.T) {
+		b := newBench(t, 0, nil)
+		c := b.call(safe)
+		b.Left(b.at, c)
+		if !b.Idle() {
+			t.Error("it is kept")
+		}
+		b.pass(3 * time.Second)
+		b.want(c, 0)
+	})
+	t.Run("while its answer comes", func(t *testing.T) {
+		b := newBench(t, 1, nil)
+		c := b.call(unsafe)
+		l, a := b.out(c)
+		b.Began(b.at, a, workerlink.Result{Status: control.OK, Crowd: -1, Answer: &workerlink.Answer{Stream: &workerlink.Stream{}}})
+		b.want(c, Served)
+		b.pass(3 * time.Second) // neither time-out nor deadline holds for it
+		if len(l.canceled) != 0 {
+			t.Fatal("a running answer was cut off")
+		}
+		b.Left(b.at, c)
+		if len(l.canceled) != 1 || !b.Idle() {
+			t.Errorf("called back %d, idle %t", len(l.canceled), b.Idle())
+		}
+	})
+}
+
+func TestAnswersThatBreakOffEndTheCall(t *testing.T) {
+	b := newBench(t, 2, nil)
+	c := b.call(safe)
+	_, a := b.out(c)
+	b.Began(b.at, a, workerlink.Result{Status: control.OK, Crowd: -1, Answer: &workerlink.Answer{}})
+	b.Ended(b.at, a, workerlink.Result{Status: control.Reset, Crowd: -1})
+	b.pass(100 * ms)
+	b.want(c, Served)
+	if c.attempts != 1 || !b.Idle() {
+		t.Errorf("%d attempts, idle %t: part of an answer is out, it must not be begun anew", c.attempts, b.Idle())
+	}
+}
+
+func TestTooManyCallsAreRefusedAtOnce(t *testing.T) {
+	b := newBench(t, 0, func(s *Settings) { s.MaxCalls = 3 })
+	for range 3 {
+		b.call(safe)
+	}
+	b.want(b.call(safe), Refused)
+	if n := b.Counts().TurnedAway; n != 1 || b.InHand() != 3 {
+		t.Errorf("turned away %d, in hand %d", n, b.InHand())
+	}
+}
+
+func TestACallWithoutTimeIsRefusedAtOnce(t *testing.T) {
+	b := newBench(t, 1, nil)
+	c := NewCall()
+	c.Since, c.Patience, c.Copy = b.at-2*time.Second, 2*time.Second, workerwire.Copy{Function: "f"}
+	b.Arrive(b.at, c)
+	b.want(c, Refused)
+}
+
+// TestAnAbortAnswersAll: what never ran is refused, what may have run fails, and nothing is sent again.
+func TestAnAbortAnswersAll(t *testing.T) {
+	b := newBench(t, 2, nil)
+	out := b.call(unsafe)
+	_, _ = b.out(out)
+	for _, l := range b.links {
+		l.holds = true
+	}
+	queued := b.call(unsafe)
+	b.Close(b.at)
+	late := b.call(safe)
+	b.want(late, Refused)
+	b.Abort(b.at)
+	b.want(out, Failed)
+	b.want(queued, Refused)
+	if !b.Idle() || out.attempts != 1 || queued.attempts > 1 {
+		t.Errorf("idle %t, attempts %d and %d", b.Idle(), out.attempts, queued.attempts)
+	}
+}
+
+func TestARestartByTheWorkersOwnWordEndsBeliefs(t *testing.T) {
+	b := newBench(t, 1, nil)
+	id := WorkerID("w0")
+	b.Met(b.at, id, workerwire.Welcome{Worker: "w0", Life: 1, UpMillis: 3600_000})
+	c := b.call(safe)
+	b.end(c, control.OK)
+	b.Met(b.at, id, workerwire.Welcome{Worker: "w0", Life: 2, UpMillis: 5})
+	if info, news := b.roster.Met(b.at, id, 2, 5*ms); news || info.Started < b.at-10*ms {
+		t.Errorf("started %v, news %t", info.Started, news)
+	}
+}
+
+func TestAFailedListIsAskedForAgainBySchedule(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.ListFailed(b.at, errors.New("down"))
+	if b.follows != 0 {
+		t.Error("asked at once")
+	}
+	b.pass(1100 * ms)
+	if b.follows != 1 {
+		t.Errorf("asked %d times", b.follows)
+	}
+}
+
+// TestNamesWithOneHashAreKeptApart: the second is refused, as copies of one would be taken for the other's.
+func TestNamesWithOneHashAreKeptApart(t *testing.T) {
+	b := newBench(t, 1, nil)
+	c := b.call(safe)
+	for _, f := range b.functions {
+		f.copy.Function = "another"
+	}
+	b.want(b.call(safe), Refused)
+	b.end(c, control.OK)
+}
+
+func TestWhatTheLinkTurnsAwayGoesElsewhere(t *testing.T) {
+	b := newBench(t, 2, nil)
+	first := b.call(unsafe)
+	l, _ := b.out(first)
+	l.turns = &workerlink.Result{Status: control.ConnectFailed, Crowd: -1}
+	b.end(first, control.ConnectFailed)
+	b.pass(100 * ms)
+	if next, _ := b.out(first); next == l {
+		t.Error("sent to the same worker")
+	}
+}
+
+func TestOrdersGoOutAndTimeOut(t *testing.T) {
+	b := newBench(t, 2, func(s *Settings) { s.Control.MissAnswered, s.Control.MayOrder = true, true })
+	c := b.call(safe)
+	orders := 0
+	for _, l := range b.links {
+		orders += len(l.orders)
+	}
+	if orders == 0 {
+		t.Fatal("no worker was asked or told to load")
+	}
+	b.pass(2 * time.Second)
+	b.want(c, Refused)
+	if len(b.orders) != 0 {
+		t.Errorf("%d orders are still awaited", len(b.orders))
+	}
+}
--- a/lab/audit/record.go
+++ b/lab/audit/record.go
@@ -173,3 +173,15 @@
 	defer b.mu.Unlock()
 	b.falls = append(b.falls, Fall{b.Now(), w.Config.Name})
 }
+
+// Effects counts the effects that a key had at all workers.
+func (b *Book) Effects(key string) (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.receipts {
+		if r.Key == key {
+			n += r.Ran
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/lab/fleet/badday_test.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// TestABadDayBreaksNoRule plays lab/days/bad.day on 12 workers, 3 front ends and 3 classes, and lets the auditor
+// judge what was seen on the sockets.
+func TestABadDayBreaksNoRule(t *testing.T) {
+	text, err := os.ReadFile("../days/bad.day")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := Demo{Workers: 12, FrontEnds: 3, Rate: 120, Lasts: 22 * time.Second, Script: string(text), Seed: 7,
+		Log: zerolog.Nop(), Tell: func(s string) { t.Log(s) }}
+	r, err := d.Run(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(r.Tally, r.Seen)
+	for _, b := range r.Breaks {
+		t.Errorf("rule %s broken: %s", b.Rule, b.What)
+	}
+	if !r.Tally.Balanced() {
+		t.Error("not every call is accounted for")
+	}
+	if tl := r.Tally; tl.Served < tl.Asked/2 || tl.Left == 0 || tl.Refused == 0 {
+		t.Errorf("%v: a day on which next to nothing was served, or no trouble showed, proves nothing", tl)
+	}
+}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -97,6 +97,9 @@
 		f.Workers = append(f.Workers, w)
 		f.List(w, control.Ready)
 	}
+	if f.Settings, err = config.Parse("settings", "directory file none\n"+f.cfg.Settings); err != nil {
+		return err
+	}
 	for i := range f.cfg.FrontEnds {
 		e := &FrontEnd{fleet: f, number: i, address: "127.0.0.1:0"}
 		if err := e.Start(); err != nil {
@@ -168,7 +171,6 @@
 	if err != nil {
 		return err
 	}
-	f.Settings = set
 	service, err := gateway.NewService(set, f.cfg.Log.With().Str("of", e.Name()).Logger())
 	if err != nil {
 		return err
