--- /dev/null
+++ b/cmd/havencart/measure.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/pprof"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"havencart/lab/measure"
+)
+
+func measureCommand() *cobra.Command {
+	cfg := measure.Config{}
+	profile, idle := "", 0
+	cmd := &cobra.Command{Use: "measure", Short: "Measure the front end beside a direct call and a plain reverse proxy",
+		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+			if profile != "" {
+				f, err := os.Create(profile)
+				if err != nil {
+					return err
+				}
+				defer f.Close()
+				if err := pprof.StartCPUProfile(f); err != nil {
+					return err
+				}
+				defer pprof.StopCPUProfile()
+			}
+			return runMeasure(cmd, cfg, idle)
+		}}
+	flags := cmd.Flags()
+	flags.IntVar(&cfg.Workers, "workers", 8, "emulated workers")
+	flags.IntVar(&cfg.Connections, "connections", 64, "clients' connections, each with one call out")
+	flags.DurationVar(&cfg.Work, "work", 0, "of a call at its worker")
+	flags.IntVar(&cfg.Reply, "reply", 100, "bytes of an answer")
+	flags.DurationVar(&cfg.Lasts, "for", 3*time.Second, "each measurement")
+	flags.IntVar(&cfg.Rounds, "rounds", 5, "rounds, the ways in turn")
+	flags.IntVar(&cfg.Loops, "loops", 1, "front ends in the process")
+	flags.IntVar(&idle, "idle", 2000, "idle connections whose memory is measured; 0: none")
+	flags.StringVar(&profile, "profile", "", "write a CPU profile here")
+	return cmd
+}
+
+func runMeasure(cmd *cobra.Command, cfg measure.Config, idle int) error {
+	out := cmd.OutOrStdout()
+	ways, err := measure.Run(cmd.Context(), cfg, func(text string) { fmt.Fprintln(out, text) })
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "\ngateway beside the others, round by round: least, middle, most\n")
+	for _, what := range []struct {
+		name string
+		of   func(measure.Sample) float64
+	}{{"calls a second", func(s measure.Sample) float64 { return s.Rate }},
+		{"CPU a call (whole process)", func(s measure.Sample) float64 { return s.CPUPerCallMicros }},
+		{"p50 at half load", func(s measure.Sample) float64 { return float64(s.Half50) }},
+		{"p99 at half load", func(s measure.Sample) float64 { return float64(s.Half99) }},
+		{"p999 at half load", func(s measure.Sample) float64 { return float64(s.Half999) }}} {
+		for _, other := range ways[:2] {
+			least, middle, most := measure.Ratios(ways[2], other, what.of)
+			fmt.Fprintf(out, "  %-28s / %-7s %6.2f %6.2f %6.2f\n", what.name, other.Name, least, middle, most)
+		}
+	}
+	if idle > 0 {
+		heap, stack, err := measure.Idle(cmd.Context(), cfg, idle)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "an idle connection, both ends: heap %.0f bytes, stack %.0f bytes\n", heap, stack)
+	}
+	return nil
+}
--- a/internal/callhttp/answer.go
+++ b/internal/callhttp/answer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -53,29 +54,41 @@
 
 // startHead writes the status line and the fields that all answers have. Errors stick to out.
 func startHead(out *bufio.Writer, status int, a Answer, last bool) {
-	fmt.Fprintf(out, "HTTP/1.1 %d %s\r\nDate: %s\r\nCall-Outcome: %s\r\nCall-Attempts: %d\r\n", status,
-		http.StatusText(status), time.Now().UTC().Format(http.TimeFormat), a.Outcome, a.Attempts)
+	head := out.AvailableBuffer()
+	head = append(head, "HTTP/1.1 "...)
+	head = strconv.AppendInt(head, int64(status), 10)
+	head = append(append(append(head, ' '), http.StatusText(status)...), "\r\nDate: "...)
+	head = time.Now().UTC().AppendFormat(head, http.TimeFormat)
+	head = append(append(head, "\r\nCall-Outcome: "...), a.Outcome...)
+	head = append(head, "\r\nCall-Attempts: "...)
+	head = append(strconv.AppendInt(head, int64(a.Attempts), 10), "\r\n"...)
 	if a.ID != "" {
-		fmt.Fprintf(out, "Call-Id: %s\r\n", plain(a.ID))
+		head = appendField(head, "Call-Id: ", a.ID)
 	}
 	if last {
-		out.WriteString("Connection: close\r\n")
+		head = append(head, "Connection: close\r\n"...)
 	}
+	out.Write(head)
+}
+
+// appendField appends a field whose value may be anything.
+func appendField(head []byte, name, value string) []byte {
+	return append(append(append(head, name...), plain(value)...), "\r\n"...)
 }
 
 func writeHead(out *bufio.Writer, a Answer, last, chunked bool) error {
 	startHead(out, http.StatusOK, a, last)
-	fmt.Fprintf(out, "Call-Worker: %s\r\n", plain(a.Worker))
+	head := appendField(out.AvailableBuffer(), "Call-Worker: ", a.Worker)
 	if a.Type != "" {
-		fmt.Fprintf(out, "Content-Type: %s\r\n", plain(a.Type))
+		head = appendField(head, "Content-Type: ", a.Type)
 	}
 	switch {
 	case chunked:
-		out.WriteString("Transfer-Encoding: chunked\r\n")
+		head = append(head, "Transfer-Encoding: chunked\r\n"...)
 	case a.Length >= 0:
-		fmt.Fprintf(out, "Content-Length: %d\r\n", a.Length)
+		head = append(strconv.AppendInt(append(head, "Content-Length: "...), a.Length, 10), "\r\n"...)
 	}
-	_, err := out.WriteString("\r\n")
+	_, err := out.Write(append(head, "\r\n"...))
 	return err
 }
 
--- a/internal/callhttp/conn.go
+++ b/internal/callhttp/conn.go
@@ -286,9 +286,17 @@
 	<-c.slots
 }
 
+// writers keeps buffers for writing: a connection has one only while it answers.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4<<10) }}
+
 // write answers the calls in hand, in their order. Once the client is gone it leaves them.
 func (c *conn) write() {
-	out := bufio.NewWriterSize(c.net, 4<<10)
+	out := writers.Get().(*bufio.Writer)
+	out.Reset(c.net)
+	defer func() {
+		out.Reset(nil)
+		writers.Put(out)
+	}()
 	for {
 		x, over := c.first()
 		if over {
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -32,7 +32,8 @@
 		return
 	}
 	f.attempts[&a.Attempt] = a
-	f.timers.set(timer{at: until, attempt: a})
+	a.timer = timer{at: until, attempt: a}
+	f.timers.set(&a.timer)
 	if r := w.link.Send(&a.Attempt); r != nil {
 		f.later = append(f.later, func() { f.ended(a, *r) })
 	}
@@ -90,7 +91,8 @@
 	}
 	o.Order.Load = workerwire.Load{Copy: fn.copy, Copies: copies}
 	f.orders[&o.Order] = o
-	f.timers.set(timer{at: f.now + f.set.Control.OrderTimeout, order: o})
+	o.timer = timer{at: f.now + f.set.Control.OrderTimeout, order: o}
+	f.timers.set(&o.timer)
 	if status := w.link.Load(&o.Order); status != 0 {
 		f.later = append(f.later, func() { f.orderEnded(o, status, 0) })
 	}
@@ -114,7 +116,7 @@
 
 // Wake sets a timer of the module's.
 func (f *Front) Wake(after time.Duration, token uint64) {
-	f.timers.set(timer{at: f.now + max(after, f.set.Control.Resolution), wake: true, token: token})
+	f.timers.set(&timer{at: f.now + max(after, f.set.Control.Resolution), wake: true, token: token})
 }
 
 // Follow asks the directory anew.
--- /dev/null
+++ b/internal/gateway/bench_test.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"testing"
+
+	"havencart/control"
+	"havencart/internal/workerlink"
+	"havencart/internal/workerwire"
+)
+
+// BenchmarkFront is the loop's part of a call, module included: from its arrival to its final answer.
+func BenchmarkFront(b *testing.B) {
+	t := &testing.T{}
+	f := newBench(t, 8, nil)
+	answer := &workerlink.Answer{}
+	b.ReportAllocs()
+	for b.Loop() {
+		c := NewCall()
+		c.Since, c.Patience, c.Copy = f.at, 2e9, workerwire.Copy{Function: "f", MemoryMB: 100, Lanes: 64}
+		f.at += 20000 // 50,000 calls a second
+		f.Tick(f.at)
+		f.Arrive(f.at, c)
+		for _, l := range f.links {
+			if len(l.left) > 0 {
+				a := l.left[0]
+				l.left = l.left[:0]
+				f.Ended(f.at, a, workerlink.Result{Status: control.OK, Warmth: control.FoundWarm, Crowd: -1, Answer: answer})
+			}
+		}
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,7 +55,8 @@
 	deadline time.Duration // final answer due
 	attempts int
 	out      *attempt
-	ran      bool // an attempt may have run
+	timer    timer // for an answer that is overdue
+	ran      bool  // an attempt may have run
 	last     control.Status
 	why      string
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -91,6 +91,7 @@
 	number  int
 	worker  *worker
 	sent    time.Duration
+	timer   timer
 	begun   bool // its answer is on the way to the client
 	settled bool // its outcome was told to the module
 }
@@ -100,6 +101,7 @@
 	worker   *worker
 	function control.FunctionID
 	given    time.Duration
+	timer    timer
 	settled  bool
 }
 
@@ -135,7 +137,7 @@
 		intern(f.zones, z)
 	}
 	f.module = control.New(now, set.Control, f)
-	f.timers.set(timer{at: now + sweepEvery, sweep: true})
+	f.timers.set(&timer{at: now + sweepEvery, sweep: true})
 	return f
 }
 
@@ -222,7 +224,8 @@
 	}
 	f.calls[c.id] = c
 	f.counts.Taken++
-	f.timers.set(timer{at: c.deadline + f.set.Margin/2, call: c})
+	c.timer = timer{at: c.deadline + f.set.Margin/2, call: c}
+	f.timers.set(&c.timer)
 	f.module.Arrive(f.now, control.Request{ID: c.id, Class: c.Class, Tenant: c.Tenant, Function: id,
 		Budget: c.deadline - f.now, Cost: c.Cost, MemoryMB: c.Copy.MemoryMB, Lanes: c.Copy.Lanes,
 		LoadTime: time.Duration(c.Copy.LoadMillis * float64(time.Millisecond))})
@@ -248,6 +251,7 @@
 func (f *Front) forget(c *Call) {
 	if c.state >= answered && c.out == nil {
 		delete(f.calls, c.id)
+		f.timers.stop(&c.timer)
 	}
 }
 
@@ -258,8 +262,8 @@
 func (f *Front) Tick(now time.Duration) {
 	f.now = now
 	for {
-		t, due := f.timers.due(now)
-		if !due {
+		t := f.timers.due(now)
+		if t == nil {
 			return
 		}
 		f.fire(t)
@@ -267,13 +271,13 @@
 	}
 }
 
-func (f *Front) fire(t timer) {
+func (f *Front) fire(t *timer) {
 	switch {
 	case t.wake:
 		f.module.Woke(f.now, t.token)
 	case t.sweep:
 		f.sweep()
-		f.timers.set(timer{at: f.now + sweepEvery, sweep: true})
+		f.timers.set(&timer{at: f.now + sweepEvery, sweep: true})
 	case t.attempt != nil:
 		if !t.attempt.settled && !t.attempt.begun {
 			f.giveUp(t.attempt, control.Timeout, "nothing heard in time")
@@ -345,8 +349,16 @@
 		f.counts.Served++
 	case Refused:
 		f.counts.Refused++
+		f.tell(f.log.Debug(), c, answer)
 	case Failed:
 		f.counts.Failed++
+		f.tell(f.log.Info(), c, answer)
 	}
 	f.forget(c)
 }
+
+// tell logs a final answer that is not a worker's.
+func (f *Front) tell(line *zerolog.Event, c *Call, answer Final) {
+	line.Str("call", c.ID).Str("function", c.Copy.Function).Str("class", f.set.Classes[c.Class]).Int("attempts", c.attempts).
+		Str("why", answer.Why).Msg(answer.Kind.String())
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -178,6 +178,7 @@
 		f.giveUp(a, control.Cancelled, "nobody waits")
 	} else {
 		a.begun = true
+		f.timers.stop(&a.timer) // a running answer has no time-out; the edge judges its standstill
 		f.module.Started(now, a.call.id)
 		f.final(a.call, Final{Kind: Served, Answer: r.Answer, Worker: a.worker.Name})
 	}
@@ -224,6 +225,7 @@
 		return
 	}
 	a.settled = true
+	f.timers.stop(&a.timer)
 	delete(f.attempts, &a.Attempt)
 	c := a.call
 	c.out, c.last, c.why = nil, r.Status, r.Why
@@ -254,6 +256,7 @@
 		return
 	}
 	o.settled = true
+	f.timers.stop(&o.timer)
 	delete(f.orders, &o.Order)
 	f.module.Loaded(f.now, control.Loaded{Worker: o.worker.id, Function: o.function, Status: s, Latency: f.now - o.given,
 		Copies: copies})
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -49,6 +49,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("clients' listener: %w", err)
 	}
+	log = sampled(log)
 	s := &Service{set: set, log: log, listener: l}
 	catalog := catalogOf(set)
 	began := time.Now()
@@ -63,6 +64,14 @@
 	return s, nil
 }
 
+// sampled bounds what is logged in a second: bursts whole, then a sample; errors always.
+func sampled(log zerolog.Logger) zerolog.Logger {
+	some := func() zerolog.Sampler {
+		return &zerolog.BurstSampler{Burst: 100, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: 100}}
+	}
+	return log.Sample(zerolog.LevelSampler{DebugSampler: some(), InfoSampler: some(), WarnSampler: some()})
+}
+
 // Address is where clients connect.
 func (s *Service) Address() string { return s.listener.Addr().String() }
 
--- a/lab/client/client.go
+++ b/lab/client/client.go
@@ -24,6 +24,7 @@
 	Patience                         time.Duration
 	Work                             time.Duration // that the worker is to do
 	Reply                            int           // bytes that the worker is to answer
+	Pad                              int           // bytes added to the call's body
 	MemoryMB                         float64
 	Lanes                            int
 	Load                             time.Duration
@@ -152,7 +153,7 @@
 }
 
 func request(c Call) []byte {
-	body := worker.Body(c.Work, c.Reply)
+	body := append(worker.Body(c.Work, c.Reply), bytes.Repeat([]byte(" "), c.Pad)...)
 	var out bytes.Buffer
 	fmt.Fprintf(&out, "POST /call/%s HTTP/1.1\r\nHost: lab\r\nContent-Length: %d\r\nCall-Id: %s\r\nCall-Patience: %d\r\n",
 		c.Function, len(body), c.ID, c.Patience.Milliseconds())
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -27,6 +27,7 @@
 	Workers   int
 	Cells     int
 	FrontEnds int
+	Loops     int                // in each front end's process, 1 if 0
 	Worker    model.WorkerConfig // of each; its name and cell are made
 	Store     model.StoreConfig
 	Settings  string        // text of the front ends' settings, without listen, directory, name and numbers
@@ -165,8 +166,9 @@
 // Start starts the front end, again at its old address if it had one.
 func (e *FrontEnd) Start() error {
 	f := e.fleet
-	text := fmt.Sprintf("name fe\nlisten %s\ndirectory consul %s workers\nfirst %d\nfront-ends %d\n%s", e.address,
-		f.Directory.URL(), e.number, f.cfg.FrontEnds, f.cfg.Settings)
+	loops := max(1, f.cfg.Loops)
+	text := fmt.Sprintf("name fe\nlisten %s\ndirectory consul %s workers\nloops %d\nfirst %d\nfront-ends %d\n%s", e.address,
+		f.Directory.URL(), loops, e.number*loops, f.cfg.FrontEnds*loops, f.cfg.Settings)
 	set, err := config.Parse(e.Name(), text)
 	if err != nil {
 		return err
--- a/lab/fleet/hard_test.go
+++ b/lab/fleet/hard_test.go
@@ -11,8 +11,11 @@
 	"testing"
 	"time"
 
+	"havencart/control"
 	"havencart/internal/gateway"
+	"havencart/internal/workerwire"
 	"havencart/lab/client"
+	"havencart/lab/directory"
 )
 
 const patience = 2 * time.Second
@@ -261,3 +264,122 @@
 	}
 	f.fair(t)
 }
+
+// TestAWorkerThatReadsNothingHoldsUpNobody: it shakes hands and then lets its socket fill with long calls.
+func TestAWorkerThatReadsNothingHoldsUpNobody(t *testing.T) {
+	f := start(t, small(2, 1))
+	stuck, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var conns sync.WaitGroup
+	defer conns.Wait()
+	defer stuck.Close()
+	stop := make(chan struct{})
+	defer close(stop)
+	conns.Go(func() {
+		for {
+			c, err := stuck.Accept()
+			if err != nil {
+				return
+			}
+			conns.Go(func() {
+				defer c.Close()
+				raw, err := workerwire.Append(nil, workerwire.TypeWelcome, 0,
+					workerwire.Welcome{Version: workerwire.Version, Worker: "stuck", Life: 1, UpMillis: 3600_000}, nil)
+				if err != nil {
+					t.Error(err)
+				}
+				_, _ = c.Write(raw)
+				<-stop
+			})
+		}
+	})
+	f.Directory.Set(directory.Entry{Name: "stuck", Address: stuck.Addr().String(), Cell: "cell-1", State: control.Ready})
+	until(t, "the list", func() bool {
+		for _, n := range f.Directory.Notices() {
+			if n.States["stuck"] == control.Ready {
+				return true
+			}
+		}
+		return false
+	})
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	served := 0
+	for i := range 120 {
+		all.Go(func() {
+			c := ask(fmt.Sprint("c", i), []string{"quote", "log", "unlock"}[i%3], time.Millisecond)
+			c.Function, c.Pad = fmt.Sprint(c.Function, i%12), 900_000
+			if f.do(t, 0, c).Outcome == "served" {
+				mu.Lock()
+				defer mu.Unlock()
+				served++
+			}
+		})
+	}
+	all.Wait()
+	if served < 60 {
+		t.Errorf("%d of 120 calls served beside a worker that reads nothing", served)
+	}
+	f.fair(t)
+}
+
+// TestSeveralLoopsInOneProcessAreFrontEndsOfTheirOwn: each has its own links and its own query of the list.
+func TestSeveralLoopsInOneProcessAreFrontEndsOfTheirOwn(t *testing.T) {
+	cfg := small(2, 1)
+	cfg.Loops = 3
+	f := start(t, cfg)
+	until(t, "three lists", func() bool { return len(f.Directory.Notices()) >= 3 })
+	asked := map[string]bool{}
+	for _, n := range f.Directory.Notices() {
+		asked[n.Client] = true
+	}
+	if len(asked) != 3 {
+		t.Errorf("the directory was asked by %v", asked)
+	}
+	var all sync.WaitGroup
+	for i := range 30 {
+		all.Go(func() {
+			if seen := f.do(t, 0, ask(fmt.Sprint("c", i), "quote", time.Millisecond)); seen.Outcome != "served" {
+				t.Errorf("%+v", seen)
+			}
+		})
+	}
+	all.Wait()
+	f.fair(t)
+	if c := f.FrontEnds[0].Counts(); c.Served != 30 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// TestWorkersThatAnswerMissAreGivenOrders within the ration, which the auditor judges.
+func TestWorkersThatAnswerMissAreGivenOrders(t *testing.T) {
+	cfg := small(4, 2)
+	cfg.Worker.MissAnswers = true
+	cfg.Settings = "on-miss miss\nload-window 2s\nload-free 3\nload-share 0.2\n" + cfg.Settings
+	f := start(t, cfg)
+	until(t, "the lists", func() bool { return len(f.Directory.Notices()) >= 2 })
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	seen := map[string]int{}
+	for i := range 200 {
+		all.Go(func() {
+			c := ask(fmt.Sprint("c", i), []string{"quote", "log", "unlock"}[i%3], time.Millisecond)
+			c.Function += fmt.Sprint(i % 20)
+			outcome := f.do(t, i%2, c).Outcome
+			mu.Lock()
+			defer mu.Unlock()
+			seen[outcome]++
+		})
+		time.Sleep(2 * time.Millisecond)
+	}
+	all.Wait()
+	if seen["served"] < 100 {
+		t.Errorf("%v", seen)
+	}
+	f.fair(t)
+	if _, tally := f.Judge(); tally.Orders == 0 {
+		t.Error("no order was given")
+	}
+}
--- /dev/null
+++ b/lab/measure/cpu.go
@@ -0,0 +1,15 @@
+package measure
+
+import (
+	"syscall"
+	"time"
+)
+
+// cpuTime is the processor time that this process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/lab/measure/measure.go
@@ -0,0 +1,414 @@
+// Package measure sets a front end beside a direct call to the emulated workers and beside a plain reverse proxy
+// (net/http/httputil, round robin) over the same workers, in one run on one machine: calls a second, latency,
+// memory of a connection. All of it runs in one process, clients and workers included, so that only ratios
+// mean anything.
+package measure
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+
+	"havencart/internal/config"
+	"havencart/internal/gateway"
+	"havencart/lab/audit"
+	"havencart/lab/directory"
+	"havencart/lab/model"
+	"havencart/lab/origin"
+	"havencart/lab/worker"
+
+	"havencart/control"
+)
+
+// Config says what is measured.
+type Config struct {
+	Workers     int
+	Connections int           // of clients, each with one call out
+	Work        time.Duration // of a call at its worker
+	Reply       int           // bytes of an answer
+	Lasts       time.Duration // of each measurement
+	Rounds      int
+	Loops       int
+}
+
+// Sample is one measurement of one way.
+type Sample struct {
+	Rate             float64 // calls a second, clients waiting for each answer
+	P50, P99, P999   time.Duration
+	Half50, Half99   time.Duration // open loop at half the slowest way's rate
+	Half999          time.Duration
+	Errors           int
+	CPUPerCallMicros float64
+}
+
+// Way is one way from a client to a worker.
+type Way struct {
+	Name    string
+	Address []string // clients spread over them
+	Samples []Sample
+}
+
+// rig is the installation that is measured.
+type rig struct {
+	cfg    Config
+	ways   []*Way
+	closes []func()
+}
+
+// Run measures and returns the ways: direct, proxy, gateway. tell is told how it goes.
+func Run(ctx context.Context, cfg Config, tell func(string)) ([]*Way, error) {
+	r := &rig{cfg: cfg}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return nil, err
+	}
+	for _, w := range r.ways { // copies load, connections stand, means settle
+		if _, err := r.closed(ctx, w, cfg.Lasts/4); err != nil {
+			return nil, err
+		}
+	}
+	for round := range cfg.Rounds {
+		slowest := math.Inf(1)
+		for _, w := range r.ways {
+			s, err := r.closed(ctx, w, cfg.Lasts)
+			if err != nil {
+				return nil, err
+			}
+			w.Samples = append(w.Samples, s)
+			slowest = min(slowest, s.Rate)
+		}
+		for _, w := range r.ways {
+			s := &w.Samples[round]
+			if err := r.open(ctx, w, s, slowest/2); err != nil {
+				return nil, err
+			}
+			tell(fmt.Sprintf("round %d %-8s %8.0f/s p50 %v p99 %v p999 %v; half load p50 %v p99 %v p999 %v; errors %d", round+1,
+				w.Name, s.Rate, s.P50, s.P99, s.P999, s.Half50, s.Half99, s.Half999, s.Errors))
+		}
+	}
+	return r.ways, nil
+}
+
+func (r *rig) close() {
+	for _, f := range slices.Backward(r.closes) {
+		f()
+	}
+}
+
+func (r *rig) later(f func()) { r.closes = append(r.closes, f) }
+
+const settings = "keep-alive 60s\nmax-calls 100000\nqueue 100000\nclass echo\naim 1s\ngive-up 5s\nrepeat safe\nlanes 64\nend\n"
+
+// start starts workers with both faces, a directory, the proxy and the gateway.
+func (r *rig) start() error {
+	dir, err := directory.Start("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	r.later(dir.Close)
+	var faces []string
+	for i := range r.cfg.Workers {
+		w, face, err := r.worker(i)
+		if err != nil {
+			return err
+		}
+		faces = append(faces, face)
+		dir.Set(directory.Entry{Name: w.Name(), Address: w.Address(), Cell: "c", State: control.Ready})
+	}
+	proxy, err := r.proxy(faces)
+	if err != nil {
+		return err
+	}
+	gate, err := r.gateway(dir.URL())
+	if err != nil {
+		return err
+	}
+	r.ways = []*Way{{Name: "direct", Address: faces}, {Name: "proxy", Address: []string{proxy}}, {Name: "gateway", Address: []string{gate}}}
+	return nil
+}
+
+// quiet sees nothing: a Book would grow with each call.
+type quiet struct{}
+
+func (quiet) Received(*model.Worker, *model.Call)                {}
+func (quiet) Answered(*model.Worker, *model.Call, model.Outcome) {}
+func (quiet) Ran(*model.Worker, *model.Call)                     {}
+func (quiet) Ordered(*model.Worker, string, string, int)         {}
+func (quiet) Fell(*model.Worker)                                 {}
+
+var _ = []model.Observer{quiet{}, (*audit.Book)(nil)}
+
+// worker starts one emulated worker in a world of its own, with an HTTP face beside its socket.
+func (r *rig) worker(i int) (*worker.Server, string, error) {
+	world := model.NewWorld()
+	store, err := origin.Start(world, model.StoreConfig{Places: 8, Limit: 40}, "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	r.later(store.Close)
+	fetcher := origin.NewClient(world, store.Address())
+	r.later(fetcher.Close)
+	w, err := worker.Start(world, worker.Config{Address: "127.0.0.1:0", Work: r.cfg.Work, WorkerConfig: model.WorkerConfig{
+		Name: fmt.Sprint("w", i), Cell: "c", Cores: 64, Speed: 1, MemoryMB: 1e6, Queue: 100000, LoadsAtOnce: 4,
+		KeepAlive: time.Hour}}, fetcher, model.NewGroup(), quiet{})
+	if err != nil {
+		return nil, "", err
+	}
+	r.later(w.Close)
+	face, err := r.serve(face{world, w})
+	return w, face, err
+}
+
+// serve runs an HTTP server until the rig closes.
+func (r *rig) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h}
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Serve(l) }()
+	r.later(func() { s.Close(); <-done })
+	return l.Addr().String(), nil
+}
+
+// face is an emulated worker's HTTP face: the same model, reached without the worker protocol.
+type face struct {
+	world *model.World
+	w     *worker.Server
+}
+
+func (f face) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	work, reply := worker.ParseBody(string(body), 0)
+	answer := make(chan model.Answer, 1)
+	f.w.Do(func(m *model.Worker) {
+		m.Handle(&model.Call{Function: "echo", MemoryMB: 100, Lanes: 64, Load: time.Millisecond, Work: work,
+			Expires: f.world.Now() + time.Minute}, func(a model.Answer) { answer <- a })
+	})
+	select {
+	case a := <-answer:
+		if a.Outcome != model.OK {
+			out.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = out.Write(make([]byte, reply))
+	case <-r.Context().Done():
+	}
+}
+
+// proxy starts the plain reverse proxy.
+func (r *rig) proxy(faces []string) (string, error) {
+	var next atomic.Uint64
+	var targets []*url.URL
+	for _, f := range faces {
+		targets = append(targets, &url.URL{Scheme: "http", Host: f})
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: r.cfg.Connections, MaxIdleConns: 0}
+	r.later(transport.CloseIdleConnections)
+	return r.serve(&httputil.ReverseProxy{Transport: transport, Rewrite: func(p *httputil.ProxyRequest) {
+		p.SetURL(targets[next.Add(1)%uint64(len(targets))])
+	}})
+}
+
+func (r *rig) gateway(dir string) (string, error) {
+	set, err := config.Parse("measure", fmt.Sprintf("listen 127.0.0.1:0\ndirectory consul %s workers\nloops %d\nfront-ends %d\n%s",
+		dir, r.cfg.Loops, r.cfg.Loops, settings))
+	if err != nil {
+		return "", err
+	}
+	s, err := gateway.NewService(set, zerolog.Nop())
+	if err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _, _ = s.Run(ctx) }()
+	r.later(func() { cancel(); <-done })
+	return s.Address(), nil
+}
+
+// caller is one client's connection.
+type caller struct {
+	conn net.Conn
+	in   *bufio.Reader
+	raw  []byte
+}
+
+func (r *rig) caller(w *Way, i int) (*caller, error) {
+	address := w.Address[i%len(w.Address)]
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", w.Name, err)
+	}
+	body := worker.Body(r.cfg.Work, r.cfg.Reply)
+	return &caller{c, bufio.NewReader(c), fmt.Appendf(nil, "POST /call/echo HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s",
+		len(body), body)}, nil
+}
+
+// call makes one call and says whether it was served.
+func (c *caller) call() (bool, error) {
+	if _, err := c.conn.Write(c.raw); err != nil {
+		return false, err
+	}
+	r, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return false, err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r.StatusCode == http.StatusOK, err
+}
+
+// tally gathers latencies of many callers.
+type tally struct {
+	mu     sync.Mutex
+	hist   *hdrhistogram.Histogram
+	errors int
+}
+
+func newTally() *tally { return &tally{hist: hdrhistogram.New(1, int64(time.Minute), 3)} }
+
+func (t *tally) add(d time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !ok {
+		t.errors++
+		return
+	}
+	_ = t.hist.RecordValue(int64(d)) // within the bounds: no call lasts a minute
+}
+
+func (t *tally) at(q float64) time.Duration {
+	return time.Duration(t.hist.ValueAtQuantile(q)).Round(time.Microsecond)
+}
+
+// each runs f on every connection at once and returns the first error.
+func (r *rig) each(w *Way, f func(i int, c *caller) error) error {
+	var tasks sync.WaitGroup
+	errs := make(chan error, r.cfg.Connections)
+	for i := range r.cfg.Connections {
+		tasks.Go(func() {
+			c, err := r.caller(w, i)
+			if err == nil {
+				err = f(i, c)
+				c.conn.Close()
+			}
+			if err != nil {
+				errs <- fmt.Errorf("%s: %w", w.Name, err)
+			}
+		})
+	}
+	tasks.Wait()
+	close(errs)
+	return <-errs
+}
+
+// closed measures with clients that each wait for an answer before the next call: the most that goes through.
+func (r *rig) closed(ctx context.Context, w *Way, lasts time.Duration) (Sample, error) {
+	t := newTally()
+	began, cpu := time.Now(), cpuTime()
+	err := r.each(w, func(_ int, c *caller) error {
+		for time.Since(began) < lasts && ctx.Err() == nil {
+			at := time.Now()
+			ok, err := c.call()
+			if err != nil {
+				return err
+			}
+			t.add(time.Since(at), ok)
+		}
+		return nil
+	})
+	took, n := time.Since(began), float64(t.hist.TotalCount())
+	s := Sample{Rate: n / took.Seconds(), P50: t.at(50), P99: t.at(99), P999: t.at(99.9), Errors: t.errors}
+	s.CPUPerCallMicros = float64((cpuTime() - cpu).Microseconds()) / max(1, n)
+	return s, err
+}
+
+// open measures at a fixed rate: each connection has its times to call, and a call that starts late because the
+// one before it was slow is counted from its time (so that a slow way is not spared: coordinated omission).
+func (r *rig) open(ctx context.Context, w *Way, s *Sample, rate float64) error {
+	t := newTally()
+	gap := time.Duration(float64(time.Second) * float64(r.cfg.Connections) / rate)
+	began := time.Now()
+	err := r.each(w, func(i int, c *caller) error {
+		due := began.Add(gap * time.Duration(i) / time.Duration(r.cfg.Connections))
+		for ; due.Sub(began) < r.cfg.Lasts && ctx.Err() == nil; due = due.Add(gap) {
+			time.Sleep(time.Until(due))
+			ok, err := c.call()
+			if err != nil {
+				return err
+			}
+			t.add(time.Since(due), ok)
+		}
+		return nil
+	})
+	s.Half50, s.Half99, s.Half999 = t.at(50), t.at(99), t.at(99.9)
+	s.Errors += t.errors
+	return err
+}
+
+// Ratios compares two ways' samples pair by pair: least, middle, most.
+func Ratios(a, b *Way, of func(Sample) float64) (least, middle, most float64) {
+	var list []float64
+	for i := range a.Samples {
+		list = append(list, of(a.Samples[i])/of(b.Samples[i]))
+	}
+	slices.Sort(list)
+	return list[0], list[len(list)/2], list[len(list)-1]
+}
+
+// Idle measures the memory of n idle connections to the gateway, both ends of each, in bytes a connection.
+func Idle(ctx context.Context, cfg Config, n int) (heap, stack float64, err error) {
+	r := &rig{cfg: cfg}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return 0, 0, err
+	}
+	gate := r.ways[2]
+	if _, err := r.closed(ctx, gate, 100*time.Millisecond); err != nil {
+		return 0, 0, err
+	}
+	before := memory()
+	var conns []net.Conn
+	defer func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}()
+	for range n {
+		c, err := r.caller(gate, 0)
+		if err != nil {
+			return 0, 0, err
+		}
+		conns = append(conns, c.conn)
+		if _, err := c.call(); err != nil { // it has had a call, and idles
+			return 0, 0, err
+		}
+	}
+	after := memory()
+	return float64(after.HeapInuse-before.HeapInuse) / float64(n), float64(after.StackInuse-before.StackInuse) / float64(n), nil
+}
+
+func memory() (m runtime.MemStats) {
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m
+}
--- a/lab/worker/conn.go
+++ b/lab/worker/conn.go
@@ -186,8 +186,8 @@
 	return fmt.Appendf(nil, "work %v reply %d", work, reply)
 }
 
-// parseBody reads what Body writes; what is missing or no such text leaves the worker's own.
-func parseBody(text string, work time.Duration) (time.Duration, int) {
+// ParseBody reads what Body writes; what is missing or no such text leaves the worker's own.
+func ParseBody(text string, work time.Duration) (time.Duration, int) {
 	words, reply := strings.Fields(text), 0
 	for i := 0; i+1 < len(words); i += 2 {
 		switch words[i] {
@@ -209,7 +209,7 @@
 	if err := f.Decode(&in); err != nil {
 		return err
 	}
-	work, reply := parseBody(string(f.Body), c.s.cfg.Work)
+	work, reply := ParseBody(string(f.Body), c.s.cfg.Work)
 	number, window := f.Call, int(in.Window)
 	c.s.Do(func(w *model.Worker) {
 		call := &model.Call{ID: in.ID, Attempt: in.Attempt, FrontEnd: c.frontEnd, Class: in.Class, Key: in.Key,
