--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -50,6 +50,7 @@
 	Since    time.Duration // when the client began, on the loop's clock
 
 	answer   chan Final
+	deliver  func(Final)
 	state    callState
 	id       control.RequestID
 	deadline time.Duration // final answer due
@@ -71,8 +72,15 @@
 	left                      // the client left before it
 )
 
-// NewCall returns a call that waits for Submit.
-func NewCall() *Call { return &Call{answer: make(chan Final, 1)} }
+// NewCall returns a call whose final answer comes on Answer.
+func NewCall() *Call {
+	c := &Call{answer: make(chan Final, 1)}
+	c.deliver = func(f Final) { c.answer <- f }
+	return c
+}
+
+// NewCallTo returns a call whose final answer is given to deliver, within the Front's turn.
+func NewCallTo(deliver func(Final)) *Call { return &Call{deliver: deliver} }
 
 // Answer gives the final answer, once.
 func (c *Call) Answer() <-chan Final { return c.answer }
@@ -84,7 +92,7 @@
 	}
 	c.state = answered
 	f.Attempts = c.attempts
-	c.answer <- f
+	c.deliver(f)
 	return true
 }
 
--- a/internal/gateway/edge.go
+++ b/internal/gateway/edge.go
@@ -47,15 +47,15 @@
 	c := NewCall()
 	c.ID, c.Key, c.Body, c.Cost = in.ID, in.Key, in.Body, in.Cost
 	c.Since = in.Began.Sub(e.loop.cfg.Began)
-	if err := e.catalog.resolve(in, c); err != nil {
+	if err := e.catalog.Resolve(in, c); err != nil {
 		return nil, err
 	}
 	e.loop.Submit(c)
 	return pending{e.loop, c}, nil
 }
 
-// resolve finds a call's class, tenant and function.
-func (k *Catalog) resolve(in *callhttp.Call, c *Call) error {
+// Resolve finds a call's class, tenant and function.
+func (k *Catalog) Resolve(in *callhttp.Call, c *Call) error {
 	listed, known := k.Functions[in.Function]
 	if !known && k.Listed {
 		return fmt.Errorf("no function %q", in.Function)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -27,6 +27,22 @@
 	Margin   time.Duration // the final answer is due this long before the client gives up
 	MaxCalls int           // calls in hand; more are refused at once
 	Began    time.Time     // wall time at 0 of the clock
+
+	// Decide makes the module; nil stands for control.New.
+	Decide func(now time.Duration, set control.Settings, a control.Actions) Module
+}
+
+// Module is what decides: control.Controller, or in the laboratory a baseline set beside it.
+type Module interface {
+	Workers(now time.Duration, list []control.WorkerInfo, whole bool)
+	ListFailed(now time.Duration)
+	Woke(now time.Duration, token uint64)
+	Arrive(now time.Duration, r control.Request)
+	Outcome(now time.Duration, o control.Outcome)
+	Gone(now time.Duration, id control.RequestID)
+	Loaded(now time.Duration, l control.Loaded)
+	Started(now time.Duration, id control.RequestID)
+	Probed(now time.Duration, p control.Probed)
 }
 
 // Link is the way to one worker, as workerlink.Link is.
@@ -66,7 +82,7 @@
 	set     Settings
 	outside Outside
 	log     zerolog.Logger
-	module  *control.Controller
+	module  Module
 	roster  *roster.Roster
 	now     time.Duration
 	timers  timers
@@ -136,7 +152,11 @@
 	for _, z := range set.Zones {
 		intern(f.zones, z)
 	}
-	f.module = control.New(now, set.Control, f)
+	if set.Decide == nil {
+		f.module = control.New(now, set.Control, f)
+	} else {
+		f.module = set.Decide(now, set.Control, f)
+	}
 	f.timers.set(&timer{at: now + sweepEvery, sweep: true})
 	return f
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -51,7 +51,7 @@
 	}
 	log = sampled(log)
 	s := &Service{set: set, log: log, listener: l}
-	catalog := catalogOf(set)
+	catalog := CatalogOf(set)
 	began := time.Now()
 	for i := range set.Loops {
 		s.loops = append(s.loops, NewLoop(loopConfig(set, i, began), log.With().Int("front-end", set.First+i).Logger()))
@@ -140,7 +140,7 @@
 }
 
 func loopConfig(set *config.Settings, i int, began time.Time) LoopConfig {
-	cfg := LoopConfig{Settings: frontSettings(set, i, began), Queue: set.Queue, Events: eventQueue, StopWait: set.StopWait,
+	cfg := LoopConfig{Settings: FrontSettings(set, i, began, rand.Uint64()), Queue: set.Queue, Events: eventQueue, StopWait: set.StopWait,
 		Link: workerlink.Config{ConnectTimeout: set.ConnectTimeout, Window: set.Window, MaxQueue: linkQueue}}
 	if set.Directory.Kind == "file" {
 		cfg.Source = directory.NewFile(set.Directory.Where)
@@ -150,10 +150,11 @@
 	return cfg
 }
 
-func frontSettings(set *config.Settings, i int, began time.Time) Settings {
+// FrontSettings are the settings of the process's front end i, which began at a wall time and draws from seed.
+func FrontSettings(set *config.Settings, i int, began time.Time, seed uint64) Settings {
 	out := Settings{Name: fmt.Sprintf("%s-%d", set.Name, set.First+i), Margin: set.AnswerMargin, MaxCalls: set.MaxCalls,
 		Began: began, Zones: append([]string{set.Zone}, set.Zones...)}
-	out.Control = control.Settings{Seed: rand.Uint64(), Self: set.First + i, FrontEnds: set.FrontEnds,
+	out.Control = control.Settings{Seed: seed, Self: set.First + i, FrontEnds: set.FrontEnds,
 		MissAnswered: set.MissAnswered, MayOrder: set.Orders, TellsWarm: set.TellsWarm, TellsCrowd: set.TellsCrowd,
 		KeepAlive: set.KeepAlive, OrderTimeout: set.OrderTimeout, LoadWindow: set.LoadWindow, LoadFree: set.LoadFree,
 		LoadShare: set.LoadShare, MayProbe: true, MayCancel: set.Cancel, MaxAttempts: set.MaxAttempts,
@@ -172,7 +173,8 @@
 	return out
 }
 
-func catalogOf(set *config.Settings) *Catalog {
+// CatalogOf is what settings tell of classes, tenants and functions.
+func CatalogOf(set *config.Settings) *Catalog {
 	k := &Catalog{Functions: map[string]CatalogFunction{}, Listed: set.FunctionsOnly}
 	for _, c := range set.Classes {
 		k.Classes = append(k.Classes, CatalogClass{Name: c.Name, Patience: c.GiveUp, Copy: workerwire.Copy{
--- a/lab/audit/judge.go
+++ b/lab/audit/judge.go
@@ -60,6 +60,7 @@
 	terms  Terms
 	breaks []Break
 	tally  Tally
+	told   map[string][]Notice // by front end, in the order in which they came
 }
 
 func (j *judge) broke(rule, format string, args ...any) {
@@ -178,6 +179,10 @@
 
 // drains holds rule 3: nothing new reaches a worker later than the grace after its front end was told.
 func (j *judge) drains() {
+	j.told = map[string][]Notice{}
+	for _, n := range j.notices {
+		j.told[n.FrontEnd] = append(j.told[n.FrontEnd], n)
+	}
 	for _, r := range j.receipts {
 		j.late("call "+r.ID, r.FrontEnd, r.Worker, r.At)
 	}
@@ -191,9 +196,9 @@
 
 func (j *judge) late(what, frontEnd, worker string, at time.Duration) {
 	since, shut := time.Duration(0), false
-	for _, n := range j.notices {
-		if n.FrontEnd != frontEnd || n.At > at {
-			continue
+	for _, n := range j.told[frontEnd] {
+		if n.At > at {
+			break
 		}
 		state, listed := n.States[worker]
 		open := listed && state == control.Ready
@@ -238,23 +243,28 @@
 	if j.terms.LoadWindow <= 0 {
 		return
 	}
-	for i, o := range j.orders {
+	given, taken := map[string][]time.Duration{}, map[string][]time.Duration{}
+	for _, a := range j.asks {
+		taken[a.FrontEnd] = append(taken[a.FrontEnd], a.Sent)
+	}
+	for _, o := range j.orders {
 		if o.Copies == 0 {
 			continue
 		}
-		orders, asks := 0, 0
-		for _, x := range j.orders[:i+1] {
-			if x.FrontEnd == o.FrontEnd && x.Copies > 0 && x.At > o.At-j.terms.LoadWindow+j.terms.Slack {
-				orders++
-			}
-		}
-		for _, a := range j.asks {
-			if a.FrontEnd == o.FrontEnd && a.Sent <= o.At && a.Sent > o.At-j.terms.LoadWindow-j.terms.Slack {
-				asks++
-			}
-		}
+		given[o.FrontEnd] = append(given[o.FrontEnd], o.At)
+		orders := within(given[o.FrontEnd], o.At-j.terms.LoadWindow+j.terms.Slack, o.At)
+		asks := within(taken[o.FrontEnd], o.At-j.terms.LoadWindow-j.terms.Slack, o.At)
 		if float64(orders) > j.terms.LoadFree+j.terms.LoadShare*float64(asks) {
 			j.broke("loads", "%s gave %d orders for %d calls within %v", o.FrontEnd, orders, asks, j.terms.LoadWindow)
 		}
 	}
 }
+
+// within counts the times after from, up to and at to; they are in order.
+func within(times []time.Duration, from, to time.Duration) int {
+	after := func(t time.Duration) int {
+		i, _ := slices.BinarySearch(times, t+1)
+		return i
+	}
+	return after(to) - after(from)
+}
--- a/lab/audit/record.go
+++ b/lab/audit/record.go
@@ -69,7 +69,8 @@
 
 // Book gathers what was seen. It may be used by many goroutines; the zero Book is not usable.
 type Book struct {
-	start time.Time
+	start time.Time // wall time at 0
+	clock func() time.Duration
 
 	mu       sync.Mutex
 	asks     []*Ask
@@ -82,10 +83,18 @@
 }
 
 // NewBook returns an empty Book whose time begins now.
-func NewBook() *Book { return &Book{start: time.Now(), open: map[*model.Call]*Receipt{}} }
+func NewBook() *Book {
+	start := time.Now()
+	return NewBookOn(start, func() time.Duration { return time.Since(start) })
+}
+
+// NewBookOn returns an empty Book on a clock that shows 0 at start.
+func NewBookOn(start time.Time, clock func() time.Duration) *Book {
+	return &Book{start: start, clock: clock, open: map[*model.Call]*Receipt{}}
+}
 
 // Now is the Book's time.
-func (b *Book) Now() time.Duration { return time.Since(b.start) }
+func (b *Book) Now() time.Duration { return b.clock() }
 
 // At is a wall time on the Book's clock.
 func (b *Book) At(t time.Time) time.Duration { return t.Sub(b.start) }
--- a/lab/client/client.go
+++ b/lab/client/client.go
@@ -15,22 +15,10 @@
 	"time"
 
 	"havencart/lab/audit"
+	"havencart/lab/load"
 	"havencart/lab/worker"
 )
 
-// Call is what a client asks for.
-type Call struct {
-	ID, Function, Class, Tenant, Key string
-	Patience                         time.Duration
-	Work                             time.Duration // that the worker is to do
-	Reply                            int           // bytes that the worker is to answer
-	Pad                              int           // bytes added to the call's body
-	MemoryMB                         float64
-	Lanes                            int
-	Load                             time.Duration
-	LeaveAfter                       time.Duration // the client closes then; 0: it stays
-}
-
 // Seen is what a client got.
 type Seen struct {
 	Outcome    string // served, refused, failed, or empty: none
@@ -57,7 +45,7 @@
 
 // Do makes one call and notes what came of it. An error says that no connection could be had: then nothing
 // was asked.
-func (p *Pool) Do(c Call) (Seen, error) {
+func (p *Pool) Do(c load.Call) (Seen, error) {
 	n, err := p.get()
 	if err != nil {
 		return Seen{}, err
@@ -127,7 +115,7 @@
 	p.free = nil
 }
 
-func (p *Pool) exchange(n *conn, ask *audit.Ask, c Call) (Seen, error) {
+func (p *Pool) exchange(n *conn, ask *audit.Ask, c load.Call) (Seen, error) {
 	_ = n.SetDeadline(time.Now().Add(c.Patience + p.Grace))
 	if _, err := n.Write(request(c)); err != nil {
 		return Seen{}, err
@@ -152,7 +140,7 @@
 	return seen, nil
 }
 
-func request(c Call) []byte {
+func request(c load.Call) []byte {
 	body := append(worker.Body(c.Work, c.Reply), bytes.Repeat([]byte(" "), c.Pad)...)
 	var out bytes.Buffer
 	fmt.Fprintf(&out, "POST /call/%s HTTP/1.1\r\nHost: lab\r\nContent-Length: %d\r\nCall-Id: %s\r\nCall-Patience: %d\r\n",
--- a/lab/fleet/demo.go
+++ b/lab/fleet/demo.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"havencart/lab/audit"
+	"havencart/lab/load"
 	"havencart/lab/model"
 	"havencart/lab/script"
 )
@@ -114,9 +115,9 @@
 }
 
 // DemoMix is what the demo's clients ask for.
-func DemoMix(rate float64) Mix {
-	return Mix{Rate: rate, Functions: 8, Work: 40 * time.Millisecond, Load: 400 * time.Millisecond, MemoryMB: 300,
-		Patience: 2 * time.Second, Retries: 1}
+func DemoMix(rate float64) load.Mix {
+	return load.Mix{Rate: rate, Functions: 8, Work: 40 * time.Millisecond, WorkSigma: 0.8, Load: 400 * time.Millisecond,
+		MemoryMB: 300, Reply: 2000, Patience: 2 * time.Second, Habit: load.Advised, Retries: 1}
 }
 
 // watch tells the front ends' totals each second.
--- a/lab/fleet/hard_test.go
+++ b/lab/fleet/hard_test.go
@@ -16,12 +16,13 @@
 	"havencart/internal/workerwire"
 	"havencart/lab/client"
 	"havencart/lab/directory"
+	"havencart/lab/load"
 )
 
 const patience = 2 * time.Second
 
-func ask(id, class string, work time.Duration) client.Call {
-	return client.Call{ID: id, Class: class, Function: class + "-f", Key: "key-" + id, Patience: patience, Work: work,
+func ask(id, class string, work time.Duration) load.Call {
+	return load.Call{ID: id, Class: class, Function: class + "-f", Key: "key-" + id, Patience: patience, Work: work,
 		Load: 10 * time.Millisecond, MemoryMB: 50, Lanes: 2}
 }
 
@@ -34,7 +35,7 @@
 	}
 }
 
-func (f *Fleet) do(t *testing.T, front int, c client.Call) client.Seen {
+func (f *Fleet) do(t *testing.T, front int, c load.Call) client.Seen {
 	t.Helper()
 	seen, err := f.FrontEnds[front].Pool().Do(c)
 	if err != nil {
--- a/lab/fleet/rogue_test.go
+++ b/lab/fleet/rogue_test.go
@@ -14,6 +14,7 @@
 	"havencart/internal/workerwire"
 	"havencart/lab/audit"
 	"havencart/lab/client"
+	"havencart/lab/load"
 	"havencart/lab/model"
 	"havencart/lab/worker"
 )
@@ -136,7 +137,7 @@
 
 func (r *rogue) ask(id, class string) {
 	r.Helper()
-	if _, err := r.pool.Do(client.Call{ID: id, Function: "f", Class: class, Patience: 300 * time.Millisecond}); err != nil {
+	if _, err := r.pool.Do(load.Call{ID: id, Function: "f", Class: class, Patience: 300 * time.Millisecond}); err != nil {
 		r.Fatal(err)
 	}
 }
--- /dev/null
+++ b/lab/load/load.go
@@ -0,0 +1,196 @@
+// Package load decides what clients ask for and when: arrivals, mixes of functions, patience and the habit of
+// repeating. It is pure and seeded, so that the same clients call in real and in virtual time.
+package load
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Call is what a client asks for.
+type Call struct {
+	ID, Function, Class, Tenant, Key string
+	Patience                         time.Duration
+	Work                             time.Duration // that the worker is to do
+	Reply                            int           // bytes that the worker is to answer
+	Pad                              int           // bytes added to the call's body
+	MemoryMB                         float64
+	Lanes                            int
+	Load                             time.Duration
+	LeaveAfter                       time.Duration // the client closes then; 0: it stays
+}
+
+// Shape is how the rate of arrivals changes over a run.
+type Shape string
+
+// The shapes.
+const (
+	Steady Shape = "steady"
+	Bursty Shape = "bursty" // for a fifth of each ten seconds twice the rate, else less, so that the mean holds
+	Ramp   Shape = "ramp"   // from a half to one and a half times the rate
+	Daily  Shape = "daily"  // a sine with one period, between 0.4 and 1.6 times the rate
+)
+
+// Habit is what a client does after a refusal.
+type Habit string
+
+// The habits.
+const (
+	Never    Habit = "never"
+	AtOnce   Habit = "at-once"  // repeats at once, whatever it is told
+	Wait     Habit = "wait"     // repeats after a wait of its own that doubles
+	Advised  Habit = "advised"  // repeats when it is told to
+	Impolite Habit = "impolite" // repeats at once, also after failures that promise nothing; for storms
+)
+
+// Mix is what clients ask for.
+type Mix struct {
+	Rate      float64 // calls a second over all, the mean of the run
+	Shape     Shape
+	Functions int     // of each class, called by Zipf's law
+	Zipf      float64 // its exponent, above 1
+	Once      float64 // share of calls for functions that are wanted once only
+	Hot       float64 // share of calls for one function that is hot from HotAt for HotFor
+	HotAt     time.Duration
+	HotFor    time.Duration
+	Drift     time.Duration // after each of these, a fifth of the functions give way to others; 0: never
+	Work      time.Duration // mean of the work of a call
+	WorkSigma float64       // of its lognormal distribution
+	Load      time.Duration
+	MemoryMB  float64
+	Reply     int           // bytes of an answer at most, drawn evenly
+	Patience  time.Duration // at most; drawn from half of it up
+	Habit     Habit
+	Retries   int
+	Flood     float64 // times the rate that the first tenant asks beside the others, from HotAt for HotFor
+}
+
+// Source draws the calls of a Mix one after another.
+type Source struct {
+	mix     Mix
+	lasts   time.Duration
+	classes []string
+	tenants []string
+	shares  []float64
+	rng     *rand.Rand
+	zipf    *rand.Zipf
+	at      time.Duration
+	n       int
+	leaving float64
+}
+
+// NewSource returns the calls that a run of lasts draws. Tenants ask by their shares.
+func NewSource(m Mix, lasts time.Duration, classes, tenants []string, shares []float64, seed uint64) *Source {
+	rng := rand.New(rand.NewPCG(seed, 0x6c6f6164))
+	return &Source{mix: m, lasts: lasts, classes: classes, tenants: tenants, shares: shares, rng: rng,
+		zipf: rand.NewZipf(rng, cmp.Or(m.Zipf, 1.3), 2, uint64(max(1, m.Functions)-1))}
+}
+
+// Leaving makes a share of the clients leave early from now on.
+func (s *Source) Leaving(share float64) { s.leaving = share }
+
+// pace is the rate at a time, of the mean rate.
+func (s *Source) pace(at time.Duration) float64 {
+	part := float64(at) / float64(max(1, s.lasts))
+	switch s.mix.Shape {
+	case Bursty:
+		if at%(10*time.Second) < 2*time.Second {
+			return 2
+		}
+		return 0.75
+	case Ramp:
+		return 0.5 + part
+	case Daily:
+		return 1 - 0.6*math.Cos(2*math.Pi*part)
+	}
+	return 1
+}
+
+// Next draws the next call and when it comes; false when the run is over. Arrivals are a Poisson process that
+// does not wait for answers, so that a slow server is not spared.
+func (s *Source) Next() (time.Duration, Call, bool) {
+	m := &s.mix
+	hot := s.at >= m.HotAt && s.at < m.HotAt+m.HotFor
+	rate := m.Rate * s.pace(s.at)
+	flood := 0.0
+	if hot {
+		flood = m.Flood
+	}
+	s.at += time.Duration(s.rng.ExpFloat64() / (rate * (1 + flood)) * float64(time.Second))
+	if s.at >= s.lasts {
+		return 0, Call{}, false
+	}
+	s.n++
+	class := s.classes[s.rng.IntN(len(s.classes))]
+	c := Call{ID: fmt.Sprintf("c%d", s.n), Key: fmt.Sprintf("k%d", s.n), Class: class, Function: s.function(class, hot),
+		Patience: m.Patience/2 + time.Duration(s.rng.Float64()*float64(m.Patience/2)), MemoryMB: m.MemoryMB, Lanes: 2, Load: m.Load}
+	sigma := m.WorkSigma
+	c.Work = time.Duration(float64(m.Work) * math.Exp(sigma*s.rng.NormFloat64()-sigma*sigma/2))
+	if m.Reply > 0 {
+		c.Reply = s.rng.IntN(m.Reply)
+	}
+	if len(s.tenants) > 0 {
+		c.Tenant = s.tenant(s.rng.Float64() < flood/(1+flood))
+	}
+	if s.rng.Float64() < s.leaving {
+		c.LeaveAfter = 1 + time.Duration(s.rng.Float64()*float64(c.Patience/2))
+	}
+	return s.at, c, true
+}
+
+// function draws the function of a call.
+func (s *Source) function(class string, hot bool) string {
+	switch x := s.rng.Float64(); {
+	case x < s.mix.Once:
+		return fmt.Sprintf("%s-once-%d", class, s.n)
+	case hot && x < s.mix.Once+s.mix.Hot:
+		return class + "-hot"
+	}
+	rank := s.zipf.Uint64()
+	if s.mix.Drift > 0 {
+		if spells := int(s.at / s.mix.Drift); int(rank)%5 == spells%5 {
+			return fmt.Sprintf("%s-%d-%d", class, rank, spells)
+		}
+	}
+	return fmt.Sprintf("%s-%d", class, rank)
+}
+
+// tenant draws a tenant by the shares; a flood is the first one's.
+func (s *Source) tenant(flood bool) string {
+	if flood {
+		return s.tenants[0]
+	}
+	total := 0.0
+	for _, x := range s.shares {
+		total += x
+	}
+	x := s.rng.Float64() * total
+	for i, share := range s.shares {
+		if x -= share; x < 0 {
+			return s.tenants[i]
+		}
+	}
+	return s.tenants[len(s.tenants)-1]
+}
+
+// Again says whether a client tries again after its try (from 0) ended so, and after which wait.
+func (m Mix) Again(try int, outcome string, advice time.Duration) (time.Duration, bool) {
+	if try >= m.Retries || outcome == "served" {
+		return 0, false
+	}
+	if outcome != "refused" && outcome != "unreachable" {
+		return 0, m.Habit == Impolite
+	}
+	switch m.Habit {
+	case AtOnce, Impolite:
+		return 0, true
+	case Wait:
+		return 50 * time.Millisecond << min(try, 6), true
+	case Advised:
+		return advice, true
+	}
+	return 0, false
+}
--- a/lab/model/clock.go
+++ b/lab/model/clock.go
@@ -5,6 +5,7 @@
 package model
 
 import (
+	"container/heap"
 	"sync"
 	"time"
 )
@@ -51,3 +52,57 @@
 		t.Stop()
 	}
 }
+
+// Sim is a Clock in virtual time: Run goes from event to event. Events of one time come in the order in which
+// they were set. It is one goroutine's.
+type Sim struct {
+	now    time.Duration
+	seq    uint64
+	events simEvents
+}
+
+type simEvent struct {
+	at      time.Duration
+	seq     uint64
+	f       func()
+	stopped bool
+}
+
+// Now is the virtual time.
+func (s *Sim) Now() time.Duration { return s.now }
+
+// After calls f once d of virtual time has passed.
+func (s *Sim) After(d time.Duration, f func()) func() {
+	s.seq++
+	e := &simEvent{at: s.now + max(0, d), seq: s.seq, f: f}
+	heap.Push(&s.events, e)
+	return func() { e.stopped, e.f = true, nil }
+}
+
+// Run plays all events up to and at until.
+func (s *Sim) Run(until time.Duration) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := heap.Pop(&s.events).(*simEvent)
+		if !e.stopped {
+			s.now = e.at
+			e.f()
+		}
+	}
+	s.now = max(s.now, until)
+}
+
+type simEvents []*simEvent
+
+func (l simEvents) Len() int { return len(l) }
+func (l simEvents) Less(i, j int) bool {
+	return l[i].at < l[j].at || l[i].at == l[j].at && l[i].seq < l[j].seq
+}
+func (l simEvents) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+func (l *simEvents) Push(x any)   { *l = append(*l, x.(*simEvent)) }
+func (l *simEvents) Pop() any {
+	old := *l
+	x := old[len(old)-1]
+	old[len(old)-1] = nil
+	*l = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/lab/sim/link.go
@@ -0,0 +1,323 @@
+package sim
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"havencart/control"
+	"havencart/internal/decide/linkcare"
+	"havencart/internal/gateway"
+	"havencart/internal/workerlink"
+	"havencart/internal/workerwire"
+	"havencart/lab/model"
+	"havencart/lab/worker"
+)
+
+var (
+	errDown    = errors.New("the directory is down")
+	errRefused = errors.New("connection refused")
+	errReset   = errors.New("connection reset")
+)
+
+// link is the in-memory way from a front end to a worker. It tells the Front what workerlink.Link tells it of
+// the same events: what never left, what may have run, what was answered.
+type link struct {
+	front  *front
+	sim    *Sim
+	id     control.WorkerID
+	worker *model.Worker
+	redial *linkcare.Redial
+
+	connected bool
+	dialing   bool
+	breaking  bool // it broke, and the front end does not know yet
+	stopped   bool
+	draining  bool
+	epoch     int           // of the connection
+	lastTo    time.Duration // frames do not overtake each other
+	lastFrom  time.Duration
+	queue     []any // *workerlink.Attempt, *workerlink.Order, or func() to be sent
+	attempts  []*workerlink.Attempt
+	orders    []*workerlink.Order
+}
+
+func newLink(f *front, id control.WorkerID, name string) *link {
+	l := &link{front: f, sim: f.sim, id: id}
+	for _, w := range f.sim.workers {
+		if w.Config.Name == name {
+			l.worker = w
+		}
+	}
+	l.redial = linkcare.NewRedial(f.drawn(uint64(id)).Uint64())
+	l.dial()
+	return l
+}
+
+// to does f at the worker, after the way there, unless the connection broke meanwhile.
+func (l *link) to(f func()) { l.carry(&l.lastTo, f) }
+
+// from does f at the front end, after the way back.
+func (l *link) from(f func()) { l.carry(&l.lastFrom, f) }
+
+func (l *link) carry(last *time.Duration, f func()) {
+	epoch, now := l.epoch, l.sim.clock.Now()
+	*last = max(*last, now+l.sim.delay())
+	l.sim.clock.After(*last-now, func() {
+		if epoch == l.epoch && !l.stopped {
+			f()
+		}
+	})
+}
+
+// dial begins to connect: a round trip for the connection, one for hello and welcome, and the handshake.
+func (l *link) dial() {
+	if l.connected || l.dialing || l.breaking || l.stopped {
+		return
+	}
+	l.dialing = true
+	l.sim.clock.After(4*l.sim.delay()+l.sim.cfg.Handshake, func() {
+		if l.stopped {
+			return
+		}
+		l.dialing = false
+		if !l.worker.Up() {
+			l.lost(errRefused)
+			return
+		}
+		l.connected = true
+		l.epoch++
+		l.redial.Up()
+		up := l.worker.Uptime()
+		l.front.do(func(now time.Duration) {
+			l.front.gate.Met(now, l.id, workerwire.Welcome{Version: workerwire.Version, Worker: l.worker.Config.Name,
+				Life: uint64(l.worker.Life()), UpMillis: up.Milliseconds()})
+		})
+		l.flush()
+	})
+}
+
+// wanted sees that the link is dialled soon, as something waits for it.
+func (l *link) wanted() {
+	if !l.connected && !l.dialing {
+		l.redial.Wanted()
+		l.again()
+	}
+}
+
+// again dials when the next attempt is due.
+func (l *link) again() {
+	l.sim.clock.After(l.redial.Next()-l.sim.clock.Now(), l.dial)
+}
+
+// brokeAt breaks the connection: each side learns of it after the way to it.
+func (l *link) brokeAt() {
+	if !l.connected || l.stopped {
+		return
+	}
+	l.connected, l.breaking = false, true
+	l.epoch++
+	l.sim.clock.After(l.sim.delay(), func() {
+		l.breaking = false
+		if !l.stopped {
+			l.lost(errReset)
+		}
+	})
+}
+
+// lost ends what was under way, or waited for a connection that cannot be had.
+func (l *link) lost(why error) {
+	l.redial.Failed(l.sim.clock.Now())
+	queue, attempts, orders := l.queue, l.attempts, l.orders
+	l.queue, l.attempts, l.orders = nil, nil, nil
+	l.front.do(func(now time.Duration) {
+		g := l.front.gate
+		for _, x := range queue {
+			switch x := x.(type) {
+			case *workerlink.Attempt:
+				g.Ended(now, x, workerlink.Result{Status: control.ConnectFailed, Why: why.Error(), Crowd: -1})
+			case *workerlink.Order:
+				g.OrderEnded(now, x, control.ConnectFailed, 0)
+			}
+		}
+		for _, a := range attempts {
+			g.Ended(now, a, workerlink.Result{Status: control.Reset, Why: why.Error(), Crowd: -1})
+		}
+		for _, o := range orders {
+			g.OrderEnded(now, o, control.Reset, 0)
+		}
+		g.Down(now, l.id, why)
+	})
+	l.again()
+}
+
+// flush sends what waited for the connection.
+func (l *link) flush() {
+	queue := l.queue
+	l.queue = nil
+	for _, x := range queue {
+		l.leave(x)
+	}
+}
+
+// push sends x, or keeps it until there is a connection.
+func (l *link) push(x any) {
+	if !l.connected {
+		l.queue = append(l.queue, x)
+		l.wanted()
+		return
+	}
+	l.leave(x)
+}
+
+// leave sends x: from now on the worker may have it.
+func (l *link) leave(x any) {
+	switch x := x.(type) {
+	case *workerlink.Attempt:
+		l.attempts = append(l.attempts, x)
+		l.to(func() { l.handle(x) })
+	case *workerlink.Order:
+		l.orders = append(l.orders, x)
+		l.to(func() { l.order(x) })
+	case func():
+		l.to(x)
+	}
+}
+
+var statuses = map[model.Outcome]control.Status{model.OK: control.OK, model.Failed: control.Error, model.Full: control.Full,
+	model.Miss: control.Miss}
+
+var warmths = map[model.Warmth]control.Warmth{model.Warm: control.FoundWarm, model.Began: control.BeganLoad,
+	model.Waited: control.WaitedForLoad, model.LoadBroke: control.LoadFailed}
+
+// handle gives an attempt to the worker.
+func (l *link) handle(a *workerlink.Attempt) {
+	c := &a.Call
+	work, _ := worker.ParseBody(string(a.Body), 0)
+	l.worker.Handle(&model.Call{ID: c.ID, Attempt: c.Attempt, FrontEnd: l.front.name, Class: c.Class, Key: c.Key,
+		Function: c.Copy.Function, MemoryMB: c.Copy.MemoryMB, Lanes: max(1, c.Copy.Lanes), Work: work, Expires: a.Deadline,
+		Load: time.Duration(c.Copy.LoadMillis * float64(time.Millisecond))}, func(r model.Answer) {
+		l.from(func() { l.answered(a, r) })
+	})
+}
+
+func (l *link) answered(a *workerlink.Attempt, r model.Answer) {
+	if !slices.Contains(l.attempts, a) {
+		l.front.do(l.front.gate.Late)
+		return
+	}
+	l.drop(a)
+	result := workerlink.Result{Status: statuses[r.Outcome], Warmth: warmths[r.Warmth], Crowd: r.Crowd,
+		Report: []float64{float64(r.Waiting)}, Answer: &workerlink.Answer{}}
+	l.front.do(func(now time.Duration) { l.front.gate.Ended(now, a, result) })
+}
+
+func (l *link) drop(a *workerlink.Attempt) {
+	l.attempts = slices.DeleteFunc(l.attempts, func(x *workerlink.Attempt) bool { return x == a })
+}
+
+// order gives an order to the worker.
+func (l *link) order(o *workerlink.Order) {
+	c := o.Load.Copy
+	l.worker.Order(l.front.name, c.Function, o.Load.Copies, c.MemoryMB, max(1, c.Lanes),
+		time.Duration(c.LoadMillis*float64(time.Millisecond)), func(r model.Outcome, copies int) {
+			l.from(func() {
+				if !slices.Contains(l.orders, o) {
+					return
+				}
+				l.AbandonOrder(o)
+				l.front.do(func(now time.Duration) { l.front.gate.OrderEnded(now, o, statuses[r], copies) })
+			})
+		})
+}
+
+var _ gateway.Link = (*link)(nil)
+
+// Send implements gateway.Link, as do the methods below.
+func (l *link) Send(a *workerlink.Attempt) *workerlink.Result {
+	l.sim.note("send"+l.front.name+a.Call.ID, uint64(l.id), uint64(a.Call.Attempt))
+	switch {
+	case l.draining:
+		return &workerlink.Result{Status: control.Moot, Why: "the worker drains", Crowd: -1}
+	case l.stopped:
+		return &workerlink.Result{Status: control.ConnectFailed, Crowd: -1}
+	}
+	l.push(a)
+	return nil
+}
+
+// Abandon gives an attempt up and says whether it may have left.
+func (l *link) Abandon(a *workerlink.Attempt) bool {
+	if slices.Contains(l.attempts, a) {
+		l.drop(a)
+		if l.connected {
+			l.to(func() { l.worker.Cancel(a.Call.ID, a.Call.Attempt) })
+		}
+		return true
+	}
+	l.queue = slices.DeleteFunc(l.queue, func(x any) bool { return x == any(a) })
+	return false
+}
+
+// Load gives an order.
+func (l *link) Load(o *workerlink.Order) control.Status {
+	l.sim.note("load"+l.front.name+o.Load.Copy.Function, uint64(l.id), uint64(o.Load.Copies))
+	switch {
+	case l.draining && o.Load.Copies > 0:
+		return control.Full
+	case l.stopped:
+		return control.ConnectFailed
+	}
+	l.push(o)
+	return 0
+}
+
+// AbandonOrder gives an order up.
+func (l *link) AbandonOrder(o *workerlink.Order) {
+	l.orders = slices.DeleteFunc(l.orders, func(x *workerlink.Order) bool { return x == o })
+	l.queue = slices.DeleteFunc(l.queue, func(x any) bool { return x == any(o) })
+}
+
+// Unload unloads idle copies.
+func (l *link) Unload(function string) { l.push(func() { l.worker.Unload(function) }) }
+
+// Probe asks for a load report.
+func (l *link) Probe() {
+	l.push(func() {
+		report := []float64{float64(l.worker.Waiting())}
+		l.from(func() {
+			l.front.do(func(now time.Duration) { l.front.gate.Probed(now, l.id, control.OK, report) })
+		})
+	})
+}
+
+// Drain takes back what waits for a connection; in virtual time a frame leaves at once when there is one.
+func (l *link) Drain(time.Duration) (attempts []*workerlink.Attempt, orders []*workerlink.Order) {
+	l.draining = true
+	l.queue = slices.DeleteFunc(l.queue, func(x any) bool {
+		switch x := x.(type) {
+		case *workerlink.Attempt:
+			attempts = append(attempts, x)
+			return true
+		case *workerlink.Order:
+			if x.Load.Copies > 0 {
+				orders = append(orders, x)
+				return true
+			}
+		}
+		return false
+	})
+	return attempts, orders
+}
+
+// Resume lets new work through again.
+func (l *link) Resume() { l.draining = false }
+
+// Busy says whether anything is under way.
+func (l *link) Busy() bool { return len(l.queue)+len(l.attempts)+len(l.orders) > 0 }
+
+// Stop ends the link.
+func (l *link) Stop() {
+	l.stopped = true
+	l.epoch++
+}
--- /dev/null
+++ b/lab/sim/sim.go
@@ -0,0 +1,331 @@
+// Package sim plays a whole installation in virtual time: the real gateway.Front of each front end with the
+// real decision module, over an in-memory transport, against the models of workers and store that run behind
+// sockets in lab/worker and lab/origin, with the clients of lab/load and the scripts of lab/script. It is one
+// goroutine; the same seed gives the same run, action for action.
+package sim
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"havencart/control"
+	"havencart/internal/callhttp"
+	"havencart/internal/config"
+	"havencart/internal/directory"
+	"havencart/internal/gateway"
+	"havencart/lab/audit"
+	"havencart/lab/load"
+	"havencart/lab/model"
+	"havencart/lab/script"
+	"havencart/lab/worker"
+)
+
+// Config describes an installation in virtual time.
+type Config struct {
+	Workers   int
+	Cells     int
+	FrontEnds int
+	Worker    model.WorkerConfig // of each; its name and cell are made
+	Store     model.StoreConfig
+	Settings  string        // as fleet.Config has it
+	Net       time.Duration // one way between front end and worker, and between client and front end; 0: 200 µs
+	Jitter    float64       // share of Net that is drawn anew for each message
+	Handshake time.Duration // of a worker's connection, beside the round trips
+	ListLag   time.Duration // mean time from a change to a front end's knowing it; 0: 1 s
+	Mix       load.Mix
+	Lasts     time.Duration
+	Troubles  []script.Trouble
+	Seed      uint64
+	Decide    func(now time.Duration, set control.Settings, a control.Actions) gateway.Module
+	Log       zerolog.Logger
+}
+
+// Result is how a run went.
+type Result struct {
+	Tally  audit.Tally
+	Breaks []audit.Break
+	Score  audit.Score
+	Counts gateway.Counts
+	Store  model.Store // its totals
+	Trace  uint64      // a hash of every action, answer and time: equal for equal runs
+	Seen   map[string]int
+}
+
+// Sim is a run under way.
+type Sim struct {
+	cfg     Config
+	set     *config.Settings
+	clock   *model.Sim
+	rng     *rand.Rand
+	trace   *xxhash.Digest
+	book    *audit.Book
+	store   *model.Store
+	workers []*model.Worker
+	fronts  []*front
+	catalog *gateway.Catalog
+	source  *load.Source
+	entries []directory.Worker
+	version int // of entries
+	part    float64
+	down    bool
+	lag     time.Duration
+	seen    map[string]int
+}
+
+var epoch = time.Unix(0, 0)
+
+// Run plays cfg to its end.
+func Run(cfg Config) (Result, error) {
+	s, err := newSim(cfg)
+	if err != nil {
+		return Result{}, err
+	}
+	play := script.Begin(s.clock, s, cfg.Troubles, cfg.Seed, func(string) {})
+	s.nextCall()
+	s.clock.Run(cfg.Lasts)
+	if err := play.End(); err != nil {
+		return Result{}, err
+	}
+	longest := time.Duration(0)
+	for _, c := range s.set.Classes {
+		longest = max(longest, c.GiveUp)
+	}
+	s.clock.Run(cfg.Lasts + longest*time.Duration(1+cfg.Mix.Retries) + time.Second) // what is under way ends
+	return s.result(), nil
+}
+
+func newSim(cfg Config) (*Sim, error) {
+	cfg.Net, cfg.ListLag = cmp.Or(cfg.Net, 200*time.Microsecond), cmp.Or(cfg.ListLag, time.Second)
+	set, err := config.Parse("settings", "name fe\ndirectory file none\n"+cfg.Settings)
+	if err != nil {
+		return nil, err
+	}
+	set.FrontEnds = cfg.FrontEnds
+	s := &Sim{cfg: cfg, set: set, clock: &model.Sim{}, rng: rand.New(rand.NewPCG(cfg.Seed, 0x73696d)), trace: xxhash.New(),
+		catalog: gateway.CatalogOf(set), part: 1, seen: map[string]int{}}
+	s.book = audit.NewBookOn(epoch, s.clock.Now)
+	s.store = model.NewStore(s.clock, cfg.Store)
+	groups := make([]*model.Group, max(1, cfg.Cells))
+	for i := range groups {
+		groups[i] = model.NewGroup()
+	}
+	for i := range cfg.Workers {
+		wc := cfg.Worker
+		wc.Name, wc.Cell = fmt.Sprintf("worker-%d", i+1), fmt.Sprintf("cell-%d", i%len(groups)+1)
+		w := model.NewWorker(s.clock, wc, fetcher{s}, groups[i%len(groups)], observer{s.book, s})
+		s.workers = append(s.workers, w)
+		s.entries = append(s.entries, directory.Worker{Name: wc.Name, Address: wc.Name + ":1", Cell: wc.Cell, Scale: 1,
+			Started: epoch.Add(-w.Uptime()), State: control.Ready})
+	}
+	for i := range cfg.FrontEnds {
+		s.fronts = append(s.fronts, &front{sim: s, number: i, name: fmt.Sprintf("fe-%d", i)})
+		s.fronts[i].start()
+	}
+	s.source = s.newSource()
+	return s, nil
+}
+
+func (s *Sim) newSource() *load.Source {
+	var classes, tenants []string
+	var shares []float64
+	for _, c := range s.set.Classes {
+		classes = append(classes, c.Name)
+	}
+	for _, t := range s.set.Tenants {
+		tenants, shares = append(tenants, t.Name), append(shares, t.Share)
+	}
+	return load.NewSource(s.cfg.Mix, s.cfg.Lasts, classes, tenants, shares, s.cfg.Seed)
+}
+
+// note adds to the trace what happened now.
+func (s *Sim) note(what string, numbers ...uint64) {
+	var b []byte
+	b = binary.LittleEndian.AppendUint64(b, uint64(s.clock.Now()))
+	b = append(b, what...)
+	for _, n := range numbers {
+		b = binary.LittleEndian.AppendUint64(b, n)
+	}
+	_, _ = s.trace.Write(b) // a hash never fails
+}
+
+// delay is how long one message takes.
+func (s *Sim) delay() time.Duration {
+	return time.Duration(float64(s.cfg.Net) * (1 + s.cfg.Jitter*(2*s.rng.Float64()-1)))
+}
+
+func (s *Sim) result() Result {
+	classes := map[string]control.Class{}
+	for _, c := range s.set.Classes {
+		classes[c.Name] = control.Class{Aim: c.Aim, Deadline: c.GiveUp, Worth: c.Worth, LateWorth: c.Late, Repeat: c.Repeat,
+			Scope: c.Scope, Memory: c.Memory}
+	}
+	r := Result{Score: s.book.Score(classes), Store: *s.store, Seen: s.seen}
+	r.Breaks, r.Tally = s.book.Judge(audit.Terms{Classes: classes, DrainGrace: s.set.DrainGrace, LoadWindow: s.set.LoadWindow,
+		LoadFree: s.set.LoadFree, LoadShare: s.set.LoadShare, Slack: 2 * s.cfg.Net})
+	for _, f := range s.fronts {
+		f.counts.Add(f.gate.Counts())
+		r.Counts.Add(f.counts)
+	}
+	r.Trace = s.trace.Sum64()
+	return r
+}
+
+// fetcher is the way from the workers to the store.
+type fetcher struct{ s *Sim }
+
+// Fetch implements model.Fetcher.
+func (f fetcher) Fetch(_ string, work time.Duration, done func(ok bool)) { f.s.store.Fetch(work, done) }
+
+// observer puts what workers see into the book and the trace, and tells links of a fall.
+type observer struct {
+	*audit.Book
+	s *Sim
+}
+
+func (o observer) Received(w *model.Worker, c *model.Call) {
+	o.s.note("received"+w.Config.Name+c.ID, uint64(c.Attempt))
+	o.Book.Received(w, c)
+}
+
+func (o observer) Answered(w *model.Worker, c *model.Call, out model.Outcome) {
+	o.s.note("answered"+w.Config.Name+c.ID, uint64(out))
+	o.Book.Answered(w, c, out)
+}
+
+func (o observer) Ordered(w *model.Worker, frontEnd, function string, copies int) {
+	o.s.note("ordered"+w.Config.Name+frontEnd+function, uint64(copies))
+	o.Book.Ordered(w, frontEnd, function, copies)
+}
+
+func (o observer) Fell(w *model.Worker) {
+	o.Book.Fell(w)
+	o.s.clock.After(0, func() { o.s.broke(w) })
+}
+
+// broke tells all links that a worker's process has ended.
+func (s *Sim) broke(w *model.Worker) {
+	for _, f := range s.fronts {
+		for _, l := range f.links {
+			if l.worker == w {
+				l.brokeAt()
+			}
+		}
+	}
+}
+
+// nextCall draws the next client's call and sends it at its time.
+func (s *Sim) nextCall() {
+	at, c, more := s.source.Next()
+	if !more {
+		return
+	}
+	n := s.rng.IntN(len(s.fronts))
+	s.clock.After(at-s.clock.Now(), func() {
+		s.nextCall()
+		s.try(c, c.ID, n, 0)
+	})
+}
+
+// client is one try of a client's call.
+type client struct {
+	s     *Sim
+	call  load.Call
+	id    string // of the first try, without the try's number
+	try   int
+	front *front
+	ask   *audit.Ask
+	gate  *gateway.Call
+	over  bool
+}
+
+// try sends one try of a call to front end n.
+func (s *Sim) try(c load.Call, id string, n, try int) {
+	t := &client{s: s, call: c, id: id, try: try, front: s.fronts[n%len(s.fronts)]}
+	t.call.ID = fmt.Sprintf("%s.%d", id, try)
+	if !t.front.alive {
+		t.end("unreachable", 0)
+		return
+	}
+	t.ask = s.book.Ask(audit.Ask{ID: t.call.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, FrontEnd: t.front.name,
+		Patience: c.Patience})
+	since, life := s.clock.Now(), t.front.life
+	s.clock.After(s.delay(), func() { t.arrive(since, life) })
+	if c.LeaveAfter > 0 {
+		s.clock.After(c.LeaveAfter, t.leave)
+	}
+}
+
+// arrive hands the call to its front end, as the client edge does.
+func (t *client) arrive(since time.Duration, life int) {
+	if t.over {
+		return
+	}
+	if !t.front.alive || t.front.life != life {
+		t.lost()
+		return
+	}
+	c := gateway.NewCallTo(t.answered)
+	c.ID, c.Key, c.Since = t.call.ID, t.call.Key, since
+	c.Body = worker.Body(t.call.Work, t.call.Reply)
+	err := t.s.catalog.Resolve(&callhttp.Call{Function: t.call.Function, Class: t.call.Class, Tenant: t.call.Tenant,
+		Patience: t.call.Patience, MemoryMB: t.call.MemoryMB, Lanes: t.call.Lanes, Load: t.call.Load}, c)
+	if err != nil {
+		panic(err) // the mix is made from the settings
+	}
+	t.gate = c
+	t.front.asks = append(t.front.asks, t)
+	t.front.do(func(now time.Duration) { t.front.gate.Arrive(now, c) })
+}
+
+// answered takes the final answer within the front end's turn; the client sees it later.
+func (t *client) answered(f gateway.Final) {
+	t.s.note("final"+t.call.ID, uint64(f.Kind))
+	t.s.clock.After(t.s.delay(), func() {
+		if t.over {
+			return
+		}
+		t.s.book.Reply(t.ask, f.Kind.String(), true)
+		t.end(f.Kind.String(), f.RetryAfter)
+	})
+}
+
+// leave is a client that closes early.
+func (t *client) leave() {
+	if t.over {
+		return
+	}
+	t.over = true
+	t.s.book.End(t.ask, true)
+	t.s.seen["left"]++
+	life := t.front.life
+	t.s.clock.After(t.s.delay(), func() {
+		if t.front.alive && t.front.life == life && t.gate != nil {
+			t.front.do(func(now time.Duration) { t.front.gate.Left(now, t.gate) })
+		}
+	})
+}
+
+// lost is a client whose front end was killed.
+func (t *client) lost() {
+	if !t.over {
+		t.s.book.End(t.ask, false)
+		t.end("", 0)
+	}
+}
+
+// end ends a try, and begins another one if that is the client's habit.
+func (t *client) end(outcome string, advice time.Duration) {
+	t.over = true
+	wait, again := t.s.cfg.Mix.Again(t.try, outcome, advice)
+	if !again || t.call.LeaveAfter > 0 {
+		t.s.seen[outcome]++
+		return
+	}
+	t.s.clock.After(wait, func() { t.s.try(t.call, t.id, t.front.number+1, t.try+1) })
+}
--- a/lab/worker/worker.go
+++ b/lab/worker/worker.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -122,78 +121,51 @@
 func (s *Server) Do(f func(*model.Worker)) { s.world.Do(func() { f(s.model) }) }
 
 // Commands names the commands that Command takes, each with its argument.
-const Commands = "die | start | drain on|off | hang on|off | pause on|off | slow FACTOR | fail SHARE | flush " +
-	"[FUNCTION] | reset | handshake DURATION|never | late DURATION | twice on|off | garbage on|off"
+const Commands = model.Commands + " | reset | handshake DURATION|never | late DURATION | twice on|off | garbage on|off"
 
 // Command makes the worker misbehave, or behave again.
 func (s *Server) Command(line string) error {
-	words := strings.Fields(line)
-	if len(words) == 0 {
-		return fmt.Errorf("no command; allowed: %s", Commands)
-	}
-	argument := ""
-	if len(words) > 1 {
-		argument = words[1]
+	known, err := false, error(nil)
+	s.Do(func(w *model.Worker) { known, err = w.Command(line) })
+	verb, argument, _ := strings.Cut(strings.TrimSpace(line), " ")
+	switch {
+	case err != nil:
+	case !known:
+		err = s.socketCommand(verb, strings.TrimSpace(argument))
+	case verb == "die":
+		s.unplug()
+	case verb == "start":
+		s.unplug()
+		s.fault(func(f *faults) { *f = faults{} })
+		err = s.listen()
 	}
-	if err := s.command(words[0], argument); err != nil {
+	if err != nil {
 		return fmt.Errorf("command %q: %w; allowed: %s", line, err, Commands)
 	}
 	return nil
 }
 
-func (s *Server) command(verb, argument string) error {
+func (s *Server) socketCommand(verb, argument string) error {
 	switch verb {
-	case "die":
-		s.world.Do(s.model.Die)
-		s.unplug()
-		return nil
-	case "start":
-		return s.restart()
 	case "reset":
 		s.reset()
 		return nil
-	case "flush":
-		s.Do(func(w *model.Worker) { w.Flush(argument) })
-		return nil
-	case "slow", "fail":
-		x, err := strconv.ParseFloat(argument, 64)
-		if err != nil || x < 0 {
-			return fmt.Errorf("%q is no factor or share", argument)
+	case "handshake", "late":
+		return s.delay(verb, argument)
+	case "twice", "garbage":
+		if argument != "on" && argument != "off" {
+			return fmt.Errorf("%q is neither on nor off", argument)
 		}
-		s.Do(func(w *model.Worker) {
-			if verb == "slow" {
-				w.Slow(x)
+		s.fault(func(f *faults) {
+			if verb == "twice" {
+				f.twice = argument == "on"
 			} else {
-				w.Fail(x)
+				f.garbage = argument == "on"
 			}
 		})
 		return nil
-	case "handshake", "late":
-		return s.delay(verb, argument)
-	}
-	return s.toggle(verb, argument)
-}
-
-func (s *Server) toggle(verb, argument string) error {
-	if argument != "on" && argument != "off" {
-		return fmt.Errorf("%q is neither on nor off", argument)
-	}
-	on := argument == "on"
-	switch verb {
-	case "drain":
-		s.Do(func(w *model.Worker) { w.Drain(on) })
-	case "hang":
-		s.Do(func(w *model.Worker) { w.Hang(on) })
-	case "pause":
-		s.Do(func(w *model.Worker) { w.Pause(on) })
-	case "twice":
-		s.fault(func(f *faults) { f.twice = on })
-	case "garbage":
-		s.fault(func(f *faults) { f.garbage = on })
-	default:
-		return fmt.Errorf("unknown")
 	}
-	return nil
+	return fmt.Errorf("unknown")
 }
 
 func (s *Server) delay(verb, argument string) error {
@@ -226,14 +198,6 @@
 	return s.faults
 }
 
-// restart starts the process anew at its address: cold and empty, under its old name.
-func (s *Server) restart() error {
-	s.unplug()
-	s.fault(func(f *faults) { *f = faults{} })
-	s.world.Do(s.model.Start)
-	return s.listen()
-}
-
 // reset breaks all connections with a reset; the process lives on.
 func (s *Server) reset() {
 	s.mu.Lock()
