--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"havencart/control"
@@ -222,7 +221,7 @@
 }
 
 func (f *Front) take(c *Call) {
-	id := control.FunctionID(xxhash.Sum64String(c.Copy.Function))
+	id := FunctionID(c.Copy.Function)
 	known := f.functions[id]
 	switch {
 	case known == nil:
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,6 +16,9 @@
 // WorkerID is the module's name for the worker of a name, the same at all front ends.
 func WorkerID(name string) control.WorkerID { return control.WorkerID(xxhash.Sum64String(name)) }
 
+// FunctionID is the module's name for the function of a name, the same at all front ends.
+func FunctionID(name string) control.FunctionID { return control.FunctionID(xxhash.Sum64String(name)) }
+
 // Listed takes a whole list of workers. Links of workers that drain or are gone take back what has not left
 // before the module is told, so that nothing new can leave from here on.
 func (f *Front) Listed(now time.Duration, list []directory.Worker) {
--- a/lab/audit/judge.go
+++ b/lab/audit/judge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"havencart/control"
+	"havencart/internal/config"
 	"havencart/lab/model"
 )
 
@@ -21,6 +22,17 @@
 	Slack time.Duration
 }
 
+// TermsOf are the terms that settings tell the front ends.
+func TermsOf(s *config.Settings, slack time.Duration) Terms {
+	terms := Terms{Classes: map[string]control.Class{}, DrainGrace: s.DrainGrace, LoadWindow: s.LoadWindow,
+		LoadFree: s.LoadFree, LoadShare: s.LoadShare, Slack: slack}
+	for _, c := range s.Classes {
+		terms.Classes[c.Name] = control.Class{Aim: c.Aim, Deadline: c.GiveUp, Worth: c.Worth, LateWorth: c.Late,
+			Repeat: c.Repeat, Scope: c.Scope, Memory: c.Memory}
+	}
+	return terms
+}
+
 // Break is one broken rule.
 type Break struct {
 	Rule string // lost, twice, drains, cold, loads
--- /dev/null
+++ b/lab/baseline/baseline.go
@@ -0,0 +1,312 @@
+// Package baseline holds other policies beside the decision module, on the same events and actions: what the
+// laboratory compares the module with. They keep rule 2 and what follows from the list of workers, and nothing
+// else: a run in which they break a rule counts for nothing, as the module's would.
+package baseline
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"havencart/control"
+	"havencart/internal/gateway"
+)
+
+// Names are the policies that New makes.
+var Names = []string{"random", "round-robin", "least-out", "two-choices", "rendezvous"}
+
+// New returns what makes a policy by its name, nil for "module" and for a name that is none.
+func New(name string) func(time.Duration, control.Settings, control.Actions) gateway.Module {
+	pick := map[string]picker{"random": random, "round-robin": roundRobin, "least-out": leastOut, "two-choices": twoChoices,
+		"rendezvous": rendezvous}[name]
+	if pick == nil {
+		return nil
+	}
+	return func(now time.Duration, set control.Settings, a control.Actions) gateway.Module {
+		return newPolicy(now, set, a, pick)
+	}
+}
+
+// picker chooses one of the ready workers that a call may go to; there is at least one.
+type picker func(p *policy, r *request, among []*worker) *worker
+
+type worker struct {
+	info control.WorkerInfo
+	out  int
+}
+
+type request struct {
+	control.Request
+	deadline time.Duration
+	attempts int
+	at       *worker
+	ran      bool
+	firstOn  control.WorkerInfo
+	first    time.Duration
+	over     bool
+}
+
+// policy sends each call at once to the worker that it picks, and again elsewhere where rule 2 allows it.
+type policy struct {
+	set      control.Settings
+	act      control.Actions
+	pick     picker
+	rng      *rand.Rand
+	now      time.Duration
+	workers  []*worker // by identifier
+	requests map[control.RequestID]*request
+	held     []*request // no worker could take them
+	turn     int
+}
+
+// tick is how often what is held is tried again.
+const tick = 20 * time.Millisecond
+
+func newPolicy(now time.Duration, set control.Settings, a control.Actions, pick picker) *policy {
+	p := &policy{set: set, act: a, pick: pick, now: now, requests: map[control.RequestID]*request{},
+		rng: rand.New(rand.NewPCG(set.Seed, 0x62617365))}
+	a.Wake(tick, 0)
+	return p
+}
+
+// Workers implements gateway.Module, as do the methods that follow.
+func (p *policy) Workers(now time.Duration, list []control.WorkerInfo, whole bool) {
+	p.now = now
+	named := map[control.WorkerID]bool{}
+	for _, info := range list {
+		named[info.ID] = true
+		if w := p.worker(info.ID); w != nil {
+			w.info = info
+			continue
+		}
+		p.workers = append(p.workers, &worker{info: info})
+	}
+	sort.Slice(p.workers, func(i, j int) bool { return p.workers[i].info.ID < p.workers[j].info.ID })
+	for _, w := range p.workers {
+		if whole && !named[w.info.ID] {
+			w.info.State = control.Gone
+		}
+	}
+	p.retry()
+}
+
+func (p *policy) worker(id control.WorkerID) *worker {
+	for _, w := range p.workers {
+		if w.info.ID == id {
+			return w
+		}
+	}
+	return nil
+}
+
+func (p *policy) ListFailed(now time.Duration) { p.now = now; p.act.Wake(time.Second, 1) }
+
+func (p *policy) Woke(now time.Duration, token uint64) {
+	p.now = now
+	if token == 1 {
+		p.act.Follow()
+		return
+	}
+	p.act.Wake(tick, 0)
+	p.retry()
+}
+
+// retry tries what is held again, and gives up what has no time left.
+func (p *policy) retry() {
+	held := p.held
+	p.held = nil
+	for _, r := range held {
+		switch {
+		case r.over:
+		case p.now+2*tick >= r.deadline:
+			p.finish(r)
+		default:
+			p.send(r)
+		}
+	}
+}
+
+func (p *policy) Arrive(now time.Duration, in control.Request) {
+	p.now = now
+	r := &request{Request: in, deadline: now + in.Budget}
+	p.requests[in.ID] = r
+	p.send(r)
+}
+
+// send sends a call to the worker that the policy picks, or keeps it for the next tick.
+func (p *policy) send(r *request) {
+	var among []*worker
+	for _, w := range p.workers {
+		if w.info.State == control.Ready && p.allowed(r, w) {
+			among = append(among, w)
+		}
+	}
+	if len(among) == 0 {
+		p.held = append(p.held, r)
+		return
+	}
+	w := p.pick(p, r, among)
+	if w == nil {
+		p.held = append(p.held, r)
+		return
+	}
+	w.out++
+	r.at = w
+	r.attempts++
+	p.act.Send(r.ID, w.info.ID, 0)
+}
+
+// allowed says whether rule 2 lets a call go to w.
+func (p *policy) allowed(r *request, w *worker) bool {
+	class := &p.set.Classes[r.Class]
+	switch {
+	case !r.ran || class.Repeat == control.Safe:
+		return true
+	case class.Repeat == control.Unsafe || p.now-r.first >= class.Memory-tick:
+		return false
+	case class.Scope == control.ScopeZone:
+		return w.info.Zone == r.firstOn.Zone
+	case class.Scope == control.ScopeCell:
+		return w.info.Cell == r.firstOn.Cell
+	}
+	return true
+}
+
+func (p *policy) Outcome(now time.Duration, o control.Outcome) {
+	p.now = now
+	r := p.requests[o.Request]
+	if r == nil || r.at == nil {
+		return
+	}
+	w := r.at
+	r.at = nil
+	w.out--
+	if o.Closed || r.over {
+		r.over = true
+		delete(p.requests, r.ID)
+		return
+	}
+	if slices.Contains([]control.Status{control.Error, control.Timeout, control.Reset, control.Cancelled}, o.Status) && !r.ran {
+		r.ran, r.first, r.firstOn = true, now, w.info
+	}
+	unsafe := r.ran && p.set.Classes[r.Class].Repeat == control.Unsafe
+	switch {
+	case unsafe || r.attempts >= p.set.MaxAttempts || now+2*tick >= r.deadline:
+		p.finish(r)
+	case o.Status == control.Miss && p.set.MayOrder:
+		p.act.Load(w.info.ID, r.Function, 1)
+		p.held = append(p.held, r)
+	default:
+		p.held = append(p.held, r) // at the next tick: a worker that turned it away is not asked at once
+	}
+}
+
+// finish gives the final answer: refused where that is harmless.
+func (p *policy) finish(r *request) {
+	r.over = true
+	delete(p.requests, r.ID)
+	class := &p.set.Classes[r.Class]
+	if !r.ran || class.Repeat == control.Safe || class.Repeat == control.Keyed && class.Scope == control.ScopeAll {
+		p.act.Refuse(r.ID, p.set.MaxRetryAfter)
+		return
+	}
+	p.act.Fail(r.ID)
+}
+
+func (p *policy) Gone(now time.Duration, id control.RequestID) {
+	p.now = now
+	if r := p.requests[id]; r != nil {
+		r.over = true
+		if r.at == nil {
+			delete(p.requests, id)
+		} else if p.set.MayCancel {
+			p.act.Cancel(id, r.attempts-1)
+		}
+	}
+}
+
+func (p *policy) Loaded(now time.Duration, _ control.Loaded)     { p.now = now }
+func (p *policy) Started(now time.Duration, _ control.RequestID) { p.now = now }
+func (p *policy) Probed(now time.Duration, _ control.Probed)     { p.now = now }
+func random(p *policy, _ *request, among []*worker) *worker      { return among[p.rng.IntN(len(among))] }
+func leastOut(p *policy, _ *request, among []*worker) *worker    { p.turn++; return fewest(among, p.turn) }
+func roundRobin(p *policy, _ *request, among []*worker) *worker {
+	p.turn++
+	return among[p.turn%len(among)]
+}
+
+// fewest is the worker with the fewest calls of ours out, ties rotated.
+func fewest(among []*worker, turn int) *worker {
+	var best *worker
+	for i := range among {
+		if w := among[(i+turn)%len(among)]; best == nil || w.out < best.out {
+			best = w
+		}
+	}
+	return best
+}
+
+// twoChoices is the power of two choices (M. Mitzenmacher, 1996): the less loaded of two drawn at random.
+func twoChoices(p *policy, _ *request, among []*worker) *worker {
+	a, b := among[p.rng.IntN(len(among))], among[p.rng.IntN(len(among))]
+	if b.out < a.out {
+		return b
+	}
+	return a
+}
+
+// boundedBy is how far over the mean a worker's load may go in rendezvous.
+const boundedBy = 1.25
+
+// rendezvous is highest-random-weight hashing (D. Thaler, C. Ravishankar, 1998) with bounded loads (V. Mirrokni
+// et al., 2018): the first worker by the function's own order whose load is not over 1.25 times the mean.
+func rendezvous(p *policy, r *request, among []*worker) *worker {
+	total := 1
+	for _, w := range among {
+		total += w.out
+	}
+	bound := math.Ceil(boundedBy * float64(total) / float64(len(among)))
+	order := slices.Clone(among)
+	weight := func(w *worker) uint64 {
+		var b [16]byte
+		for i := range 8 {
+			b[i], b[8+i] = byte(uint64(r.Function)>>(8*i)), byte(uint64(w.info.ID)>>(8*i))
+		}
+		return xxhash.Sum64(b[:])
+	}
+	sort.Slice(order, func(i, j int) bool { return weight(order[i]) > weight(order[j]) })
+	for _, w := range order {
+		if float64(w.out+1) <= bound {
+			return w
+		}
+	}
+	return order[0]
+}
+
+// Truth is what an oracle sees: the true state of each worker.
+type Truth interface {
+	// Estimate is when a call of a function would be answered, from now; false where it would not, or must not
+	// be sent.
+	Estimate(w control.WorkerID, f control.FunctionID, r control.Request) (time.Duration, bool)
+}
+
+// Oracle returns what makes a policy that sees the truth and sends each call where it would be answered first,
+// or refuses it where that would be too late: the top that a front end without that sight can be held to.
+func Oracle(truth Truth) func(time.Duration, control.Settings, control.Actions) gateway.Module {
+	return func(now time.Duration, set control.Settings, a control.Actions) gateway.Module {
+		return newPolicy(now, set, a, func(p *policy, r *request, among []*worker) *worker {
+			var best *worker
+			soonest := r.deadline - p.now
+			for _, w := range among {
+				if wait, may := truth.Estimate(w.info.ID, r.Function, r.Request); may && wait < soonest {
+					best, soonest = w, wait
+				}
+			}
+			return best
+		})
+	}
+}
--- a/lab/fleet/demo.go
+++ b/lab/fleet/demo.go
@@ -77,6 +77,7 @@
 	Seen   map[string]int // clients' calls by how they ended, with their repeats counted as one
 	Tally  audit.Tally
 	Breaks []audit.Break
+	Score  audit.Score
 }
 
 // Run plays the demo until its time or ctx is over.
@@ -111,7 +112,7 @@
 		}
 	}
 	breaks, tally := f.Judge()
-	return Result{seen, tally, breaks}, nil
+	return Result{seen, tally, breaks, f.Score()}, nil
 }
 
 // DemoMix is what the demo's clients ask for.
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -144,15 +144,12 @@
 	for _, n := range f.Directory.Notices() {
 		f.Book.Notice(audit.Notice{At: f.Book.At(n.At), FrontEnd: n.Client, States: n.States})
 	}
-	s := f.Settings
-	terms := audit.Terms{Classes: map[string]control.Class{}, DrainGrace: s.DrainGrace, LoadWindow: s.LoadWindow,
-		LoadFree: s.LoadFree, LoadShare: s.LoadShare, Slack: f.cfg.Slack}
-	for _, c := range s.Classes {
-		terms.Classes[c.Name] = control.Class{Aim: c.Aim, Deadline: c.GiveUp, Repeat: c.Repeat, Scope: c.Scope, Memory: c.Memory}
-	}
-	return f.Book.Judge(terms)
+	return f.Book.Judge(audit.TermsOf(f.Settings, f.cfg.Slack))
 }
 
+// Score is the service that clients saw.
+func (f *Fleet) Score() audit.Score { return f.Book.Score(audit.TermsOf(f.Settings, 0).Classes) }
+
 // Name is the front end's name, as workers and the directory hear it.
 func (e *FrontEnd) Name() string { return fmt.Sprintf("fe-%d", e.number) }
 
--- a/lab/model/worker.go
+++ b/lab/model/worker.go
@@ -675,3 +675,74 @@
 		}
 	}
 }
+
+// Estimate is when a call would be answered if it came now, by all that the worker and the store hold; false
+// where it would not be, or where it would push a cold worker over. It is for oracles: no front end sees this.
+func (w *Worker) Estimate(function string, memory float64, lanes int, load, work time.Duration, store *Store) (time.Duration, bool) {
+	speed := w.Config.Speed * w.part() / w.slowness
+	if !w.up || w.hung || w.draining || w.paused || w.failShare > 0 || len(w.waiting) >= w.Config.Queue {
+		return 0, false
+	}
+	if w.Cold() && w.Config.TipWindow > 0 {
+		total := work
+		for _, a := range w.received {
+			total += a.work
+		}
+		if float64(total) > tipPart*w.Config.TipMultiple*w.Capacity()*float64(w.Config.TipWindow) {
+			return 0, false
+		}
+	}
+	left := float64(work)
+	for _, j := range w.cpu.jobs {
+		left += j.left
+	}
+	for _, k := range w.waiting {
+		left += float64(k.Work)
+	}
+	run := max(float64(work)/speed, left/(speed*w.Config.Cores))
+	return time.Duration(run) + w.laneWait(function, memory, load, work, speed, store), true
+}
+
+// tipPart is the part of what would push a cold worker over that an oracle fills.
+const tipPart = 0.6
+
+// laneWait is how long a call waits for a lane of its function: where none stands, for a load, at the pace that
+// the store has now, and as the copy that it pushes out must be loaded again, for that one too.
+func (w *Worker) laneWait(function string, memory float64, load, work time.Duration, speed float64, store *Store) time.Duration {
+	free, all, ahead := 0, 0, w.waitingFor(function)
+	used := memory
+	for _, c := range w.copies {
+		used += c.memory
+		if c.function == function && !c.void {
+			free += c.lanes - c.busy
+			all += c.lanes
+		}
+	}
+	switch {
+	case free > ahead:
+		return 0
+	case all > 0:
+		return time.Duration(float64(ahead+1) / float64(all) * float64(work) / speed)
+	}
+	pace := max(1, float64(store.shared.Len()+1)/store.cfg.Places)
+	if rate := store.shared.speed; rate > 0 {
+		pace /= rate
+	} else {
+		pace *= 10
+	}
+	took := time.Duration(float64(load) * (fetchPart*pace + 1 - fetchPart))
+	for _, l := range w.loads {
+		used += l.memory
+		if l.function == function { // under way: half of it is over, on the mean
+			return took/2 + time.Duration(float64(ahead)/float64(l.lanes)*float64(work)/speed)
+		}
+	}
+	if store.stops > 0 || 2*store.shared.Len() > store.cfg.Limit {
+		return time.Hour // nothing more is asked of a store that is near its limit
+	}
+	took += took * time.Duration(len(w.loads)/max(1, w.Config.LoadsAtOnce))
+	if used > w.Config.MemoryMB {
+		return 2 * took
+	}
+	return took
+}
--- a/lab/sim/front.go
+++ b/lab/sim/front.go
@@ -35,7 +35,7 @@
 	f.alive, f.follows = true, true
 	f.life++
 	set := gateway.FrontSettings(s.set, f.number, epoch, s.cfg.Seed^uint64(f.number)<<20^uint64(f.life))
-	set.Decide = s.cfg.Decide
+	set.Decide = s.policy
 	f.wakeAt, f.version = -1, -1
 	f.gate = gateway.New(s.clock.Now(), set, f, s.cfg.Log)
 	f.plan()
--- /dev/null
+++ b/lab/sim/large_test.go
@@ -0,0 +1,33 @@
+package sim
+
+import (
+	"testing"
+	"time"
+
+	"havencart/lab/load"
+	"havencart/lab/model"
+)
+
+// Large is a day of 240 front ends and 70 workers.
+func large(t testing.TB, lasts time.Duration) Config {
+	cfg := Config{Workers: 70, Cells: 14, FrontEnds: 240, Lasts: lasts, Seed: 1, Jitter: 0.3}
+	base := small(&testing.T{}, "", lasts)
+	cfg.Worker, cfg.Settings, cfg.Log = base.Worker, base.Settings, base.Log
+	cfg.Store = model.StoreConfig{Places: 40, Limit: 200, FallMultiple: 3, FallAfter: 3 * time.Second, FallFor: 2 * time.Second}
+	cfg.Mix = load.Mix{Rate: 3000, Functions: 60, Work: 40 * time.Millisecond, WorkSigma: 0.8, Load: 600 * time.Millisecond,
+		MemoryMB: 300, Patience: 2 * time.Second, Habit: load.Advised, Retries: 1}
+	return cfg
+}
+
+// BenchmarkLargeMinute plays a minute of 240 front ends and 70 workers.
+func BenchmarkLargeMinute(b *testing.B) {
+	for b.Loop() {
+		r, err := Run(large(b, time.Minute))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(r.Score.Service(), "service")
+		b.ReportMetric(float64(r.Tally.Asked), "calls")
+		b.ReportMetric(float64(len(r.Breaks)), "broken")
+	}
+}
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +21,7 @@
 	"havencart/internal/directory"
 	"havencart/internal/gateway"
 	"havencart/lab/audit"
+	"havencart/lab/baseline"
 	"havencart/lab/load"
 	"havencart/lab/model"
 	"havencart/lab/script"
@@ -42,7 +44,7 @@
 	Lasts     time.Duration
 	Troubles  []script.Trouble
 	Seed      uint64
-	Decide    func(now time.Duration, set control.Settings, a control.Actions) gateway.Module
+	Policy    string // "" or "module", "oracle", or one of baseline.Names
 	Log       zerolog.Logger
 }
 
@@ -76,6 +78,10 @@
 	down    bool
 	lag     time.Duration
 	seen    map[string]int
+	policy  func(time.Duration, control.Settings, control.Actions) gateway.Module
+
+	byID      map[control.WorkerID]*model.Worker // for the oracle, as is the next
+	functions map[control.FunctionID]string
 }
 
 var epoch = time.Unix(0, 0)
@@ -108,7 +114,8 @@
 	}
 	set.FrontEnds = cfg.FrontEnds
 	s := &Sim{cfg: cfg, set: set, clock: &model.Sim{}, rng: rand.New(rand.NewPCG(cfg.Seed, 0x73696d)), trace: xxhash.New(),
-		catalog: gateway.CatalogOf(set), part: 1, seen: map[string]int{}}
+		catalog: gateway.CatalogOf(set), part: 1, seen: map[string]int{},
+		byID: map[control.WorkerID]*model.Worker{}, functions: map[control.FunctionID]string{}}
 	s.book = audit.NewBookOn(epoch, s.clock.Now)
 	s.store = model.NewStore(s.clock, cfg.Store)
 	groups := make([]*model.Group, max(1, cfg.Cells))
@@ -120,9 +127,13 @@
 		wc.Name, wc.Cell = fmt.Sprintf("worker-%d", i+1), fmt.Sprintf("cell-%d", i%len(groups)+1)
 		w := model.NewWorker(s.clock, wc, fetcher{s}, groups[i%len(groups)], observer{s.book, s})
 		s.workers = append(s.workers, w)
+		s.byID[gateway.WorkerID(wc.Name)] = w
 		s.entries = append(s.entries, directory.Worker{Name: wc.Name, Address: wc.Name + ":1", Cell: wc.Cell, Scale: 1,
 			Started: epoch.Add(-w.Uptime()), State: control.Ready})
 	}
+	if s.policy, err = s.decide(); err != nil {
+		return nil, err
+	}
 	for i := range cfg.FrontEnds {
 		s.fronts = append(s.fronts, &front{sim: s, number: i, name: fmt.Sprintf("fe-%d", i)})
 		s.fronts[i].start()
@@ -131,6 +142,29 @@
 	return s, nil
 }
 
+// decide makes the front ends' modules.
+func (s *Sim) decide() (func(time.Duration, control.Settings, control.Actions) gateway.Module, error) {
+	switch s.cfg.Policy {
+	case "", "module":
+		return nil, nil
+	case "oracle":
+		return baseline.Oracle(truth{s}), nil
+	}
+	if make := baseline.New(s.cfg.Policy); make != nil {
+		return make, nil
+	}
+	return nil, fmt.Errorf("no policy %q; allowed: module, oracle, %s", s.cfg.Policy, strings.Join(baseline.Names, ", "))
+}
+
+// truth is what an oracle sees.
+type truth struct{ s *Sim }
+
+// Estimate implements baseline.Truth.
+func (t truth) Estimate(id control.WorkerID, f control.FunctionID, r control.Request) (time.Duration, bool) {
+	w := t.s.byID[id]
+	return w.Estimate(t.s.functions[f], r.MemoryMB, r.Lanes, r.LoadTime, t.s.cfg.Mix.Work, t.s.store)
+}
+
 func (s *Sim) newSource() *load.Source {
 	var classes, tenants []string
 	var shares []float64
@@ -160,14 +194,9 @@
 }
 
 func (s *Sim) result() Result {
-	classes := map[string]control.Class{}
-	for _, c := range s.set.Classes {
-		classes[c.Name] = control.Class{Aim: c.Aim, Deadline: c.GiveUp, Worth: c.Worth, LateWorth: c.Late, Repeat: c.Repeat,
-			Scope: c.Scope, Memory: c.Memory}
-	}
-	r := Result{Score: s.book.Score(classes), Store: *s.store, Seen: s.seen}
-	r.Breaks, r.Tally = s.book.Judge(audit.Terms{Classes: classes, DrainGrace: s.set.DrainGrace, LoadWindow: s.set.LoadWindow,
-		LoadFree: s.set.LoadFree, LoadShare: s.set.LoadShare, Slack: 2 * s.cfg.Net})
+	terms := audit.TermsOf(s.set, 2*s.cfg.Net)
+	r := Result{Score: s.book.Score(terms.Classes), Store: *s.store, Seen: s.seen}
+	r.Breaks, r.Tally = s.book.Judge(terms)
 	for _, f := range s.fronts {
 		f.counts.Add(f.gate.Counts())
 		r.Counts.Add(f.counts)
@@ -279,6 +308,7 @@
 		panic(err) // the mix is made from the settings
 	}
 	t.gate = c
+	t.s.functions[gateway.FunctionID(c.Copy.Function)] = c.Copy.Function
 	t.front.asks = append(t.front.asks, t)
 	t.front.do(func(now time.Duration) { t.front.gate.Arrive(now, c) })
 }
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -1,12 +1,15 @@
 package sim
 
 import (
+	"context"
+	"math"
 	"os"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"havencart/lab/baseline"
 	"havencart/lab/fleet"
 	"havencart/lab/model"
 	"havencart/lab/script"
@@ -84,3 +87,63 @@
 		}
 	}
 }
+
+// TestPoliciesRankAsTheyShould: the oracle stands above all, the module above what does not know where copies
+// stand. (Rules that a baseline breaks are its own: only the tally is held to.)
+func TestPoliciesRankAsTheyShould(t *testing.T) {
+	service := map[string]float64{}
+	for _, policy := range append([]string{"module", "oracle"}, baseline.Names...) {
+		cfg := small(t, "at 3s crash 25% for 3s\nat 8s deploy 50% over 4s drain 300ms\n", 20*time.Second)
+		cfg.Policy = policy
+		cfg.Mix.Rate = 250
+		r, err := Run(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !r.Tally.Balanced() {
+			t.Errorf("%s: not all accounted for: %v", policy, r.Tally)
+		}
+		for _, b := range r.Breaks {
+			if b.Rule != "cold" {
+				t.Errorf("%s: rule %s broken: %s", policy, b.Rule, b.What)
+			}
+		}
+		service[policy] = r.Score.Service()
+		t.Logf("%-12s %.3f broken %d", policy, r.Score.Service(), len(r.Breaks))
+	}
+	for policy, got := range service {
+		if policy != "oracle" && got > service["oracle"] {
+			t.Errorf("%s %.3f stands above the oracle %.3f", policy, got, service["oracle"])
+		}
+	}
+	if service["module"] <= service["random"] {
+		t.Errorf("module %.3f, random %.3f", service["module"], service["random"])
+	}
+}
+
+// TestBothClocksTellTheSame plays one day behind sockets in real time and in virtual time: the same clients, the
+// same models, the same troubles. What is compared may differ by what sockets and the scheduler add.
+func TestBothClocksTellTheSame(t *testing.T) {
+	const day, lasts = "at 2s crash 25% for 2s\nat 5s store-slow factor 3 for 2s\nat 6s slow 25% factor 3 for 2s\n", 9 * time.Second
+	d := fleet.Demo{Workers: 12, FrontEnds: 3, Rate: 150, Lasts: lasts, Script: day, Seed: 1, Log: zerolog.Nop(),
+		Tell: func(string) {}}
+	real, err := d.Run(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	virtual := run(t, small(t, day, lasts))
+	t.Logf("real %v, service %.3f", real.Tally, real.Score.Service())
+	t.Logf("virtual %v, service %.3f", virtual.Tally, virtual.Score.Service())
+	if a, b := real.Score.Calls, virtual.Score.Calls; a != b {
+		t.Errorf("%d calls in real time, %d in virtual", a, b)
+	}
+	for what, x := range map[string][2]float64{
+		"service":  {real.Score.Service(), virtual.Score.Service()},
+		"served":   {float64(real.Tally.Served) / float64(real.Score.Calls), float64(virtual.Tally.Served) / float64(virtual.Score.Calls)},
+		"attempts": {float64(real.Tally.Attempts) / float64(real.Score.Calls), float64(virtual.Tally.Attempts) / float64(virtual.Score.Calls)},
+	} {
+		if math.Abs(x[0]-x[1]) > 0.1 {
+			t.Errorf("%s: %.3f in real time, %.3f in virtual", what, x[0], x[1])
+		}
+	}
+}
