--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"havencart/control"
+	"havencart/internal/lines"
 )
 
 // Settings are those of one gateway process. docs/settings.md tells each one's meaning.
@@ -99,80 +100,80 @@
 )
 
 // top are the directives outside blocks.
-var top = []Directive[Settings]{
-	text("name", "a word", "havencart", "name of this process, unique in the installation",
+var top = []lines.Directive[Settings]{
+	lines.Text("name", "a word", "havencart", "name of this process, unique in the installation",
 		func(s *Settings) *string { return &s.Name }),
-	text("listen", "HOST:PORT", "127.0.0.1:8080", "where clients connect",
+	lines.Text("listen", "HOST:PORT", "127.0.0.1:8080", "where clients connect",
 		func(s *Settings) *string { return &s.Listen }),
 	{Name: "directory", Takes: "consul URL SERVICE, or file PATH", Help: "where the list of workers comes from",
-		Words: -1, set: setDirectory},
-	number("loops", 1, 256, "1", "front ends in this process, each a loop of its own",
+		Words: -1, Set: setDirectory},
+	lines.Number("loops", 1, 256, "1", "front ends in this process, each a loop of its own",
 		func(s *Settings) *int { return &s.Loops }),
-	number("front-ends", 1, 100000, "1", "front ends in the whole installation, this process's included",
+	lines.Number("front-ends", 1, 100000, "1", "front ends in the whole installation, this process's included",
 		func(s *Settings) *int { return &s.FrontEnds }),
-	number("first", 0, 100000, "0", "number of this process's first front end among them",
+	lines.Number("first", 0, 100000, "0", "number of this process's first front end among them",
 		func(s *Settings) *int { return &s.First }),
-	text("zone", "a word", "", "where this process stands", func(s *Settings) *string { return &s.Zone }),
-	onOff("functions-only", "off", "call only functions that have a block", func(s *Settings) *bool { return &s.FunctionsOnly }),
-	choice("on-miss", []string{"load", "miss"}, []bool{false, true}, "load",
+	lines.Text("zone", "a word", "", "where this process stands", func(s *Settings) *string { return &s.Zone }),
+	lines.OnOff("functions-only", "off", "call only functions that have a block", func(s *Settings) *bool { return &s.FunctionsOnly }),
+	lines.Choice("on-miss", []string{"load", "miss"}, []bool{false, true}, "load",
 		"what a worker does that lacks the function: load it, or answer miss", func(s *Settings) *bool { return &s.MissAnswered }),
-	onOff("orders", "on", "workers take orders to load and unload", func(s *Settings) *bool { return &s.Orders }),
-	onOff("tells-warm", "on", "answers tell whether a copy stood loaded", func(s *Settings) *bool { return &s.TellsWarm }),
-	onOff("tells-crowd", "on", "answers tell the calls of the function held there",
+	lines.OnOff("orders", "on", "workers take orders to load and unload", func(s *Settings) *bool { return &s.Orders }),
+	lines.OnOff("tells-warm", "on", "answers tell whether a copy stood loaded", func(s *Settings) *bool { return &s.TellsWarm }),
+	lines.OnOff("tells-crowd", "on", "answers tell the calls of the function held there",
 		func(s *Settings) *bool { return &s.TellsCrowd }),
-	onOff("cancel", "on", "calls may be called back", func(s *Settings) *bool { return &s.Cancel }),
-	duration("keep-alive", 100*ms, 24*hour, "10s", "an idle copy stays loaded at least this long",
+	lines.OnOff("cancel", "on", "calls may be called back", func(s *Settings) *bool { return &s.Cancel }),
+	lines.Duration("keep-alive", 100*ms, 24*hour, "10s", "an idle copy stays loaded at least this long",
 		func(s *Settings) *time.Duration { return &s.KeepAlive }),
-	duration("order-timeout", 10*ms, hour, "10s", "an order without an answer ends after this",
+	lines.Duration("order-timeout", 10*ms, hour, "10s", "an order without an answer ends after this",
 		func(s *Settings) *time.Duration { return &s.OrderTimeout }),
-	duration("load-window", 0, hour, "0s", "orders to load are rationed within this; 0s is no ration",
+	lines.Duration("load-window", 0, hour, "0s", "orders to load are rationed within this; 0s is no ration",
 		func(s *Settings) *time.Duration { return &s.LoadWindow }),
-	real("load-free", 0, 1e6, "4", "orders in a window that are always allowed",
+	lines.Real("load-free", 0, 1e6, "4", "orders in a window that are always allowed",
 		func(s *Settings) *float64 { return &s.LoadFree }),
-	real("load-share", 0, 100, "0.1", "and for each call taken in the window",
+	lines.Real("load-share", 0, 100, "0.1", "and for each call taken in the window",
 		func(s *Settings) *float64 { return &s.LoadShare }),
-	number("max-attempts", 1, 100, "5", "attempts of one call", func(s *Settings) *int { return &s.MaxAttempts }),
-	duration("max-retry-after", 0, hour, "1s", "longest advice when to come back",
+	lines.Number("max-attempts", 1, 100, "5", "attempts of one call", func(s *Settings) *int { return &s.MaxAttempts }),
+	lines.Duration("max-retry-after", 0, hour, "1s", "longest advice when to come back",
 		func(s *Settings) *time.Duration { return &s.MaxRetryAfter }),
-	duration("connect-timeout", ms, hour, "250ms", "to connect to a worker and shake hands",
+	lines.Duration("connect-timeout", ms, hour, "250ms", "to connect to a worker and shake hands",
 		func(s *Settings) *time.Duration { return &s.ConnectTimeout }),
-	duration("drain-grace", ms, hour, "500ms", "nothing new to a worker later than this after a notice",
+	lines.Duration("drain-grace", ms, hour, "500ms", "nothing new to a worker later than this after a notice",
 		func(s *Settings) *time.Duration { return &s.DrainGrace }),
-	real("cold-from", 0.001, 1, "0.2", "share of its capacity that a worker starts with at least",
+	lines.Real("cold-from", 0.001, 1, "0.2", "share of its capacity that a worker starts with at least",
 		func(s *Settings) *float64 { return &s.ColdFrom }),
-	duration("cold-time", 0, hour, "15s", "a started worker is warm after this",
+	lines.Duration("cold-time", 0, hour, "15s", "a started worker is warm after this",
 		func(s *Settings) *time.Duration { return &s.ColdTime }),
-	real("tip-multiple", 1, 1000, "3", "sent more than this many times what it can do, a cold worker falls over",
+	lines.Real("tip-multiple", 1, 1000, "3", "sent more than this many times what it can do, a cold worker falls over",
 		func(s *Settings) *float64 { return &s.TipMultiple }),
-	duration("tip-window", 0, hour, "2s", "for this long; 0s: none falls over",
+	lines.Duration("tip-window", 0, hour, "2s", "for this long; 0s: none falls over",
 		func(s *Settings) *time.Duration { return &s.TipWindow }),
-	duration("answer-margin", ms, hour, "15ms", "the final answer leaves this long before the client gives up",
+	lines.Duration("answer-margin", ms, hour, "15ms", "the final answer leaves this long before the client gives up",
 		func(s *Settings) *time.Duration { return &s.AnswerMargin }),
-	number("max-calls", 1, 1e6, "20000", "calls in hand of one front end; more are refused at once",
+	lines.Number("max-calls", 1, 1e6, "20000", "calls in hand of one front end; more are refused at once",
 		func(s *Settings) *int { return &s.MaxCalls }),
-	number("queue", 1, 1e6, "4096", "arrivals that wait for one front end; more are refused at once",
+	lines.Number("queue", 1, 1e6, "4096", "arrivals that wait for one front end; more are refused at once",
 		func(s *Settings) *int { return &s.Queue }),
-	size("window", 1<<10, 64<<20, "256k", "of one worker's answer, what may wait here",
+	lines.Size("window", 1<<10, 64<<20, "256k", "of one worker's answer, what may wait here",
 		func(s *Settings) *int { return &s.Window }),
-	size("max-body", 1, 8<<20, "1m", "of a call", func(s *Settings) *int { return &s.MaxBody }),
-	size("max-header", 256, 1<<20, "16k", "of a call", func(s *Settings) *int { return &s.MaxHeader }),
-	number("max-connections", 1, 1e6, "20000", "of clients; more are answered 503 and closed",
+	lines.Size("max-body", 1, 8<<20, "1m", "of a call", func(s *Settings) *int { return &s.MaxBody }),
+	lines.Size("max-header", 256, 1<<20, "16k", "of a call", func(s *Settings) *int { return &s.MaxHeader }),
+	lines.Number("max-connections", 1, 1e6, "20000", "of clients; more are answered 503 and closed",
 		func(s *Settings) *int { return &s.MaxConns }),
-	number("pipeline", 1, 1000, "16", "calls of one connection in hand; more are not read",
+	lines.Number("pipeline", 1, 1000, "16", "calls of one connection in hand; more are not read",
 		func(s *Settings) *int { return &s.Pipeline }),
-	duration("idle-time", ms, 24*hour, "60s", "a client's connection without a call is closed after this",
+	lines.Duration("idle-time", ms, 24*hour, "60s", "a client's connection without a call is closed after this",
 		func(s *Settings) *time.Duration { return &s.IdleTime }),
-	duration("header-time", ms, hour, "5s", "from a call's first byte to the end of its header",
+	lines.Duration("header-time", ms, hour, "5s", "from a call's first byte to the end of its header",
 		func(s *Settings) *time.Duration { return &s.HeaderTime }),
-	duration("body-time", ms, hour, "10s", "to the end of its body", func(s *Settings) *time.Duration { return &s.BodyTime }),
-	duration("write-time", ms, hour, "10s", "for each part of an answer to go out",
+	lines.Duration("body-time", ms, hour, "10s", "to the end of its body", func(s *Settings) *time.Duration { return &s.BodyTime }),
+	lines.Duration("write-time", ms, hour, "10s", "for each part of an answer to go out",
 		func(s *Settings) *time.Duration { return &s.WriteTime }),
-	duration("stall-time", ms, hour, "10s", "a worker's answer that stands still for so long is given up",
+	lines.Duration("stall-time", ms, hour, "10s", "a worker's answer that stands still for so long is given up",
 		func(s *Settings) *time.Duration { return &s.StallTime }),
-	choice("half-closed", []string{"left", "waits"}, []bool{false, true}, "left",
+	lines.Choice("half-closed", []string{"left", "waits"}, []bool{false, true}, "left",
 		"a client that closed its side for writing has left, or waits for its answers",
 		func(s *Settings) *bool { return &s.HalfClosed }),
-	duration("stop-wait", 0, hour, "5s", "how long a stop waits for what is in hand",
+	lines.Duration("stop-wait", 0, hour, "5s", "how long a stop waits for what is in hand",
 		func(s *Settings) *time.Duration { return &s.StopWait }),
 }
 
@@ -183,36 +184,36 @@
 	case len(v) == 2 && v[0] == "file":
 		s.Directory = Directory{Kind: v[0], Where: v[1]}
 	default:
-		return errValue
+		return lines.ErrValue
 	}
 	return nil
 }
 
-var classTable = []Directive[Class]{
-	duration("aim", ms, hour, "500ms", "an answer is wanted within", func(c *Class) *time.Duration { return &c.Aim }),
-	duration("give-up", ms, hour, "2s", "a client gives up after, where it tells nothing shorter",
+var classTable = []lines.Directive[Class]{
+	lines.Duration("aim", ms, hour, "500ms", "an answer is wanted within", func(c *Class) *time.Duration { return &c.Aim }),
+	lines.Duration("give-up", ms, hour, "2s", "a client gives up after, where it tells nothing shorter",
 		func(c *Class) *time.Duration { return &c.GiveUp }),
-	real("worth", 0, 1e6, "1", "of an answer in time", func(c *Class) *float64 { return &c.Worth }),
-	real("late", 0, 1, "0.3", "share of the worth that a late answer keeps", func(c *Class) *float64 { return &c.Late }),
-	choice("repeat", []string{"safe", "keyed", "unsafe"}, []control.Repeat{control.Safe, control.Keyed, control.Unsafe},
+	lines.Real("worth", 0, 1e6, "1", "of an answer in time", func(c *Class) *float64 { return &c.Worth }),
+	lines.Real("late", 0, 1, "0.3", "share of the worth that a late answer keeps", func(c *Class) *float64 { return &c.Late }),
+	lines.Choice("repeat", []string{"safe", "keyed", "unsafe"}, []control.Repeat{control.Safe, control.Keyed, control.Unsafe},
 		"unsafe", "what another attempt may do", func(c *Class) *control.Repeat { return &c.Repeat }),
-	choice("scope", []string{"all", "zone", "cell"}, []control.Scope{control.ScopeAll, control.ScopeZone, control.ScopeCell},
+	lines.Choice("scope", []string{"all", "zone", "cell"}, []control.Scope{control.ScopeAll, control.ScopeZone, control.ScopeCell},
 		"cell", "workers that drop each other's repeats of a keyed call", func(c *Class) *control.Scope { return &c.Scope }),
-	duration("memory", 0, 24*hour, "5s", "how long they remember a key", func(c *Class) *time.Duration { return &c.Memory }),
-	number("size", 1, 1<<20, "256", "megabytes of a loaded copy, where nothing tells it", func(c *Class) *int { return &c.Size }),
-	number("lanes", 1, 1000, "2", "calls that a copy runs at a time, where nothing tells it", func(c *Class) *int { return &c.Lanes }),
-	duration("load", 0, hour, "0s", "usual time of a load, where nothing tells it; 0s is not told",
+	lines.Duration("memory", 0, 24*hour, "5s", "how long they remember a key", func(c *Class) *time.Duration { return &c.Memory }),
+	lines.Number("size", 1, 1<<20, "256", "megabytes of a loaded copy, where nothing tells it", func(c *Class) *int { return &c.Size }),
+	lines.Number("lanes", 1, 1000, "2", "calls that a copy runs at a time, where nothing tells it", func(c *Class) *int { return &c.Lanes }),
+	lines.Duration("load", 0, hour, "0s", "usual time of a load, where nothing tells it; 0s is not told",
 		func(c *Class) *time.Duration { return &c.Load }),
 }
 
-var tenantTable = []Directive[Tenant]{
-	real("share", 0, 1, "1", "part of the service", func(t *Tenant) *float64 { return &t.Share }),
-	real("quota", 0, 1e9, "0", "calls a second over all front ends; 0 is not told", func(t *Tenant) *float64 { return &t.Quota }),
+var tenantTable = []lines.Directive[Tenant]{
+	lines.Real("share", 0, 1, "1", "part of the service", func(t *Tenant) *float64 { return &t.Share }),
+	lines.Real("quota", 0, 1e9, "0", "calls a second over all front ends; 0 is not told", func(t *Tenant) *float64 { return &t.Quota }),
 }
 
-var functionTable = []Directive[Function]{
-	text("class", "a class's name", "", "its class; the first if not given", func(f *Function) *string { return &f.Class }),
-	number("size", 0, 1<<20, "0", "megabytes of a loaded copy; 0: as its class", func(f *Function) *int { return &f.Size }),
-	number("lanes", 0, 1000, "0", "calls that a copy runs at a time; 0: as its class", func(f *Function) *int { return &f.Lanes }),
-	duration("load", 0, hour, "0s", "usual time of a load; 0s: as its class", func(f *Function) *time.Duration { return &f.Load }),
+var functionTable = []lines.Directive[Function]{
+	lines.Text("class", "a class's name", "", "its class; the first if not given", func(f *Function) *string { return &f.Class }),
+	lines.Number("size", 0, 1<<20, "0", "megabytes of a loaded copy; 0: as its class", func(f *Function) *int { return &f.Size }),
+	lines.Number("lanes", 0, 1000, "0", "calls that a copy runs at a time; 0: as its class", func(f *Function) *int { return &f.Lanes }),
+	lines.Duration("load", 0, hour, "0s", "usual time of a load; 0s: as its class", func(f *Function) *time.Duration { return &f.Load }),
 }
--- a/internal/house/house_test.go
+++ b/internal/house/house_test.go
@@ -16,6 +16,7 @@
 var floors = [][]string{
 	{"control"},
 	{"internal/decide/"},
+	{"internal/lines"},
 	{"internal/config"},
 	{"internal/workerwire", "internal/benchwire"},
 	{"internal/callhttp", "internal/workerlink", "internal/directory"},
--- a/internal/config/words.go
+++ b/internal/lines/words.go
@@ -1,20 +1,20 @@
-package config
+package lines
 
 import (
 	"fmt"
 	"strings"
 )
 
-// word is one word of a line, with the column where it begins, from 1.
-type word struct {
-	text   string
-	column int
+// Word is one word of a line, with the column where it begins, from 1.
+type Word struct {
+	Text   string
+	Column int
 }
 
 // split takes a line apart into words. Quotes hold a word with spaces together; within double quotes \" and \\
 // stand for themselves. A comment runs from # to the end. (The usual library for this tells no columns.)
-func split(line string) ([]word, error) {
-	var words []word
+func split(line string) ([]Word, error) {
+	var words []Word
 	runes := []rune(line)
 	for i := 0; i < len(runes); {
 		switch r := runes[i]; {
@@ -27,7 +27,7 @@
 			if err != nil {
 				return nil, err
 			}
-			words = append(words, word{text, i + 1})
+			words = append(words, Word{text, i + 1})
 			i = next
 		}
 	}
--- a/lab/audit/judge.go
+++ b/lab/audit/judge.go
@@ -280,3 +280,17 @@
 	}
 	return after(to) - after(from)
 }
+
+// Add adds another tally.
+func (t *Tally) Add(x Tally) {
+	t.Asked += x.Asked
+	t.Served += x.Served
+	t.Refused += x.Refused
+	t.Failed += x.Failed
+	t.Left += x.Left
+	t.Killed += x.Killed
+	t.Attempts += x.Attempts
+	t.Runs += x.Runs
+	t.Orders += x.Orders
+	t.Falls += x.Falls
+}
--- /dev/null
+++ b/lab/experiment/spec.go
@@ -0,0 +1,224 @@
+// Package experiment plays variants on days with seeds, paired, and says which is better and how sure that is.
+package experiment
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"havencart/internal/lines"
+	"havencart/lab/fleet"
+	"havencart/lab/load"
+	"havencart/lab/model"
+	"havencart/lab/script"
+	"havencart/lab/sim"
+)
+
+// ErrSpec is wrapped by every error about an experiment's text.
+var ErrSpec = errors.New("experiment")
+
+// Spec is an experiment as its file has it.
+type Spec struct {
+	Path     string
+	Title    string
+	Seeds    int
+	First    int
+	Days     []Day
+	Variants []Variant
+}
+
+// Day is an installation, its clients and its troubles.
+type Day struct {
+	Name                      string
+	Workers, Cells, FrontEnds int
+	Lasts                     time.Duration
+	Lag                       time.Duration
+	Mix                       load.Mix
+	Queue                     int
+	Memory                    float64
+	Cores                     float64
+	Miss                      bool
+	StorePlaces               float64
+	StoreLimit                int
+	Troubles                  []script.Trouble
+}
+
+// Variant is what is set beside others.
+type Variant struct {
+	Name    string
+	Policy  string
+	Set     []string // lines of settings
+	Program string   // another build of havencart, by path; empty: this one
+}
+
+const hour = time.Hour
+
+var specTable = []lines.Directive[Spec]{
+	lines.Text("title", "words in quotes", "", "what it is about", func(s *Spec) *string { return &s.Title }),
+	lines.Number("seeds", 1, 10000, "8", "runs of each variant on each day", func(s *Spec) *int { return &s.Seeds }),
+	lines.Number("first-seed", 0, 1<<30, "1", "the first seed", func(s *Spec) *int { return &s.First }),
+}
+
+var dayTable = []lines.Directive[Day]{
+	lines.Number("workers", 1, 10000, "12", "emulated workers", func(d *Day) *int { return &d.Workers }),
+	lines.Number("cells", 1, 1000, "3", "groups of workers that share keys", func(d *Day) *int { return &d.Cells }),
+	lines.Number("front-ends", 1, 10000, "3", "front ends", func(d *Day) *int { return &d.FrontEnds }),
+	lines.Duration("lasts", time.Second, hour, "30s", "how long clients call", func(d *Day) *time.Duration { return &d.Lasts }),
+	lines.Duration("list-lag", time.Millisecond, hour, "1s", "mean time until a front end hears of a change",
+		func(d *Day) *time.Duration { return &d.Lag }),
+	lines.Real("rate", 0.1, 1e6, "150", "calls a second", func(d *Day) *float64 { return &d.Mix.Rate }),
+	lines.Choice("shape", []string{"steady", "bursty", "ramp", "daily"}, []load.Shape{load.Steady, load.Bursty, load.Ramp, load.Daily},
+		"steady", "how the rate changes", func(d *Day) *load.Shape { return &d.Mix.Shape }),
+	lines.Number("functions", 1, 1e6, "12", "functions of each class", func(d *Day) *int { return &d.Mix.Functions }),
+	lines.Real("zipf", 1.01, 10, "1.3", "exponent of their popularity", func(d *Day) *float64 { return &d.Mix.Zipf }),
+	lines.Real("once", 0, 1, "0", "share of calls for functions wanted once", func(d *Day) *float64 { return &d.Mix.Once }),
+	lines.Real("hot", 0, 1, "0", "share of calls for one hot function", func(d *Day) *float64 { return &d.Mix.Hot }),
+	lines.Real("flood", 0, 1000, "0", "times the rate that the first tenant adds", func(d *Day) *float64 { return &d.Mix.Flood }),
+	lines.Duration("from", 0, hour, "10s", "when hot or flood begin", func(d *Day) *time.Duration { return &d.Mix.HotAt }),
+	lines.Duration("for", 0, hour, "10s", "how long they last", func(d *Day) *time.Duration { return &d.Mix.HotFor }),
+	lines.Duration("drift", 0, hour, "0s", "a fifth of the functions give way after each; 0s: never",
+		func(d *Day) *time.Duration { return &d.Mix.Drift }),
+	lines.Duration("work", 0, hour, "60ms", "mean work of a call", func(d *Day) *time.Duration { return &d.Mix.Work }),
+	lines.Real("sigma", 0, 3, "0.6", "of its lognormal distribution", func(d *Day) *float64 { return &d.Mix.WorkSigma }),
+	lines.Duration("load", 0, hour, "600ms", "time of a load", func(d *Day) *time.Duration { return &d.Mix.Load }),
+	lines.Real("size", 1, 1e6, "400", "megabytes of a copy", func(d *Day) *float64 { return &d.Mix.MemoryMB }),
+	lines.Duration("patience", time.Millisecond, hour, "2s", "of clients, at most", func(d *Day) *time.Duration { return &d.Mix.Patience }),
+	lines.Choice("habit", []string{"never", "at-once", "wait", "advised", "impolite"},
+		[]load.Habit{load.Never, load.AtOnce, load.Wait, load.Advised, load.Impolite}, "advised", "what clients do after a refusal",
+		func(d *Day) *load.Habit { return &d.Mix.Habit }),
+	lines.Number("retries", 0, 100, "1", "times at most", func(d *Day) *int { return &d.Mix.Retries }),
+	lines.Real("cores", 0.1, 1000, "4", "of a worker", func(d *Day) *float64 { return &d.Cores }),
+	lines.Real("memory", 1, 1e9, "4000", "megabytes of a worker", func(d *Day) *float64 { return &d.Memory }),
+	lines.Number("queue", 1, 1e6, "100", "calls that may wait at a worker", func(d *Day) *int { return &d.Queue }),
+	lines.OnOff("miss", "off", "workers answer miss in place of loading", func(d *Day) *bool { return &d.Miss }),
+	lines.Real("store-places", 0.1, 1e6, "8", "fetches that the store serves at full pace", func(d *Day) *float64 { return &d.StorePlaces }),
+	lines.Number("store-limit", 1, 1e6, "40", "fetches in hand beyond which it refuses", func(d *Day) *int { return &d.StoreLimit }),
+}
+
+var variantTable = []lines.Directive[Variant]{
+	lines.Text("policy", "module, oracle, random, round-robin, least-out, two-choices or rendezvous", "module", "what decides",
+		func(v *Variant) *string { return &v.Policy }),
+	{Name: "set", Takes: "a line of settings", Help: "in place of the line of that directive", Words: -1, Many: true,
+		Set: func(v *Variant, words []string) error {
+			if len(words) < 2 {
+				return lines.ErrValue
+			}
+			v.Set = append(v.Set, strings.Join(words, " "))
+			return nil
+		}},
+	lines.Text("program", "a path", "", "another build of havencart, say of another commit", func(v *Variant) *string { return &v.Program }),
+}
+
+// Load reads an experiment's file.
+func Load(path string) (*Spec, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSpec, err)
+	}
+	return Parse(path, string(raw))
+}
+
+// Parse reads an experiment. All errors are told at once.
+func Parse(path, text string) (*Spec, error) {
+	s, p := &Spec{Path: path}, &lines.Parser{}
+	lines.Defaults(s, specTable)
+	p.Top = func(at lines.Place, words []lines.Word) {
+		switch words[0].Text {
+		case "day":
+			lines.Block(p, at, words, dayTable, func(d *Day) *string { return &d.Name }, &s.Days, func(d *Day, at lines.Place, w []lines.Word) bool {
+				return d.trouble(p, at, w)
+			})
+		case "variant":
+			lines.Block(p, at, words, variantTable, func(v *Variant) *string { return &v.Name }, &s.Variants, nil)
+		default:
+			lines.Apply(p, at, words, s, specTable, "day, variant, include")
+		}
+	}
+	p.Parse(path, text)
+	if len(s.Days) == 0 || len(s.Variants) == 0 {
+		p.Fail(lines.Place{File: path}, 0, "%d days and %d variants; at least one of each is needed", len(s.Days), len(s.Variants))
+	}
+	for _, v := range s.Variants {
+		for _, d := range s.Days {
+			if _, err := sim.Check(s.config(v, d, 1)); err != nil {
+				p.Fail(lines.Place{File: path}, 0, "variant %q on day %q: %v", v.Name, d.Name, err)
+			}
+		}
+	}
+	if err := p.Err(); err != nil {
+		return nil, fmt.Errorf("%w:\n%w", ErrSpec, err)
+	}
+	return s, nil
+}
+
+// trouble takes the lines of a day that are a script's: troubles, and scripts by file.
+func (d *Day) trouble(p *lines.Parser, at lines.Place, words []lines.Word) bool {
+	switch words[0].Text {
+	case "at":
+		line, _, _ := strings.Cut(at.Text, "#")
+		t, column, err := script.ParseLine(line)
+		if err != nil {
+			p.Fail(at, column, "%v", err)
+			return true
+		}
+		t.Line = at.Line
+		d.Troubles = append(d.Troubles, t)
+	case "script":
+		if len(words) != 2 {
+			p.Fail(at, words[0].Column, "script takes one file")
+			return true
+		}
+		path := filepath.Join(filepath.Dir(at.File), words[1].Text)
+		raw, err := os.ReadFile(path)
+		var list []script.Trouble
+		if err == nil {
+			list, err = script.Parse(path, string(raw))
+		}
+		if err != nil {
+			p.Fail(at, words[1].Column, "%v", err)
+		}
+		d.Troubles = append(d.Troubles, list...)
+	default:
+		return false
+	}
+	return true
+}
+
+// config is a variant on a day with a seed.
+func (s *Spec) config(v Variant, d Day, seed uint64) sim.Config {
+	worker := fleet.DemoWorker()
+	worker.Cores, worker.MemoryMB, worker.Queue, worker.MissAnswers = d.Cores, d.Memory, d.Queue, d.Miss
+	set := v.Set
+	if d.Miss {
+		set = append([]string{"on-miss miss"}, set...)
+	}
+	return sim.Config{Workers: d.Workers, Cells: d.Cells, FrontEnds: d.FrontEnds, Worker: worker, Settings: override(fleet.DemoSettings, set),
+		Store: model.StoreConfig{Places: d.StorePlaces, Limit: d.StoreLimit, FallMultiple: 3, FallAfter: 3 * time.Second, FallFor: 2 * time.Second},
+		Mix:   d.Mix, Lasts: d.Lasts, ListLag: d.Lag, Jitter: 0.3, Troubles: d.Troubles, Seed: seed, Policy: v.Policy, LogLevel: zerolog.InfoLevel}
+}
+
+// override puts lines in place of those of the same directive outside blocks.
+func override(text string, set []string) string {
+	given := map[string]bool{}
+	for _, line := range set {
+		given[strings.Fields(line)[0]] = true
+	}
+	var out []string
+	inside := false
+	for _, line := range strings.Split(text, "\n") {
+		words := strings.Fields(line)
+		if len(words) > 0 && !inside && given[words[0]] {
+			continue
+		}
+		if len(words) > 0 {
+			inside = inside && words[0] != "end" || words[0] == "class" || words[0] == "tenant" || words[0] == "function"
+		}
+		out = append(out, line)
+	}
+	return strings.Join(append(out, set...), "\n") + "\n"
+}
--- a/lab/model/worker.go
+++ b/lab/model/worker.go
@@ -179,6 +179,9 @@
 // Waiting is the number of calls that wait here.
 func (w *Worker) Waiting() int { return len(w.waiting) }
 
+// Copies is the number of copies that stand loaded.
+func (w *Worker) Copies() int { return len(w.copies) }
+
 // Work is the processor time spent so far.
 func (w *Worker) Work() time.Duration { return w.cpu.Used }
 
--- /dev/null
+++ b/lab/report/report.go
@@ -0,0 +1,336 @@
+// Package report tells how an experiment went: in text, and as one HTML file that needs nothing beside it.
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"havencart/lab/audit"
+	"havencart/lab/experiment"
+	"havencart/lab/sim"
+)
+
+// Report is an experiment with its runs.
+type Report struct {
+	Spec  *experiment.Spec
+	Cells []experiment.Cell
+}
+
+// broken lists the runs that count for nothing.
+func (r Report) broken() (list []string) {
+	for i := range r.Cells {
+		c := &r.Cells[i]
+		switch {
+		case c.Failed != "":
+			list = append(list, fmt.Sprintf("%s on %s, seed %d failed: %s", c.Variant, c.Day, c.Seed, c.Failed))
+		case len(c.Result.Breaks) > 0:
+			b := c.Result.Breaks[0]
+			list = append(list, fmt.Sprintf("%s on %s, seed %d broke rule %s (%d times): %s", c.Variant, c.Day, c.Seed, b.Rule,
+				len(c.Result.Breaks), b.What))
+		}
+	}
+	return list
+}
+
+// Total adds the auditor's tallies of a variant's runs.
+func (r Report) Total(variant string) (t audit.Tally) {
+	for i := range r.Cells {
+		if c := &r.Cells[i]; c.Variant == variant {
+			t.Add(c.Result.Tally)
+		}
+	}
+	return t
+}
+
+// Text writes the report for a terminal. Broken rules come first.
+func (r Report) Text(out io.Writer) {
+	fmt.Fprintf(out, "%s: %d days, %d seeds, %d variants; all emulated, in virtual time\n\n", r.Spec.Title, len(r.Spec.Days),
+		r.Spec.Seeds, len(r.Spec.Variants))
+	if list := r.broken(); len(list) > 0 {
+		fmt.Fprintf(out, "%d runs count for nothing:\n", len(list))
+		for _, line := range list[:min(len(list), 20)] {
+			fmt.Fprintf(out, "  %s\n", line)
+		}
+		if len(list) > 20 {
+			fmt.Fprintf(out, "  and %d more\n", len(list)-20)
+		}
+		fmt.Fprintln(out)
+	}
+	r.table(out, "all days", r.Spec.Compare(r.Cells))
+	for _, d := range r.Spec.Days {
+		r.table(out, "day "+d.Name, r.Spec.CompareDay(r.Cells, d.Name))
+	}
+	fmt.Fprintln(out, "totals by the auditor")
+	for _, v := range r.Spec.Variants {
+		fmt.Fprintf(out, "  %-14s %v\n", v.Name, r.Total(v.Name))
+	}
+}
+
+func (r Report) table(out io.Writer, title string, list []experiment.Comparison) {
+	top := 0.0
+	for _, c := range list {
+		top = max(top, c.Mean)
+	}
+	fmt.Fprintf(out, "%s\n  %-14s %7s %9s %20s %7s  %s\n", title, "variant", "service", "to first", "95% interval", "of top", "verdict")
+	for i, c := range list {
+		fmt.Fprintf(out, "  %-14s %7.3f %+9.3f %20s %7.2f  %s\n", c.Variant, c.Mean, c.Effect,
+			fmt.Sprintf("%+.3f to %+.3f", c.Low, c.High), share(c.Mean, top), verdict(i, c))
+	}
+	fmt.Fprintln(out)
+}
+
+func share(x, top float64) float64 {
+	if top == 0 {
+		return 0
+	}
+	return x / top
+}
+
+func verdict(i int, c experiment.Comparison) string {
+	text := string(c.Verdict)
+	switch {
+	case i == 0:
+		text = "the first"
+	case c.More > 0:
+		text += fmt.Sprintf(" (%d more seeds a day would)", c.More)
+	}
+	if c.Broken > 0 {
+		text += fmt.Sprintf("; %d runs count for nothing", c.Broken)
+	}
+	return text
+}
+
+// HTML writes the report as one file.
+func (r Report) HTML(out io.Writer) error {
+	page := htmlPage{Title: r.Spec.Title, Broken: r.broken(), Seeds: r.Spec.Seeds}
+	page.Tables = append(page.Tables, htmlTable{"all days", r.Spec.Compare(r.Cells)})
+	for _, v := range r.Spec.Variants {
+		page.Totals = append(page.Totals, fmt.Sprintf("%s: %v", v.Name, r.Total(v.Name)))
+	}
+	for _, d := range r.Spec.Days {
+		day, err := r.day(d.Name)
+		if err != nil {
+			return fmt.Errorf("day %s: %w", d.Name, err)
+		}
+		page.Days = append(page.Days, day)
+	}
+	return pageTemplate.Execute(out, page)
+}
+
+// first is a variant's run of a day with the first seed.
+func (r Report) first(variant, day string) *experiment.Cell {
+	for i := range r.Cells {
+		if c := &r.Cells[i]; c.Variant == variant && c.Day == day {
+			return c
+		}
+	}
+	return nil
+}
+
+func (r Report) day(name string) (htmlDay, error) {
+	d := htmlDay{Name: name, Table: htmlTable{"day " + name, r.Spec.CompareDay(r.Cells, name)}}
+	var first *experiment.Cell
+	curves := map[string][]curve{}
+	for _, v := range r.Spec.Variants {
+		c := r.first(v.Name, name)
+		if c == nil {
+			continue
+		}
+		if first == nil {
+			first = c
+		}
+		add := func(plot string, values []float64) { curves[plot] = append(curves[plot], curve{v.Name, values}) }
+		add("service, by the second of the first try", service(c.Result.Score.Seconds))
+		for _, s := range series {
+			add(s.name, s.of(c.Result.Series))
+		}
+	}
+	if first == nil {
+		return d, nil
+	}
+	for _, name := range append([]string{"service, by the second of the first try"}, seriesNames()...) {
+		svg, err := draws(name, curves[name])
+		if err != nil {
+			return d, err
+		}
+		d.Plots = append(d.Plots, template.HTML(svg)) // made here from numbers and the spec's own names
+	}
+	d.Parts = append(parts("class", first.Result.Score.ByClass), parts("tenant", first.Result.Score.ByTenant)...)
+	d.Told, d.Of = first.Result.Told, first.Variant
+	return d, nil
+}
+
+func parts(kind string, table map[string]*audit.Part) (list []htmlPart) {
+	for name, p := range table {
+		list = append(list, htmlPart{kind, name, p.Asked, p.Got, p.Share()})
+	}
+	slices.SortFunc(list, func(a, b htmlPart) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+func service(seconds []audit.Part) (values []float64) {
+	for _, p := range seconds {
+		values = append(values, p.Share())
+	}
+	return values
+}
+
+// series are the plots of a day beside service.
+var series = []struct {
+	name string
+	of   func([]sim.Sample) []float64
+}{
+	{"calls in hand at front ends", now(func(s sim.Sample) int { return s.InHand })},
+	{"calls waiting at workers", now(func(s sim.Sample) int { return s.Waiting })},
+	{"copies loaded", now(func(s sim.Sample) int { return s.Copies })},
+	{"attempts a second", rate(func(s sim.Sample) uint64 { return s.Attempts })},
+	{"refusals a second", rate(func(s sim.Sample) uint64 { return s.Refused })},
+	{"failures a second", rate(func(s sim.Sample) uint64 { return s.Failed })},
+	{"orders to load a second", rate(func(s sim.Sample) uint64 { return s.Loads })},
+	{"store's fetches a second", rate(func(s sim.Sample) uint64 { return uint64(s.Fetches) })},
+}
+
+func seriesNames() (names []string) {
+	for _, s := range series {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+func now(of func(sim.Sample) int) func([]sim.Sample) []float64 {
+	return func(list []sim.Sample) (values []float64) {
+		for _, s := range list {
+			values = append(values, float64(of(s)))
+		}
+		return values
+	}
+}
+
+// rate is the growth from second to second; a front end that was killed begins anew, which is no growth.
+func rate(of func(sim.Sample) uint64) func([]sim.Sample) []float64 {
+	return func(list []sim.Sample) (values []float64) {
+		last := uint64(0)
+		for _, s := range list {
+			x := of(s)
+			values = append(values, float64(max(x, last)-last))
+			last = x
+		}
+		return values
+	}
+}
+
+// curve is one variant's line in a plot.
+type curve struct {
+	name   string
+	values []float64
+}
+
+// colours tell up to eight variants apart, also for readers who see few colours (M. Okabe, K. Ito, 2008).
+var colours = []color.Color{color.RGBA{0, 114, 178, 255}, color.RGBA{213, 94, 0, 255}, color.RGBA{0, 158, 115, 255},
+	color.RGBA{204, 121, 167, 255}, color.RGBA{86, 180, 233, 255}, color.RGBA{230, 159, 0, 255}, color.RGBA{0, 0, 0, 255},
+	color.RGBA{128, 128, 128, 255}}
+
+// draws draws curves over the seconds as SVG.
+func draws(title string, curves []curve) (string, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text = title, "seconds"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	for i, c := range curves {
+		points := make(plotter.XYs, len(c.values))
+		for j, v := range c.values {
+			points[j].X, points[j].Y = float64(j), v
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return "", fmt.Errorf("plot %s: %w", title, err)
+		}
+		line.Color, line.Width = colours[i%len(colours)], vg.Points(1.2)
+		p.Add(line)
+		p.Legend.Add(c.name, line)
+	}
+	canvas := vgsvg.New(16*vg.Centimeter, 7*vg.Centimeter)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return "", fmt.Errorf("plot %s: %w", title, err)
+	}
+	svg := out.String()
+	return svg[strings.Index(svg, "<svg"):], nil
+}
+
+// Plot writes one day's service of all variants as an SVG file.
+func (r Report) Plot(out io.Writer, day string) error {
+	var curves []curve
+	for _, v := range r.Spec.Variants {
+		if c := r.first(v.Name, day); c != nil {
+			curves = append(curves, curve{v.Name, service(c.Result.Score.Seconds)})
+		}
+	}
+	svg, err := draws("service on day "+day+", first seed", curves)
+	if err != nil {
+		return err
+	}
+	_, err = io.WriteString(out, svg)
+	return err
+}
+
+type htmlPage struct {
+	Title  string
+	Seeds  int
+	Broken []string
+	Tables []htmlTable
+	Totals []string
+	Days   []htmlDay
+}
+
+type htmlTable struct {
+	Title string
+	Rows  []experiment.Comparison
+}
+
+type htmlDay struct {
+	Name  string
+	Of    string
+	Table htmlTable
+	Plots []template.HTML
+	Parts []htmlPart
+	Told  []string
+}
+
+type htmlPart struct {
+	Kind, Name string
+	Asked, Got float64
+	Share      float64
+}
+
+var pageTemplate = template.Must(template.New("page").Parse(`<!doctype html>
+<meta charset="utf-8"><title>{{.Title}}</title>
+<style>body{font:14px/1.4 sans-serif;max-width:75em;margin:2em auto;padding:0 1em}table{border-collapse:collapse;margin:1em 0}
+td,th{padding:.2em .8em;border-bottom:1px solid #ccc;text-align:right}td:first-child,th:first-child,td:last-child{text-align:left}
+.broken{background:#fee;padding:1em}pre{overflow:auto;background:#f6f6f6;padding:1em;max-height:30em}svg{max-width:100%;height:auto}</style>
+<h1>{{.Title}}</h1>
+{{if .Broken}}<div class="broken"><b>{{len .Broken}} runs count for nothing</b><ul>{{range .Broken}}<li>{{.}}</li>{{end}}</ul></div>{{end}}
+<p>{{.Seeds}} seeds a day; all emulated, in virtual time. Service is the worth answered in time over the worth asked.</p>
+{{define "table"}}<h3>{{.Title}}</h3><table><tr><th>variant</th><th>service</th><th>to the first</th><th>95% interval</th><th>broken</th><th>verdict</th></tr>
+{{range .Rows}}<tr><td>{{.Variant}}</td><td>{{printf "%.3f" .Mean}}</td><td>{{printf "%+.3f" .Effect}}</td><td>{{printf "%+.3f to %+.3f" .Low .High}}</td><td>{{.Broken}}</td><td>{{.Verdict}}{{if .More}} ({{.More}} more seeds a day would){{end}}</td></tr>{{end}}</table>{{end}}
+{{range .Tables}}{{template "table" .}}{{end}}
+<h3>Totals by the auditor</h3><ul>{{range .Totals}}<li>{{.}}</li>{{end}}</ul>
+{{range .Days}}<h2>Day {{.Name}}</h2>{{template "table" .Table}}
+<p>Below: the first seed.</p>{{range .Plots}}{{.}}{{end}}
+<table><tr><th>{{.Of}}</th><th>asked</th><th>got</th><th>service</th></tr>
+{{range .Parts}}<tr><td>{{.Kind}} {{.Name}}</td><td>{{printf "%.0f" .Asked}}</td><td>{{printf "%.1f" .Got}}</td><td>{{printf "%.3f" .Share}}</td></tr>{{end}}</table>
+<details><summary>What happened, {{.Of}}</summary><pre>{{range .Told}}{{.}}
+{{end}}</pre></details>{{end}}
+`))
--- a/lab/script/script.go
+++ b/lab/script/script.go
@@ -80,7 +80,7 @@
 		if strings.TrimSpace(line) == "" {
 			continue
 		}
-		t, column, err := parseLine(line)
+		t, column, err := ParseLine(line)
 		if err != nil {
 			errs = append(errs, fmt.Errorf("%s:%d:%d: %w", name, i+1, column, err))
 			continue
@@ -114,7 +114,8 @@
 	return c.line[from:c.at]
 }
 
-func parseLine(line string) (t Trouble, column int, err error) {
+// ParseLine reads one line without its comment. An error comes with its column.
+func ParseLine(line string) (t Trouble, column int, err error) {
 	c := &cursor{line: line}
 	if w := c.next(); w != "at" {
 		return t, c.column, fmt.Errorf("found %q; allowed: at TIME TROUBLE", w)
--- a/lab/sim/front.go
+++ b/lab/sim/front.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"havencart/control"
 	"havencart/internal/directory"
 	"havencart/internal/gateway"
@@ -37,7 +39,7 @@
 	set := gateway.FrontSettings(s.set, f.number, epoch, s.cfg.Seed^uint64(f.number)<<20^uint64(f.life))
 	set.Decide = s.policy
 	f.wakeAt, f.version = -1, -1
-	f.gate = gateway.New(s.clock.Now(), set, f, s.cfg.Log)
+	f.gate = gateway.New(s.clock.Now(), set, f, zerolog.New(s).Level(s.cfg.LogLevel).With().Str("of", f.name).Logger())
 	f.plan()
 	s.tell(f, s.delay())
 }
--- a/lab/sim/large_test.go
+++ b/lab/sim/large_test.go
@@ -12,7 +12,7 @@
 func large(t testing.TB, lasts time.Duration) Config {
 	cfg := Config{Workers: 70, Cells: 14, FrontEnds: 240, Lasts: lasts, Seed: 1, Jitter: 0.3}
 	base := small(&testing.T{}, "", lasts)
-	cfg.Worker, cfg.Settings, cfg.Log = base.Worker, base.Settings, base.Log
+	cfg.Worker, cfg.Settings, cfg.LogLevel = base.Worker, base.Settings, base.LogLevel
 	cfg.Store = model.StoreConfig{Places: 40, Limit: 200, FallMultiple: 3, FallAfter: 3 * time.Second, FallFor: 2 * time.Second}
 	cfg.Mix = load.Mix{Rate: 3000, Functions: 60, Work: 40 * time.Millisecond, WorkSigma: 0.8, Load: 600 * time.Millisecond,
 		MemoryMB: 300, Patience: 2 * time.Second, Habit: load.Advised, Retries: 1}
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -44,8 +44,8 @@
 	Lasts     time.Duration
 	Troubles  []script.Trouble
 	Seed      uint64
-	Policy    string // "" or "module", "oracle", or one of baseline.Names
-	Log       zerolog.Logger
+	LogLevel  zerolog.Level // of the front ends' lines in Result.Told; the zero value is debug
+	Policy    string        // "" or "module", "oracle", or one of baseline.Names
 }
 
 // Result is how a run went.
@@ -57,6 +57,53 @@
 	Store  model.Store // its totals
 	Trace  uint64      // a hash of every action, answer and time: equal for equal runs
 	Seen   map[string]int
+	Series []Sample
+	Told   []string // troubles and the front ends' logs, as they came; the first few hundred
+}
+
+// Sample is the installation at one second.
+type Sample struct {
+	InHand, Copies, Waiting int    // now
+	Served, Refused, Failed uint64 // so far
+	Attempts, Loads         uint64
+	Fetches                 int
+}
+
+// toldMost bounds Result.Told.
+const toldMost = 300
+
+// sample notes the installation each second.
+func (s *Sim) sample() {
+	var x Sample
+	for _, f := range s.fronts {
+		c := f.counts
+		if f.alive {
+			x.InHand += f.gate.InHand()
+			c.Add(f.gate.Counts())
+		}
+		x.Served, x.Refused, x.Failed = x.Served+c.Served, x.Refused+c.Refused+c.TurnedAway, x.Failed+c.Failed
+		x.Attempts, x.Loads = x.Attempts+c.Attempts, x.Loads+c.Loads
+	}
+	for _, w := range s.workers {
+		x.Copies += w.Copies()
+		x.Waiting += w.Waiting()
+	}
+	x.Fetches = s.store.Fetches
+	s.series = append(s.series, x)
+	s.clock.After(time.Second, s.sample)
+}
+
+// say keeps a line of what happened.
+func (s *Sim) say(text string) {
+	if len(s.told) < toldMost {
+		s.told = append(s.told, fmt.Sprintf("%7.2fs %s", s.clock.Now().Seconds(), text))
+	}
+}
+
+// Write takes the front ends' log lines.
+func (s *Sim) Write(line []byte) (int, error) {
+	s.say(strings.TrimSpace(string(line)))
+	return len(line), nil
 }
 
 // Sim is a run under way.
@@ -78,6 +125,8 @@
 	down    bool
 	lag     time.Duration
 	seen    map[string]int
+	series  []Sample
+	told    []string
 	policy  func(time.Duration, control.Settings, control.Actions) gateway.Module
 
 	byID      map[control.WorkerID]*model.Worker // for the oracle, as is the next
@@ -92,7 +141,8 @@
 	if err != nil {
 		return Result{}, err
 	}
-	play := script.Begin(s.clock, s, cfg.Troubles, cfg.Seed, func(string) {})
+	play := script.Begin(s.clock, s, cfg.Troubles, cfg.Seed, s.say)
+	s.clock.After(time.Second, s.sample)
 	s.nextCall()
 	s.clock.Run(cfg.Lasts)
 	if err := play.End(); err != nil {
@@ -106,6 +156,15 @@
 	return s.result(), nil
 }
 
+// Check says what of cfg cannot be played.
+func Check(cfg Config) (*config.Settings, error) {
+	s, err := newSim(cfg)
+	if err != nil {
+		return nil, err
+	}
+	return s.set, nil
+}
+
 func newSim(cfg Config) (*Sim, error) {
 	cfg.Net, cfg.ListLag = cmp.Or(cfg.Net, 200*time.Microsecond), cmp.Or(cfg.ListLag, time.Second)
 	set, err := config.Parse("settings", "name fe\ndirectory file none\n"+cfg.Settings)
@@ -195,10 +254,12 @@
 
 func (s *Sim) result() Result {
 	terms := audit.TermsOf(s.set, 2*s.cfg.Net)
-	r := Result{Score: s.book.Score(terms.Classes), Store: *s.store, Seen: s.seen}
+	r := Result{Score: s.book.Score(terms.Classes), Store: *s.store, Seen: s.seen, Series: s.series, Told: s.told}
 	r.Breaks, r.Tally = s.book.Judge(terms)
 	for _, f := range s.fronts {
-		f.counts.Add(f.gate.Counts())
+		if f.alive {
+			f.counts.Add(f.gate.Counts())
+		}
 		r.Counts.Add(f.counts)
 	}
 	r.Trace = s.trace.Sum64()
