--- /dev/null
+++ b/internal/gateway/explore_test.go
@@ -0,0 +1,294 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"havencart/control"
+	"havencart/internal/directory"
+	"havencart/internal/workerlink"
+)
+
+// This file explores the life of calls exhaustively in a small scope: every order of what can happen to two
+// calls on two workers, on the real Front and the real module, up to a depth. What is seen at the links and by
+// the clients is held to the rules at each step and at the end.
+
+// world is one path: a Front and what links and clients saw.
+type world struct {
+	*bench
+	classes  [2]int
+	calls    [2]*Call
+	finals   [2]int
+	kind     [2]Kind
+	arrivals int
+	leftBy   [2]bool
+	late     []*workerlink.Attempt // given up here after they had left
+	drained  bool
+	sends    map[string][]send
+	path     []string
+	wrong    string
+}
+
+// send is one attempt as a worker could know of it.
+type send struct {
+	attempt *workerlink.Attempt
+	cell    int
+	at      time.Duration
+	never   bool // it is known not to have run
+	left    bool
+}
+
+// spy is a link that notes each attempt and keeps it in the write buffer until it is told to write.
+type spy struct {
+	*fakeLink
+	w *world
+}
+
+func (s spy) Send(a *workerlink.Attempt) *workerlink.Result {
+	s.w.sent(s.fakeLink, a)
+	return s.fakeLink.Send(a)
+}
+
+func (s spy) Abandon(a *workerlink.Attempt) bool {
+	left := s.fakeLink.Abandon(a)
+	if left {
+		s.w.late = append(s.w.late, a)
+	} else {
+		s.w.note(a).never = true
+	}
+	return left
+}
+
+func (s spy) Drain(d time.Duration) ([]*workerlink.Attempt, []*workerlink.Order) {
+	taken, orders := s.fakeLink.Drain(d)
+	for _, a := range taken {
+		s.w.note(a).never = true
+	}
+	return taken, orders
+}
+
+func (w *world) Open(id control.WorkerID, info directory.Worker) Link {
+	l := w.bench.Open(id, info).(*fakeLink)
+	l.holds = true
+	return spy{l, w}
+}
+
+func (w *world) note(a *workerlink.Attempt) *send {
+	list := w.sends[a.Call.ID]
+	for i := range list {
+		if list[i].attempt == a {
+			return &list[i]
+		}
+	}
+	panic("an attempt that was never sent")
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.wrong == "" {
+		w.wrong = fmt.Sprintf(format, args...)
+	}
+}
+
+// sent holds rules 2 and 3 at the moment at which an attempt is handed to a link.
+func (w *world) sent(l *fakeLink, a *workerlink.Attempt) {
+	id := a.Call.ID
+	i := int(id[0] - '0')
+	cell := int(l.name[1]-'0') % 2
+	if w.finals[i] > 0 || w.leftBy[i] {
+		w.fail("call %d is sent after its end", i)
+	}
+	if l.drained {
+		w.fail("call %d is sent to a worker that drains", i)
+	}
+	for _, earlier := range w.sends[id] {
+		if earlier.never {
+			continue
+		}
+		switch w.classes[i] {
+		case unsafe:
+			w.fail("unsafe call %d is sent again, and may have run", i)
+		case keyed:
+			if earlier.cell != cell || w.at-earlier.at > time.Second {
+				w.fail("keyed call %d is sent again outside its cell or memory", i)
+			}
+		}
+	}
+	w.sends[id] = append(w.sends[id], send{attempt: a, cell: cell, at: w.at})
+}
+
+// answered holds rule 1, and that no refusal is given to what may have run.
+func (w *world) answered(i int, f Final) {
+	w.finals[i]++
+	w.kind[i] = f.Kind
+	if w.finals[i] > 1 {
+		w.fail("call %d has %d final answers", i, w.finals[i])
+	}
+	if w.leftBy[i] {
+		w.fail("call %d is answered after its client left", i)
+	}
+	if w.at >= w.calls[i].Since+w.calls[i].Patience {
+		w.fail("call %d is answered after its client's patience", i)
+	}
+	if f.Kind != Refused || w.classes[i] == safe {
+		return
+	}
+	for _, s := range w.sends[w.calls[i].ID] {
+		if !s.never {
+			w.fail("call %d is refused, and may have run", i)
+		}
+	}
+}
+
+func newWorld(t *testing.T, of [2]int) *world {
+	w := &world{classes: of, sends: map[string][]send{}}
+	w.bench = &bench{T: t, at: time.Minute, links: map[string]*fakeLink{}}
+	set := Settings{Control: classes(), Name: "fe", Classes: []string{"safe", "keyed", "unsafe"}, Margin: 20 * ms, MaxCalls: 100,
+		Began: time.Unix(0, 0)}
+	w.Front = New(w.at, set, w, zerolog.Nop())
+	w.list(2, nil)
+	return w
+}
+
+// step is something that can happen now.
+type step struct {
+	name string
+	do   func()
+}
+
+// steps lists all that can happen now, in an order that is always the same.
+func (w *world) steps() (list []step) {
+	add := func(do func(), format string, args ...any) {
+		list = append(list, step{fmt.Sprintf(format, args...), do})
+	}
+	if w.arrivals < 2 {
+		add(w.arrive, "call %d arrives", w.arrivals)
+	}
+	for _, name := range []string{"w0", "w1"} {
+		l := w.links[name]
+		for _, a := range l.queued {
+			add(func() { w.leaves(l, a) }, "%s leaves for %s", a.Call.ID, name)
+			add(func() { w.ends(l, a, control.ConnectFailed) }, "%s finds no connection to %s", a.Call.ID, name)
+		}
+		for _, a := range l.left {
+			if mine := w.attempts[a]; mine != nil && mine.begun {
+				add(func() { w.ends(l, a, control.OK) }, "%s ends", a.Call.ID)
+				add(func() { w.ends(l, a, control.Reset) }, "%s breaks off", a.Call.ID)
+				continue
+			}
+			for _, s := range []control.Status{control.OK, control.Error, control.Full, control.Reset} {
+				add(func() { w.ends(l, a, s) }, "%s at %s ends with status %d", a.Call.ID, name, s)
+			}
+			add(func() {
+				w.Began(w.at, a, workerlink.Result{Status: control.OK, Crowd: -1, Answer: &workerlink.Answer{}})
+			}, "%s begins", a.Call.ID)
+		}
+	}
+	for _, a := range w.late {
+		add(func() {
+			w.Ended(w.at, a, workerlink.Result{Status: control.OK, Crowd: -1, Answer: &workerlink.Answer{}})
+		}, "%s late", a.Call.ID)
+	}
+	for i := range w.arrivals {
+		if w.finals[i] == 0 && !w.leftBy[i] {
+			add(func() { w.leftBy[i] = true; w.Left(w.at, w.calls[i]) }, "client %d leaves", i)
+		}
+	}
+	if w.drained {
+		add(func() { w.drained = false; w.list(2, nil) }, "w0 is ready")
+	} else {
+		add(func() { w.drained = true; w.list(2, map[string]control.WorkerState{"w0": control.Draining}) }, "w0 drains")
+	}
+	add(func() { w.pass(900 * ms) }, "900ms pass")
+	return list
+}
+
+func (w *world) arrive() {
+	i := w.arrivals
+	w.arrivals++
+	c := NewCallTo(func(f Final) { w.answered(i, f) })
+	c.ID, c.Class, c.Since, c.Patience = fmt.Sprint(i), w.classes[i], w.at, 2*time.Second
+	c.Copy.Function, c.Copy.MemoryMB, c.Copy.Lanes = "f", 100, 2
+	w.calls[i] = c
+	w.Arrive(w.at, c)
+}
+
+func (w *world) leaves(l *fakeLink, a *workerlink.Attempt) {
+	if w.drained && l.name == "w0" {
+		w.fail("call %s leaves for a worker that drains", a.Call.ID)
+	}
+	l.drop(a)
+	l.left = append(l.left, a)
+	w.note(a).left = true
+}
+
+func (w *world) ends(l *fakeLink, a *workerlink.Attempt, s control.Status) {
+	l.drop(a)
+	w.note(a).never = s == control.ConnectFailed || s == control.Full
+	w.Ended(w.at, a, workerlink.Result{Status: s, Crowd: -1, Answer: &workerlink.Answer{}})
+}
+
+// finish lets all time pass: each call whose client stayed must have its answer.
+func (w *world) finish() {
+	w.pass(2100 * ms)
+	for i := range w.arrivals {
+		if w.finals[i] == 0 && !w.leftBy[i] {
+			w.fail("call %d has no answer", i)
+		}
+	}
+	if w.Counts().Overdue > 0 {
+		w.fail("the module left a call overdue")
+	}
+}
+
+// explorer walks all paths of a depth by playing each from its beginning.
+type explorer struct {
+	t       *testing.T
+	classes [2]int
+	depth   int
+	paths   int
+}
+
+func (e *explorer) walk(prefix []int) {
+	w := newWorld(e.t, e.classes)
+	var next []step
+	for _, choice := range prefix {
+		s := w.steps()[choice]
+		w.path = append(w.path, s.name)
+		s.do()
+	}
+	if next = w.steps(); len(prefix) < e.depth && w.wrong == "" {
+		for i := range next {
+			e.walk(append(prefix[:len(prefix):len(prefix)], i))
+			if e.t.Failed() {
+				return
+			}
+		}
+		return
+	}
+	e.paths++
+	w.finish()
+	if w.wrong != "" {
+		e.t.Errorf("%s, after: %s", w.wrong, strings.Join(w.path, "; "))
+	}
+}
+
+func TestEveryOrderKeepsTheRules(t *testing.T) {
+	depth := 6
+	if testing.Short() {
+		depth = 5
+	}
+	total := 0
+	for _, classes := range [][2]int{{unsafe, keyed}, {keyed, keyed}, {unsafe, unsafe}, {safe, unsafe}} {
+		e := &explorer{t: t, classes: classes, depth: depth}
+		e.walk([]int{0}) // a call arrives first
+		total += e.paths
+	}
+	t.Logf("%d orders of %d events each", total, depth+1)
+	if total < 5000 {
+		t.Errorf("only %d paths: the scope has shrunk", total)
+	}
+}
--- a/lab/model/clock.go
+++ b/lab/model/clock.go
@@ -106,3 +106,6 @@
 	*l = old[:len(old)-1]
 	return x
 }
+
+// Pending is the number of events that are set, stopped ones included.
+func (s *Sim) Pending() int { return len(s.events) }
--- a/lab/sim/link.go
+++ b/lab/sim/link.go
@@ -31,7 +31,8 @@
 
 	connected bool
 	dialing   bool
-	breaking  bool // it broke, and the front end does not know yet
+	redialing func() // takes the next dialling back
+	breaking  bool   // it broke, and the front end does not know yet
 	stopped   bool
 	draining  bool
 	epoch     int           // of the connection
@@ -105,9 +106,12 @@
 	}
 }
 
-// again dials when the next attempt is due.
+// again dials when the next attempt is due; there is one such time only, however many calls want it.
 func (l *link) again() {
-	l.sim.clock.After(l.redial.Next()-l.sim.clock.Now(), l.dial)
+	if l.redialing != nil {
+		l.redialing()
+	}
+	l.redialing = l.sim.clock.After(l.redial.Next()-l.sim.clock.Now(), l.dial)
 }
 
 // brokeAt breaks the connection: each side learns of it after the way to it.
@@ -320,4 +324,7 @@
 func (l *link) Stop() {
 	l.stopped = true
 	l.epoch++
+	if l.redialing != nil {
+		l.redialing()
+	}
 }
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -141,11 +141,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	play := script.Begin(s.clock, s, cfg.Troubles, cfg.Seed, s.say)
-	s.clock.After(time.Second, s.sample)
-	s.nextCall()
-	s.clock.Run(cfg.Lasts)
-	if err := play.End(); err != nil {
+	if err := s.play(); err != nil {
 		return Result{}, err
 	}
 	longest := time.Duration(0)
@@ -156,6 +152,15 @@
 	return s.result(), nil
 }
 
+// play plays clients and troubles for the time that the day lasts.
+func (s *Sim) play() error {
+	play := script.Begin(s.clock, s, s.cfg.Troubles, s.cfg.Seed, s.say)
+	s.clock.After(time.Second, s.sample)
+	s.nextCall()
+	s.clock.Run(s.cfg.Lasts)
+	return play.End()
+}
+
 // Check says what of cfg cannot be played.
 func Check(cfg Config) (*config.Settings, error) {
 	s, err := newSim(cfg)
