Load tool: open-loop calls with habits, histograms by class and tenant; void when it lags

Need: front ends must be loaded without being spared. Calls go out at their time, latencies count from when they were due, and a run in which the tool itself sends 1 call in 100 late by 20 ms is void. The fleet's clients use the same runner. Experiments and reports have their tests: resuming after a kill, variants that crash, totals.

--- a/cmd/havencart/main.go
+++ b/cmd/havencart/main.go
@@ -78,7 +78,8 @@
 	cmd.PersistentFlags().StringVar(&o.level, "log", "info", "least level that is logged: debug, info, warn, error")
 	cmd.PersistentFlags().BoolVar(&o.plain, "plain", false, "log for people in place of JSON")
 	cmd.AddCommand(runCommand(o), checkCommand(), referenceCommand(), demoCommand(o), workerCommand(), callCommand(),
-		measureCommand(), experimentCommand(), cellCommand())
+		measureCommand(), experimentCommand(), cellCommand(),
+		loadCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/lab/experiment/experiment_test.go
@@ -0,0 +1,191 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"havencart/lab/audit"
+	"havencart/lab/sim"
+)
+
+const short = `
+title "a test"
+seeds 3
+variant module
+end
+variant random
+  policy random
+end
+variant fewer
+  set max-attempts 1
+end
+day quiet
+  lasts 3s
+  rate 60
+end
+day crash
+  lasts 4s
+  rate 60
+  at 1s crash 30% for 1s   # a trouble
+end
+`
+
+func parse(t *testing.T, text string) *Spec {
+	t.Helper()
+	s, err := Parse("spec", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func silent(string) {}
+
+func TestAllErrorsOfASpecAreTold(t *testing.T) {
+	_, err := Parse("spec", "seeds 0\nvariant a\npolicy best\nend\nvariant b\nset\nend\nvariant c\nset colour red\nend\nday d\nrate -1\nat noon crash 5% for 1s\nlasts 3s\nend\n")
+	if !errors.Is(err, ErrSpec) {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"spec:1:7: seeds", "spec:6:1: set", "spec:12:6: rate", "spec:13:4: found \"noon\"", `variant "a" on day "d": no policy "best"`,
+		`variant "c" on day "d"`, `found "colour"`} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no %q in:\n%v", want, err)
+		}
+	}
+}
+
+// TestAnExperimentThatWasKilledGoesOn: known runs are not played again, a line cut off by the kill is.
+func TestAnExperimentThatWasKilledGoesOn(t *testing.T) {
+	s := parse(t, short)
+	path := filepath.Join(t.TempDir(), "results")
+	ctx, cancel := context.WithCancel(context.Background())
+	n := 0
+	if _, err := s.Run(ctx, path, 1, func(text string) {
+		if n++; n == 6 {
+			cancel()
+		}
+	}); !errors.Is(err, context.Canceled) {
+		t.Fatalf("error %v of a run that was killed", err)
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := strings.Count(string(raw), "\n")
+	if err := os.WriteFile(path, raw[:len(raw)-10], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	played := -1 // the first line tells what is known
+	cells, err := s.Run(context.Background(), path, 2, func(string) { played++ })
+	if err != nil || len(cells) != 18 || played != 18-kept+1 {
+		t.Errorf("%d cells, %d played after %d were kept, error %v", len(cells), played, kept, err)
+	}
+	whole, err := s.Run(context.Background(), filepath.Join(t.TempDir(), "results"), 4, silent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range cells {
+		if cells[i].Result.Trace != whole[i].Result.Trace || cells[i].Result.Tally != whole[i].Result.Tally {
+			t.Errorf("%s on %s, seed %d differs from a run in one go", cells[i].Variant, cells[i].Day, cells[i].Seed)
+		}
+	}
+}
+
+func TestAVariantThatCrashesIsToldAndTheOthersGoOn(t *testing.T) {
+	s := parse(t, strings.Replace(short, "  policy random\n", "  program /does/not/exist\n", 1))
+	cells, err := s.Run(context.Background(), filepath.Join(t.TempDir(), "results"), 2, silent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	failed := 0
+	for i := range cells {
+		if c := &cells[i]; (c.Failed != "") != (c.Variant == "random") || c.Failed != "" && c.Service() != 0 {
+			t.Errorf("%s: %q, service %.3f", c.Variant, c.Failed, c.Service())
+		} else if c.Failed != "" {
+			failed++
+		}
+	}
+	if failed != 6 {
+		t.Errorf("%d runs failed", failed)
+	}
+}
+
+// cells makes runs with services that a test names, by variant and seed on one day.
+func made(s *Spec, service map[string][]float64) (list []Cell) {
+	for name, values := range service {
+		for i, v := range values {
+			r := sim.Result{Score: audit.Score{Asked: 1, Got: v}}
+			list = append(list, Cell{Variant: name, Day: "quiet", Seed: uint64(s.First + i), Result: r})
+		}
+	}
+	return list
+}
+
+func TestVerdictsFollowTheSpread(t *testing.T) {
+	s := parse(t, strings.Replace(short, "seeds 3", "seeds 8", 1))
+	first := []float64{0.5, 0.7, 0.6, 0.9, 0.4, 0.8, 0.55, 0.65} // days differ far more than variants
+	shifted := func(by, spread float64) (out []float64) {
+		for i, x := range first {
+			out = append(out, x+by+spread*float64(i%2*2-1))
+		}
+		return out
+	}
+	for _, x := range []struct {
+		by, spread float64
+		want       Verdict
+	}{{0.02, 0.005, Better}, {-0.02, 0.005, Worse}, {0.002, 0.05, Alike}, {0, 0, Alike}} {
+		list := s.CompareDay(made(s, map[string][]float64{"module": first, "random": shifted(x.by, x.spread)}), "quiet")
+		c := list[1]
+		if c.Verdict != x.want || c.Low > c.Effect || c.High < c.Effect {
+			t.Errorf("by %v, spread %v: %+v", x.by, x.spread, c)
+		}
+		if (x.spread == 0.05) != (c.More > 0) {
+			t.Errorf("by %v, spread %v: %d more seeds", x.by, x.spread, c.More)
+		}
+	}
+}
+
+// TestIntervalsHoldWhatTheySay: of 95% intervals over pairs without a difference, about 95% hold 0.
+func TestIntervalsHoldWhatTheySay(t *testing.T) {
+	rng, misses, rounds := rand.New(rand.NewPCG(7, 7)), 0, 400
+	for range rounds {
+		var diffs []float64
+		for range 16 {
+			diffs = append(diffs, rng.NormFloat64())
+		}
+		var c Comparison
+		c.judge([][]float64{diffs})
+		if c.Verdict != Alike {
+			misses++
+		}
+	}
+	if share := float64(misses) / float64(rounds); share < 0.02 || share > 0.12 {
+		t.Errorf("%.3f of intervals miss", share)
+	}
+}
+
+func TestARunWithABrokenRuleCountsForNothing(t *testing.T) {
+	s := parse(t, short)
+	cells := made(s, map[string][]float64{"module": {0.9, 0.9, 0.9}, "random": {0.9, 0.9, 0.9}})
+	for i := range cells {
+		if cells[i].Variant == "random" {
+			cells[i].Result.Breaks = []audit.Break{{Rule: "cold", What: "x"}}
+		}
+	}
+	c := s.CompareDay(cells, "quiet")[1]
+	if c.Mean != 0 || c.Broken != 3 || c.Verdict != Worse {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestSettingsAreOverriddenOutsideBlocksOnly(t *testing.T) {
+	got := override("keep-alive 10s\nclass a\n  aim 1s\nend\naim 3s\n", []string{"keep-alive 5s", "aim 2s"})
+	if want := "class a\n  aim 1s\nend\n\nkeep-alive 5s\naim 2s\n"; got != want {
+		t.Errorf("%q", got)
+	}
+}
--- a/lab/fleet/play.go
+++ b/lab/fleet/play.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
 	"havencart/control"
+	"havencart/lab/client"
 	"havencart/lab/load"
 	"havencart/lab/model"
 	"havencart/lab/script"
@@ -95,24 +95,17 @@
 // all have ended. It returns the clients' calls by how they ended, repeats counted as one.
 func (f *Fleet) Run(ctx context.Context, m load.Mix, d time.Duration, seed uint64) map[string]int {
 	source := f.Source(m, d, seed)
-	var tasks sync.WaitGroup
 	var mu sync.Mutex
 	seen := map[string]int{}
-	began := time.Now()
-	for n := 0; ; n++ {
-		source.Leaving(f.Clients.leaving())
-		at, call, more := source.Next()
-		if !more || !sleep(ctx, at-time.Since(began)) {
-			break
-		}
-		tasks.Go(func() {
-			outcome := f.persist(ctx, call, n, m)
+	client.Runner{Mix: m, Fronts: len(f.FrontEnds), Pools: func(i int) *client.Pool { return f.FrontEnds[i].Pool() },
+		Next: func() (time.Duration, load.Call, bool) {
+			source.Leaving(f.Clients.leaving())
+			return source.Next()
+		}, Observe: func(o client.Observation) {
 			mu.Lock()
 			defer mu.Unlock()
-			seen[outcome]++
-		})
-	}
-	tasks.Wait()
+			seen[o.Outcome]++
+		}}.Run(ctx)
 	return seen
 }
 
@@ -128,31 +121,3 @@
 	}
 	return load.NewSource(m, d, classes, tenants, shares, seed)
 }
-
-// sleep returns false where ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(max(0, d))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// persist makes a call and repeats it by the clients' habit, each time through the next front end.
-func (f *Fleet) persist(ctx context.Context, c load.Call, front int, m load.Mix) string {
-	id := c.ID
-	for try := 0; ; try++ {
-		c.ID = fmt.Sprintf("%s.%d", id, try)
-		seen, err := f.FrontEnds[(front+try)%len(f.FrontEnds)].Pool().Do(c)
-		if err != nil {
-			seen.Outcome = "unreachable"
-		}
-		wait, again := m.Again(try, seen.Outcome, seen.RetryAfter)
-		if !again || c.LeaveAfter > 0 || !sleep(ctx, wait) {
-			return seen.Outcome
-		}
-	}
-}
--- /dev/null
+++ b/lab/report/report_test.go
@@ -0,0 +1,80 @@
+package report
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"html"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"havencart/lab/audit"
+	"havencart/lab/experiment"
+)
+
+func made(t *testing.T) Report {
+	t.Helper()
+	spec, err := experiment.Parse("spec", "title \"a <test>\"\nseeds 2\nvariant module\nend\nvariant random\npolicy random\nend\n"+
+		"day crash\nlasts 4s\nrate 60\nat 1s crash 30% for 1s\nend\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cells, err := spec.Run(context.Background(), filepath.Join(t.TempDir(), "results"), 2, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Report{spec, cells}
+}
+
+// TestTotalsAreTheAuditorsOwn holds text and page to the tallies of the runs, added up here once more.
+func TestTotalsAreTheAuditorsOwn(t *testing.T) {
+	r := made(t)
+	var text, page bytes.Buffer
+	r.Text(&text)
+	if err := r.HTML(&page); err != nil {
+		t.Fatal(err)
+	}
+	for _, variant := range []string{"module", "random"} {
+		var sum audit.Tally
+		for _, c := range r.Cells {
+			if c.Variant == variant {
+				x := c.Result.Tally
+				sum.Asked, sum.Served, sum.Refused = sum.Asked+x.Asked, sum.Served+x.Served, sum.Refused+x.Refused
+				sum.Failed, sum.Left, sum.Killed = sum.Failed+x.Failed, sum.Left+x.Left, sum.Killed+x.Killed
+				sum.Attempts, sum.Runs, sum.Orders = sum.Attempts+x.Attempts, sum.Runs+x.Runs, sum.Orders+x.Orders
+			}
+		}
+		want := fmt.Sprint(sum)
+		if sum.Asked == 0 || !strings.Contains(text.String(), want) || !strings.Contains(html.UnescapeString(page.String()), want) {
+			t.Errorf("%s: no %q", variant, want)
+		}
+	}
+}
+
+func TestThePageNeedsNothingBesideIt(t *testing.T) {
+	var page bytes.Buffer
+	if err := made(t).HTML(&page); err != nil {
+		t.Fatal(err)
+	}
+	text := page.String()
+	for _, bad := range []string{"src=", "href=", "<script", "a <test>"} {
+		if strings.Contains(text, bad) {
+			t.Errorf("the page has %q", bad)
+		}
+	}
+	if n := strings.Count(text, "<svg"); n != 1+len(series) {
+		t.Errorf("%d plots", n)
+	}
+}
+
+func TestBrokenRulesLeadTheReport(t *testing.T) {
+	r := made(t)
+	r.Cells[0].Result.Breaks = []audit.Break{{Rule: "twice", What: "an effect"}}
+	var text bytes.Buffer
+	r.Text(&text)
+	broken, table := strings.Index(text.String(), "broke rule twice"), strings.Index(text.String(), "all days")
+	if broken < 0 || broken > table {
+		t.Errorf("broken at %d, first table at %d", broken, table)
+	}
+}
