--- a/lab/experiment/stats.go
+++ b/lab/experiment/stats.go
@@ -27,6 +27,7 @@
 type Comparison struct {
 	Variant   string
 	Mean      float64 // service
+	Goodput   float64 // worth got a second, where no rule broke
 	Effect    float64 // mean difference to the first
 	Low, High float64 // 95% interval of it, by the paired bootstrap
 	Verdict   Verdict
@@ -51,6 +52,7 @@
 		seed uint64
 	}
 	service := map[string]map[run]float64{}
+	worth := map[string][]float64{}
 	broken := map[string]int{}
 	for i := range cells {
 		c := &cells[i]
@@ -61,6 +63,9 @@
 			service[c.Variant] = map[run]float64{}
 		}
 		service[c.Variant][run{c.Day, c.Seed}] = c.Service()
+		if seconds := len(c.Result.Score.Seconds); seconds > 0 && c.Service() > 0 {
+			worth[c.Variant] = append(worth[c.Variant], c.Result.Score.Got/float64(seconds))
+		}
 		if c.Failed != "" || len(c.Result.Breaks) > 0 {
 			broken[c.Variant]++
 		}
@@ -84,6 +89,9 @@
 			}
 		}
 		c := Comparison{Variant: v.Name, Mean: stat.Mean(all, nil), Broken: broken[v.Name]}
+		if len(worth[v.Name]) > 0 {
+			c.Goodput = stat.Mean(worth[v.Name], nil)
+		}
 		c.judge(byDay)
 		list = append(list, c)
 	}
--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -82,9 +82,9 @@
 	for _, c := range list {
 		top = max(top, c.Mean)
 	}
-	fmt.Fprintf(out, "%s\n  %-14s %7s %9s %20s %7s  %s\n", title, "variant", "service", "to first", "95% interval", "of top", "verdict")
+	fmt.Fprintf(out, "%s\n  %-14s %7s %8s %9s %20s %7s  %s\n", title, "variant", "service", "worth/s", "to first", "95% interval", "of top", "verdict")
 	for i, c := range list {
-		fmt.Fprintf(out, "  %-14s %7.3f %+9.3f %20s %7.2f  %s\n", c.Variant, c.Mean, c.Effect,
+		fmt.Fprintf(out, "  %-14s %7.3f %8.0f %+9.3f %20s %7.2f  %s\n", c.Variant, c.Mean, c.Goodput, c.Effect,
 			fmt.Sprintf("%+.3f to %+.3f", c.Low, c.High), share(c.Mean, top), verdict(i, c))
 	}
 	fmt.Fprintln(out)
@@ -323,8 +323,8 @@
 <h1>{{.Title}}</h1>
 {{if .Broken}}<div class="broken"><b>{{len .Broken}} runs count for nothing</b><ul>{{range .Broken}}<li>{{.}}</li>{{end}}</ul></div>{{end}}
 <p>{{.Seeds}} seeds a day; all emulated, in virtual time. Service is the worth answered in time over the worth asked.</p>
-{{define "table"}}<h3>{{.Title}}</h3><table><tr><th>variant</th><th>service</th><th>to the first</th><th>95% interval</th><th>broken</th><th>verdict</th></tr>
-{{range .Rows}}<tr><td>{{.Variant}}</td><td>{{printf "%.3f" .Mean}}</td><td>{{printf "%+.3f" .Effect}}</td><td>{{printf "%+.3f to %+.3f" .Low .High}}</td><td>{{.Broken}}</td><td>{{.Verdict}}{{if .More}} ({{.More}} more seeds a day would){{end}}</td></tr>{{end}}</table>{{end}}
+{{define "table"}}<h3>{{.Title}}</h3><table><tr><th>variant</th><th>service</th><th>worth a second</th><th>to the first</th><th>95% interval</th><th>broken</th><th>verdict</th></tr>
+{{range .Rows}}<tr><td>{{.Variant}}</td><td>{{printf "%.3f" .Mean}}</td><td>{{printf "%.0f" .Goodput}}</td><td>{{printf "%+.3f" .Effect}}</td><td>{{printf "%+.3f to %+.3f" .Low .High}}</td><td>{{.Broken}}</td><td>{{.Verdict}}{{if .More}} ({{.More}} more seeds a day would){{end}}</td></tr>{{end}}</table>{{end}}
 {{range .Tables}}{{template "table" .}}{{end}}
 <h3>Totals by the auditor</h3><ul>{{range .Totals}}<li>{{.}}</li>{{end}}</ul>
 {{range .Days}}<h2>Day {{.Name}}</h2>{{template "table" .Table}}
