A run's result no longer holds the whole run alive; experiments keep hundreds of them

Cause: the result had a copy of the store's model, whose jobs reach the clock and all else, some 50 MB and more a run; 500 runs took all memory of the machine. Only the totals are kept. A test holds that a run can be freed.

--- a/lab/model/store.go
+++ b/lab/model/store.go
@@ -22,9 +22,12 @@
 	asked  []time.Duration // since FallAfter ago: when, and
 	work   []time.Duration // how much
 
-	Fetches, Refused, Falls int
+	StoreTotals
 }
 
+// StoreTotals count what was asked of a Store.
+type StoreTotals struct{ Fetches, Refused, Falls int }
+
 // NewStore returns a Store at work.
 func NewStore(c Clock, cfg StoreConfig) *Store {
 	return &Store{cfg: cfg, clock: c, shared: NewShared(c, cfg.Places)}
--- a/lab/sim/link_test.go
+++ b/lab/sim/link_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"runtime"
 	"testing"
 	"time"
 )
@@ -21,3 +22,33 @@
 		t.Errorf("%d events are set", n)
 	}
 }
+
+// TestAResultKeepsNothingOfItsRun guards against results that hold the whole installation alive: an experiment
+// keeps hundreds of them.
+func TestAResultKeepsNothingOfItsRun(t *testing.T) {
+	cfg := small(t, "", 2*time.Second)
+	s, err := newSim(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.play(); err != nil {
+		t.Fatal(err)
+	}
+	freed := make(chan struct{})
+	runtime.AddCleanup(s, func(c chan struct{}) { close(c) }, freed)
+	r := s.result()
+	s = nil
+	for i := 0; ; i++ {
+		runtime.GC()
+		select {
+		case <-freed:
+		case <-time.After(10 * time.Millisecond): // cleanups run soon after a collection
+			if i < 500 {
+				continue
+			}
+			t.Fatal("the run is still held")
+		}
+		break
+	}
+	runtime.KeepAlive(r)
+}
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -54,8 +54,8 @@
 	Breaks []audit.Break
 	Score  audit.Score
 	Counts gateway.Counts
-	Store  model.Store // its totals
-	Trace  uint64      // a hash of every action, answer and time: equal for equal runs
+	Store  model.StoreTotals
+	Trace  uint64 // a hash of every action, answer and time: equal for equal runs
 	Seen   map[string]int
 	Series []Sample
 	Told   []string // troubles and the front ends' logs, as they came; the first few hundred
@@ -259,7 +259,7 @@
 
 func (s *Sim) result() Result {
 	terms := audit.TermsOf(s.set, 2*s.cfg.Net)
-	r := Result{Score: s.book.Score(terms.Classes), Store: *s.store, Seen: s.seen, Series: s.series, Told: s.told}
+	r := Result{Score: s.book.Score(terms.Classes), Store: s.store.StoreTotals, Seen: s.seen, Series: s.series, Told: s.told}
 	r.Breaks, r.Tally = s.book.Judge(terms)
 	for _, f := range s.fronts {
 		if f.alive {
