--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -29,3 +29,16 @@
 		}
 	}
 }
+
+// BenchmarkShed is the loop's part of a call that is refused because the loop is behind.
+func BenchmarkShed(b *testing.B) {
+	f := newBench(&testing.T{}, 8, nil)
+	at := f.at
+	b.ReportAllocs()
+	for b.Loop() {
+		c := NewCall()
+		c.Since, c.queued, c.Patience, c.Copy = at-50*ms, at-50*ms, 2e9, workerwire.Copy{Function: "f", MemoryMB: 100, Lanes: 64}
+		at += 20000
+		f.Arrive(at, c)
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -49,6 +49,7 @@
 	Patience time.Duration // until the client gives up, counted from Since
 	Since    time.Duration // when the client began, on the loop's clock
 
+	queued   time.Duration // when it came into the loop's queue; 0: it waited in none
 	answer   chan Final
 	deliver  func(Final)
 	state    callState
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -11,6 +11,7 @@
 
 	"havencart/control"
 	"havencart/internal/decide/roster"
+	"havencart/internal/decide/shed"
 	"havencart/internal/directory"
 	"havencart/internal/workerlink"
 	"havencart/internal/workerwire"
@@ -83,6 +84,7 @@
 	log     zerolog.Logger
 	module  Module
 	roster  *roster.Roster
+	shed    shed.Shed
 	now     time.Duration
 	timers  timers
 	later   []func() // what came back at once; told after the module's turn
@@ -202,9 +204,12 @@
 func (f *Front) Arrive(now time.Duration, c *Call) {
 	f.now = now
 	c.deadline = c.Since + c.Patience - f.set.Margin
+	behind := c.queued > 0 && f.shed.Arrived(now, now-c.queued)
 	switch {
 	case f.closing:
 		f.turnAway(c, "this front end is closing")
+	case behind:
+		f.turnAway(c, "this front end is behind")
 	case len(f.calls) >= f.set.MaxCalls:
 		f.turnAway(c, "too many calls in hand")
 	case c.deadline <= now:
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -26,6 +26,8 @@
 	canceled []*workerlink.Attempt
 	drained  bool
 	stopped  bool
+	probes   int
+	unloads  int
 	holds    bool // what is sent stays in the write buffer
 	turns    *workerlink.Result
 }
@@ -60,8 +62,8 @@
 
 func (l *fakeLink) Load(o *workerlink.Order) control.Status { l.orders = append(l.orders, o); return 0 }
 func (l *fakeLink) AbandonOrder(*workerlink.Order)          {}
-func (l *fakeLink) Unload(string)                           {}
-func (l *fakeLink) Probe()                                  {}
+func (l *fakeLink) Unload(string)                           { l.unloads++ }
+func (l *fakeLink) Probe()                                  { l.probes++ }
 func (l *fakeLink) Resume()                                 { l.drained = false }
 func (l *fakeLink) Busy() bool                              { return len(l.queued)+len(l.left) > 0 }
 func (l *fakeLink) Stop()                                   { l.stopped = true }
@@ -464,3 +466,37 @@
 		t.Errorf("%d orders are still awaited", len(b.orders))
 	}
 }
+
+// TestALoopThatIsBehindRefusesWhatWaited: the module is not asked, so that the queue empties.
+func TestALoopThatIsBehindRefusesWhatWaited(t *testing.T) {
+	b := newBench(t, 1, nil)
+	behind := func() *Call {
+		c := NewCall()
+		c.Since, c.queued, c.Patience, c.Copy = b.at-50*ms, b.at-50*ms, 2*time.Second, workerwire.Copy{Function: "f"}
+		b.Arrive(b.at, c)
+		return c
+	}
+	b.want(behind(), 0) // a burst
+	b.pass(200 * ms)
+	taken := b.Counts().Taken
+	b.want(behind(), Refused)
+	if b.Counts().Taken != taken {
+		t.Error("it was taken")
+	}
+	b.want(b.call(safe), 0) // waited in no queue
+}
+
+// TestProbesAndUnloadsAreCarriedOut: the module asks for none today, a later one may.
+func TestProbesAndUnloadsAreCarriedOut(t *testing.T) {
+	b := newBench(t, 1, nil)
+	c := b.call(safe)
+	id, l := WorkerID("w0"), b.links["w0"]
+	b.Probe(id)
+	b.Unload(id, FunctionID("f"))
+	if l.probes != 1 || l.unloads != 1 || b.Counts().Probes != 1 {
+		t.Errorf("%d probes, %d unloads", l.probes, l.unloads)
+	}
+	b.Probed(b.at, id, control.OK, nil)
+	b.Probed(b.at, id, control.OK, nil) // one that was not asked for
+	b.end(c, control.OK)
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -46,6 +46,7 @@
 // Submit hands a call over; its final answer comes on c.Answer. A loop whose queue is full, or that has ended,
 // refuses at once.
 func (l *Loop) Submit(c *Call) {
+	c.queued = l.Now()
 	select {
 	case <-l.done:
 	default:
