--- /dev/null
+++ b/lab/hunt/hunt.go
@@ -0,0 +1,284 @@
+// Package hunt searches for bad days: scripts of troubles on which the module stands far below the oracle, or
+// on which a rule breaks. Scripts are drawn at random and mutated, the worst are kept, and each find is shrunk
+// to what matters. It is seeded: the same hunt finds the same days.
+package hunt
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"havencart/lab/script"
+	"havencart/lab/sim"
+)
+
+// Config says where to hunt.
+type Config struct {
+	Base     sim.Config // the installation, without troubles
+	Rounds   int        // of mutation
+	Width    int        // scripts tried in each round
+	Keep     int        // finds
+	Seed     uint64
+	Parallel int
+	Tell     func(string)
+}
+
+// Find is a bad day.
+type Find struct {
+	Troubles       []script.Trouble
+	Module, Oracle float64 // service
+	Broken         string  // a rule that the module broke, and how
+}
+
+// Score is how bad the day is: the distance from the oracle, and far more where a rule broke.
+func (f Find) Score() float64 {
+	if f.Broken != "" {
+		return 10
+	}
+	return f.Oracle - f.Module
+}
+
+// Text is the find as a script.
+func (f Find) Text() string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "# Found by a hunt and shrunk: module %.3f, oracle %.3f when it was found (emulated).\n", f.Module, f.Oracle)
+	if f.Broken != "" {
+		fmt.Fprintf(&out, "# Broke a rule: %s\n", f.Broken)
+	}
+	for _, t := range f.Troubles {
+		out.WriteString(script.Format(t) + "\n")
+	}
+	return out.String()
+}
+
+// Run hunts and returns the finds, the worst first.
+func Run(ctx context.Context, cfg Config) ([]Find, error) {
+	h := &hunter{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0x68756e74))}
+	for round := range cfg.Rounds {
+		if ctx.Err() != nil {
+			break
+		}
+		if err := h.round(); err != nil {
+			return nil, err
+		}
+		cfg.Tell(fmt.Sprintf("round %d: worst by %.3f, of %d kept", round+1, h.best[0].Score(), len(h.best)))
+	}
+	for i := range h.best {
+		if ctx.Err() != nil {
+			break
+		}
+		f, err := h.shrink(h.best[i])
+		if err != nil {
+			return nil, err
+		}
+		h.best[i] = f
+	}
+	h.sort()
+	return slices.CompactFunc(h.best, func(a, b Find) bool { return a.Text() == b.Text() }), nil
+}
+
+// sort puts the worst days first.
+func (h *hunter) sort() {
+	slices.SortStableFunc(h.best, func(a, b Find) int { return cmp.Compare(b.Score(), a.Score()) })
+}
+
+type hunter struct {
+	cfg  Config
+	rng  *rand.Rand
+	best []Find
+}
+
+// round tries new scripts, half of them mutations of what was found, and keeps the worst of different kinds.
+func (h *hunter) round() error {
+	var tries [][]script.Trouble
+	for i := range h.cfg.Width {
+		if i%2 == 0 || len(h.best) == 0 {
+			tries = append(tries, h.draw())
+		} else {
+			tries = append(tries, h.mutate(h.best[h.rng.IntN(len(h.best))].Troubles))
+		}
+	}
+	finds, err := h.all(tries)
+	if err != nil {
+		return err
+	}
+	h.best = append(h.best, finds...)
+	h.sort()
+	kinds := map[string]bool{}
+	h.best = slices.DeleteFunc(h.best, func(f Find) bool {
+		k := kind(f.Troubles)
+		seen := kinds[k]
+		kinds[k] = true
+		return seen
+	})
+	h.best = h.best[:min(len(h.best), h.cfg.Keep)]
+	return nil
+}
+
+// kind tells scripts apart by what they are made of, so that one trouble does not fill all places.
+func kind(list []script.Trouble) string {
+	var verbs []string
+	for _, t := range list {
+		verbs = append(verbs, t.Verb)
+	}
+	slices.Sort(verbs)
+	return strings.Join(slices.Compact(verbs), " ")
+}
+
+// all judges scripts, several at a time; the order of the result is theirs.
+func (h *hunter) all(tries [][]script.Trouble) ([]Find, error) {
+	finds, errs := make([]Find, len(tries)), make([]error, len(tries))
+	var tasks sync.WaitGroup
+	slots := make(chan struct{}, max(1, h.cfg.Parallel))
+	for i, t := range tries {
+		slots <- struct{}{}
+		tasks.Go(func() {
+			finds[i], errs[i] = h.judge(t)
+			<-slots
+		})
+	}
+	tasks.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return finds, nil
+}
+
+// judge plays a script with the module and with the oracle.
+func (h *hunter) judge(troubles []script.Trouble) (Find, error) {
+	cfg := h.cfg.Base
+	cfg.Troubles = troubles
+	module, err := sim.Run(cfg)
+	if err != nil {
+		return Find{}, err
+	}
+	cfg.Policy = "oracle"
+	oracle, err := sim.Run(cfg)
+	if err != nil {
+		return Find{}, err
+	}
+	f := Find{Troubles: troubles, Module: module.Score.Service(), Oracle: oracle.Score.Service()}
+	switch {
+	case len(module.Breaks) > 0:
+		f.Broken = module.Breaks[0].Rule + ": " + module.Breaks[0].What
+	case !module.Tally.Balanced():
+		f.Broken = "lost: " + module.Tally.String()
+	}
+	return f, nil
+}
+
+// verbs that a hunt uses. Kills of front ends and lists that are partial say little of the decisions.
+var verbs = []string{"crash", "deploy", "fail", "hang", "pause", "slow", "reset", "flush", "store-stop", "store-slow",
+	"directory-lag", "directory-down", "leave"}
+
+func (h *hunter) draw() (list []script.Trouble) {
+	for range 1 + h.rng.IntN(4) {
+		list = append(list, h.trouble())
+	}
+	return sorted(list)
+}
+
+func sorted(list []script.Trouble) []script.Trouble {
+	slices.SortStableFunc(list, func(a, b script.Trouble) int { return int(a.At - b.At) })
+	return list
+}
+
+// trouble draws one trouble, in tenths of a second and whole percents.
+func (h *hunter) trouble() script.Trouble {
+	t := script.Trouble{Verb: verbs[h.rng.IntN(len(verbs))]}
+	lasts := int(h.cfg.Base.Lasts / (100 * time.Millisecond))
+	t.At = h.tenths(lasts/20, lasts*3/4)
+	takes := script.Takes(t.Verb)
+	if takes["share"] {
+		t.Share = float64(5+h.rng.IntN(46)) / 100
+		if t.Verb == "deploy" || t.Verb == "flush" {
+			t.Share = float64(30+h.rng.IntN(71)) / 100
+		}
+	}
+	if takes["rate"] {
+		t.Factor = float64(3+h.rng.IntN(8)) / 10
+	}
+	if takes["factor"] {
+		t.Factor = float64(2 + h.rng.IntN(8))
+	}
+	if takes["for"] {
+		t.For = h.tenths(3, lasts/3)
+		if t.Verb == "pause" {
+			t.For = h.tenths(2, 8)
+		}
+	}
+	if takes["over"] {
+		t.Over = h.tenths(10, lasts/2)
+	}
+	if takes["drain"] {
+		t.Drain = h.tenths(2, 20)
+	}
+	if takes["by"] {
+		t.By = h.tenths(5, 50)
+	}
+	return t
+}
+
+func (h *hunter) tenths(from, to int) time.Duration {
+	return time.Duration(from+h.rng.IntN(max(1, to-from))) * 100 * time.Millisecond
+}
+
+// mutate changes, adds or takes away a trouble.
+func (h *hunter) mutate(list []script.Trouble) []script.Trouble {
+	list = slices.Clone(list)
+	i := h.rng.IntN(len(list))
+	switch x := h.rng.IntN(4); {
+	case x == 0 && len(list) < 6:
+		list = append(list, h.trouble())
+	case x == 1 && len(list) > 1:
+		list = slices.Delete(list, i, i+1)
+	case x == 2:
+		list[i] = h.trouble()
+	default:
+		fresh := h.trouble()
+		list[i].At = fresh.At
+		if list[i].For > 0 {
+			list[i].For = list[i].For * time.Duration(5+h.rng.IntN(11)) / 10
+		}
+	}
+	return sorted(list)
+}
+
+// mattersStill is the part of a find's score that a smaller script must keep.
+const mattersStill = 0.9
+
+// shrink takes away what the find does not need: whole troubles, then halves of their times.
+func (h *hunter) shrink(f Find) (Find, error) {
+	for again := true; again; {
+		again = false
+		var tries [][]script.Trouble
+		for i := range f.Troubles {
+			if len(f.Troubles) > 1 {
+				tries = append(tries, slices.Delete(slices.Clone(f.Troubles), i, i+1))
+			}
+			if t := f.Troubles[i]; t.For > time.Second {
+				list := slices.Clone(f.Troubles)
+				list[i].For = (t.For / 2).Round(100 * time.Millisecond)
+				tries = append(tries, list)
+			}
+		}
+		finds, err := h.all(tries)
+		if err != nil {
+			return f, err
+		}
+		for _, smaller := range finds {
+			if smaller.Score() >= mattersStill*f.Score() {
+				f, again = smaller, true
+				break
+			}
+		}
+	}
+	return f, nil
+}
