One piece each for a class's conversion, a load's time and the clients of settings

The settings' class was turned into the module's in the gateway and in the auditor, a copy's load time in four places, and fleet and virtual time each drew up the same source of clients. Each is now one function beside its type. An unused field and an unused import guard are gone. Behaviour is as it was.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -78,6 +78,12 @@
 	Load   time.Duration
 }
 
+// Control is the class as the module has it.
+func (c Class) Control() control.Class {
+	return control.Class{Aim: c.Aim, Deadline: c.GiveUp, Worth: c.Worth, LateWorth: c.Late, Repeat: c.Repeat, Scope: c.Scope,
+		Memory: c.Memory}
+}
+
 // Tenant is one customer.
 type Tenant struct {
 	Name  string
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -252,7 +252,7 @@
 	f.timers.set(&c.timer)
 	f.module.Arrive(f.now, control.Request{ID: c.id, Class: c.Class, Tenant: c.Tenant, Function: id,
 		Budget: c.deadline - f.now, Cost: c.Cost, MemoryMB: c.Copy.MemoryMB, Lanes: c.Copy.Lanes,
-		LoadTime: time.Duration(c.Copy.LoadMillis * float64(time.Millisecond))})
+		LoadTime: c.Copy.LoadTime()})
 }
 
 // Left takes the news that a call's client is gone. It may come at any time, also after the final answer: then
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -163,8 +163,7 @@
 		Resolution: time.Millisecond, Reports: reportNames}
 	for _, c := range set.Classes {
 		out.Classes = append(out.Classes, c.Name)
-		out.Control.Classes = append(out.Control.Classes, control.Class{Aim: c.Aim, Deadline: c.GiveUp, Worth: c.Worth,
-			LateWorth: c.Late, Repeat: c.Repeat, Scope: c.Scope, Memory: c.Memory})
+		out.Control.Classes = append(out.Control.Classes, c.Control())
 	}
 	for _, t := range set.Tenants {
 		out.Tenants = append(out.Tenants, t.Name)
--- a/internal/workerwire/messages.go
+++ b/internal/workerwire/messages.go
@@ -1,5 +1,7 @@
 package workerwire
 
+import "time"
+
 // Version is the protocol version that this code speaks. A peer of another version is told so and left.
 const Version = 1
 
@@ -87,6 +89,11 @@
 	LoadMillis float64 `cbor:"4,keyasint,omitempty"` // usual time of a load, 0 if not told
 }
 
+// LoadTime is the usual time of a load, 0 if not told.
+func (c Copy) LoadTime() time.Duration {
+	return time.Duration(c.LoadMillis * float64(time.Millisecond))
+}
+
 // Call is one attempt of a call.
 type Call struct {
 	Copy     Copy   `cbor:"1,keyasint"`
--- a/lab/audit/judge.go
+++ b/lab/audit/judge.go
@@ -27,8 +27,7 @@
 	terms := Terms{Classes: map[string]control.Class{}, DrainGrace: s.DrainGrace, LoadWindow: s.LoadWindow,
 		LoadFree: s.LoadFree, LoadShare: s.LoadShare, Slack: slack}
 	for _, c := range s.Classes {
-		terms.Classes[c.Name] = control.Class{Aim: c.Aim, Deadline: c.GiveUp, Worth: c.Worth, LateWorth: c.Late,
-			Repeat: c.Repeat, Scope: c.Scope, Memory: c.Memory}
+		terms.Classes[c.Name] = c.Control()
 	}
 	return terms
 }
--- a/lab/fleet/play.go
+++ b/lab/fleet/play.go
@@ -94,7 +94,7 @@
 // Run makes calls as m says for d, arrivals drawn from seed whatever becomes of earlier ones, and returns when
 // all have ended. It returns the clients' calls by how they ended, repeats counted as one.
 func (f *Fleet) Run(ctx context.Context, m load.Mix, d time.Duration, seed uint64) map[string]int {
-	source := f.Source(m, d, seed)
+	source := load.ForSettings(m, d, f.Settings, seed)
 	var mu sync.Mutex
 	seen := map[string]int{}
 	client.Runner{Mix: m, Fronts: len(f.FrontEnds), Pools: func(i int) *client.Pool { return f.FrontEnds[i].Pool() },
@@ -108,16 +108,3 @@
 		}}.Run(ctx)
 	return seen
 }
-
-// Source draws the calls of m for the classes and tenants of the Fleet's settings.
-func (f *Fleet) Source(m load.Mix, d time.Duration, seed uint64) *load.Source {
-	var classes, tenants []string
-	var shares []float64
-	for _, c := range f.Settings.Classes {
-		classes = append(classes, c.Name)
-	}
-	for _, t := range f.Settings.Tenants {
-		tenants, shares = append(tenants, t.Name), append(shares, t.Share)
-	}
-	return load.NewSource(m, d, classes, tenants, shares, seed)
-}
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -8,6 +8,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"havencart/internal/config"
 )
 
 // Call is what a client asks for.
@@ -89,6 +91,19 @@
 		zipf: rand.NewZipf(rng, cmp.Or(m.Zipf, 1.3), 2, uint64(max(1, m.Functions)-1))}
 }
 
+// ForSettings returns the calls that a run draws for the classes and tenants of settings.
+func ForSettings(m Mix, lasts time.Duration, set *config.Settings, seed uint64) *Source {
+	var classes, tenants []string
+	var shares []float64
+	for _, c := range set.Classes {
+		classes = append(classes, c.Name)
+	}
+	for _, t := range set.Tenants {
+		tenants, shares = append(tenants, t.Name), append(shares, t.Share)
+	}
+	return NewSource(m, lasts, classes, tenants, shares, seed)
+}
+
 // Leaving makes a share of the clients leave early from now on.
 func (s *Source) Leaving(share float64) { s.leaving = share }
 
--- a/lab/measure/measure.go
+++ b/lab/measure/measure.go
@@ -25,7 +25,6 @@
 
 	"havencart/internal/config"
 	"havencart/internal/gateway"
-	"havencart/lab/audit"
 	"havencart/lab/directory"
 	"havencart/lab/model"
 	"havencart/lab/origin"
@@ -150,8 +149,6 @@
 func (quiet) Ordered(*model.Worker, string, string, int)         {}
 func (quiet) Fell(*model.Worker)                                 {}
 
-var _ = []model.Observer{quiet{}, (*audit.Book)(nil)}
-
 // worker starts one emulated worker in a world of its own, with an HTTP face beside its socket.
 func (r *rig) worker(i int) (*worker.Server, string, error) {
 	world := model.NewWorld()
--- a/lab/model/worker.go
+++ b/lab/model/worker.go
@@ -106,7 +106,6 @@
 	waiting   []*work
 	running   []*work
 	received  []arrived // while cold, for the tip-over
-	served    float64   // mean work received, for what a call weighs
 	life      int
 	start     time.Duration
 	up        bool
--- a/lab/sim/link.go
+++ b/lab/sim/link.go
@@ -200,7 +200,7 @@
 	work, _ := worker.ParseBody(string(a.Body), 0)
 	l.worker.Handle(&model.Call{ID: c.ID, Attempt: c.Attempt, FrontEnd: l.front.name, Class: c.Class, Key: c.Key,
 		Function: c.Copy.Function, MemoryMB: c.Copy.MemoryMB, Lanes: max(1, c.Copy.Lanes), Work: work, Expires: a.Deadline,
-		Load: time.Duration(c.Copy.LoadMillis * float64(time.Millisecond))}, func(r model.Answer) {
+		Load: c.Copy.LoadTime()}, func(r model.Answer) {
 		l.from(func() { l.answered(a, r) })
 	})
 }
@@ -224,7 +224,7 @@
 func (l *link) order(o *workerlink.Order) {
 	c := o.Load.Copy
 	l.worker.Order(l.front.name, c.Function, o.Load.Copies, c.MemoryMB, max(1, c.Lanes),
-		time.Duration(c.LoadMillis*float64(time.Millisecond)), func(r model.Outcome, copies int) {
+		c.LoadTime(), func(r model.Outcome, copies int) {
 			l.from(func() {
 				if !slices.Contains(l.orders, o) {
 					return
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -202,7 +202,7 @@
 		s.fronts = append(s.fronts, &front{sim: s, number: i, name: fmt.Sprintf("fe-%d", i)})
 		s.fronts[i].start()
 	}
-	s.source = s.newSource()
+	s.source = load.ForSettings(cfg.Mix, cfg.Lasts, set, cfg.Seed)
 	return s, nil
 }
 
@@ -229,18 +229,6 @@
 	return w.Estimate(t.s.functions[f], r.MemoryMB, r.Lanes, r.LoadTime, t.s.cfg.Mix.Work, t.s.store)
 }
 
-func (s *Sim) newSource() *load.Source {
-	var classes, tenants []string
-	var shares []float64
-	for _, c := range s.set.Classes {
-		classes = append(classes, c.Name)
-	}
-	for _, t := range s.set.Tenants {
-		tenants, shares = append(tenants, t.Name), append(shares, t.Share)
-	}
-	return load.NewSource(s.cfg.Mix, s.cfg.Lasts, classes, tenants, shares, s.cfg.Seed)
-}
-
 // note adds to the trace what happened now.
 func (s *Sim) note(what string, numbers ...uint64) {
 	var b []byte
--- a/lab/worker/conn.go
+++ b/lab/worker/conn.go
@@ -214,7 +214,7 @@
 	c.s.Do(func(w *model.Worker) {
 		call := &model.Call{ID: in.ID, Attempt: in.Attempt, FrontEnd: c.frontEnd, Class: in.Class, Key: in.Key,
 			Function: in.Copy.Function, MemoryMB: in.Copy.MemoryMB, Lanes: max(1, in.Copy.Lanes),
-			Load: millis(in.Copy.LoadMillis), Work: work,
+			Load: in.Copy.LoadTime(), Work: work,
 			Expires: c.s.world.Now() + time.Duration(in.Patience)*time.Millisecond}
 		c.mu.Lock()
 		c.calls[number] = call
@@ -224,8 +224,6 @@
 	return nil
 }
 
-func millis(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
-
 // answer sends a worker's answer, with the troubles that the socket has. It is called within the world.
 func (c *conn) answer(number uint32, window, size int, a model.Answer) {
 	t := c.s.troubles()
@@ -311,7 +309,7 @@
 	}
 	number := f.Call
 	c.s.Do(func(w *model.Worker) {
-		w.Order(c.frontEnd, in.Copy.Function, in.Copies, in.Copy.MemoryMB, in.Copy.Lanes, millis(in.Copy.LoadMillis),
+		w.Order(c.frontEnd, in.Copy.Function, in.Copies, in.Copy.MemoryMB, in.Copy.Lanes, in.Copy.LoadTime(),
 			func(o model.Outcome, copies int) {
 				c.send(workerwire.TypeLoaded, number, workerwire.Loaded{Status: workerwire.Status(o), Copies: copies}, nil)
 			})
