--- a/cmd/havencart/demo.go
+++ b/cmd/havencart/demo.go
@@ -13,13 +13,15 @@
 
 	"havencart/lab/fleet"
 	"havencart/lab/script"
+	"havencart/lab/transcript"
 )
 
 // errRule is returned by a demo in which a rule was broken.
 var errRule = errors.New("a rule was broken")
 
 func demoCommand(o *options) *cobra.Command {
-	var file string
+	var file, report string
+	var rate, used float64
 	var d fleet.Demo
 	cmd := &cobra.Command{Use: "demo", Short: "Run front ends, workers, store, directory and clients; no set-up needed",
 		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
@@ -28,7 +30,7 @@
 				return err
 			}
 			d.Log = log.Level(max(log.GetLevel(), zerolog.WarnLevel))
-			d.Script = fleet.DemoDay
+			d.Script, d.Mix = fleet.DemoDay, fleet.DemoMix(rate)
 			if file != "" {
 				raw, err := os.ReadFile(file)
 				if err != nil {
@@ -36,17 +38,55 @@
 				}
 				d.Script = string(raw)
 			}
+			if report != "" {
+				day, err := readReport(report)
+				if err != nil {
+					return err
+				}
+				d.Script, d.Mix = day.Script(), day.Mix(d.Mix, used)
+				d.Workers, d.FrontEnds, d.Lasts = day.Workers, day.FrontEnds, day.Lasts
+				fmt.Fprint(cmd.OutOrStdout(), d.Script)
+			}
 			return demo(cmd, d)
 		}}
 	cmd.Flags().StringVar(&file, "script", "", "a script of troubles in place of the built-in one")
+	cmd.Flags().StringVar(&report, "report", "", "a report of the bench: its day is transcribed and played")
+	cmd.Flags().Float64Var(&used, "used", 0.6, "part of the workers' cores that a report's requests fill; it does not tell")
 	cmd.Flags().DurationVar(&d.Lasts, "for", 12*time.Second, "how long clients call")
-	cmd.Flags().Float64Var(&d.Rate, "rate", 150, "calls a second")
+	cmd.Flags().Float64Var(&rate, "rate", 150, "calls a second")
 	cmd.Flags().IntVar(&d.Workers, "workers", 12, "emulated workers")
 	cmd.Flags().IntVar(&d.FrontEnds, "front-ends", 3, "front ends")
 	cmd.Flags().Uint64Var(&d.Seed, "seed", 1, "of the clients' calls and of who is hit")
+	cmd.MarkFlagsMutuallyExclusive("script", "report")
 	return cmd
 }
 
+func readReport(path string) (*transcript.Day, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	day, err := transcript.Parse(string(raw))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", errUsage, path, err)
+	}
+	return day, nil
+}
+
+func transcribeCommand() *cobra.Command {
+	return &cobra.Command{Use: "transcribe REPORT", Short: "Write the day that a report of the bench tells as a script of troubles",
+		Long: "Reads what the bench printed for a run, a replay or an incident, and writes the day's course as a script. What the report\n" +
+			"does not tell is assumed, and the script says so. `havencart demo --report REPORT` plays it.",
+		Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+			day, err := readReport(args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprint(cmd.OutOrStdout(), day.Script())
+			return nil
+		}}
+}
+
 func demo(cmd *cobra.Command, d fleet.Demo) error {
 	out := cmd.OutOrStdout()
 	d.Tell = func(text string) { fmt.Fprintln(out, text) }
--- a/cmd/havencart/main.go
+++ b/cmd/havencart/main.go
@@ -80,7 +80,7 @@
 	cmd.PersistentFlags().BoolVar(&o.plain, "plain", false, "log for people in place of JSON")
 	cmd.AddCommand(runCommand(o), checkCommand(), referenceCommand(), demoCommand(o), workerCommand(), callCommand(),
 		measureCommand(), experimentCommand(), cellCommand(),
-		loadCommand(), huntCommand())
+		loadCommand(), huntCommand(), transcribeCommand())
 	return cmd
 }
 
--- a/lab/fleet/badday_test.go
+++ b/lab/fleet/badday_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := Demo{Workers: 12, FrontEnds: 3, Rate: 120, Lasts: lasts, Script: string(text), Seed: 7,
+	d := Demo{Workers: 12, FrontEnds: 3, Mix: DemoMix(120), Lasts: lasts, Script: string(text), Seed: 7,
 		Log: zerolog.Nop(), Tell: func(s string) { t.Log(s) }}
 	r, err := d.Run(context.Background())
 	if err != nil {
--- a/lab/fleet/demo.go
+++ b/lab/fleet/demo.go
@@ -61,10 +61,10 @@
 		ColdFrom: 0.2, ColdTime: 4 * time.Second, TipMultiple: 3, TipWindow: time.Second, KeyMemory: 6 * time.Second}
 }
 
-// Demo is a whole installation with a small load and a script of troubles.
+// Demo is a whole installation with a load and a script of troubles.
 type Demo struct {
 	Workers, FrontEnds int
-	Rate               float64 // calls a second
+	Mix                load.Mix
 	Lasts              time.Duration
 	Script             string
 	Seed               uint64
@@ -100,7 +100,7 @@
 	go func() { played <- f.Play(day, troubles, d.Seed, d.Tell) }()
 	watched := make(chan struct{})
 	go func() { defer close(watched); f.watch(day, d.Tell) }()
-	seen := f.Run(ctx, DemoMix(d.Rate), d.Lasts, d.Seed)
+	seen := f.Run(ctx, d.Mix, d.Lasts, d.Seed)
 	end()
 	<-watched
 	if err := <-played; err != nil {
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -129,7 +129,7 @@
 // same models, the same troubles. What is compared may differ by what sockets and the scheduler add.
 func TestBothClocksTellTheSame(t *testing.T) {
 	const day, lasts = "at 2s crash 25% for 2s\nat 5s store-slow factor 3 for 2s\nat 6s slow 25% factor 3 for 2s\n", 9 * time.Second
-	d := fleet.Demo{Workers: 12, FrontEnds: 3, Rate: 150, Lasts: lasts, Script: day, Seed: 1, Log: zerolog.Nop(),
+	d := fleet.Demo{Workers: 12, FrontEnds: 3, Mix: fleet.DemoMix(150), Lasts: lasts, Script: day, Seed: 1, Log: zerolog.Nop(),
 		Tell: func(string) {}}
 	real, err := d.Run(context.Background())
 	if err != nil {
