A loop that is behind refuses at its door, and takes answers before arrivals

Need: at four times what it can do a loop spent its time on refusals, as each cost it a sixth of a decided call; and arrivals were taken before the answers that free their places, which lengthens the module's backlog.

Change: decide/shed tells how many calls may wait, by the best pace of the loop lately; what finds as many is refused by its own goroutine. The loop takes the events that are there before timers and arrivals.

--- a/cmd/havencart/measure.go
+++ b/cmd/havencart/measure.go
@@ -13,6 +13,7 @@
 
 func measureCommand() *cobra.Command {
 	cfg := measure.Config{}
+	over := measure.OverloadConfig{}
 	profile, idle := "", 0
 	cmd := &cobra.Command{Use: "measure", Short: "Measure the front end beside a direct call and a plain reverse proxy",
 		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
@@ -27,6 +28,9 @@
 				}
 				defer pprof.StopCPUProfile()
 			}
+			if over.Factors != nil {
+				return runOverload(cmd, over)
+			}
 			return runMeasure(cmd, cfg, idle)
 		}}
 	flags := cmd.Flags()
@@ -38,10 +42,33 @@
 	flags.IntVar(&cfg.Rounds, "rounds", 5, "rounds, the ways in turn")
 	flags.IntVar(&cfg.Loops, "loops", 1, "front ends in the process")
 	flags.IntVar(&idle, "idle", 2000, "idle connections whose memory is measured; 0: none")
+	flags.Float64SliceVar(&over.Factors, "overload", nil, "instead: whole installations at these multiples of what the workers can do")
+	flags.Uint64Var(&over.Seed, "overload-seed", 1, "of the clients' calls")
+	flags.IntVar(&over.Workers, "overload-workers", 8, "emulated workers of two cores")
+	flags.IntVar(&over.FrontEnds, "overload-front-ends", 2, "front ends")
+	flags.DurationVar(&over.Work, "overload-work", 40*time.Millisecond, "mean work of a call")
+	flags.DurationVar(&over.Lasts, "overload-for", 12*time.Second, "at each multiple")
 	flags.StringVar(&profile, "profile", "", "write a CPU profile here")
 	return cmd
 }
 
+func runOverload(cmd *cobra.Command, cfg measure.OverloadConfig) error {
+	out, broken, best := cmd.OutOrStdout(), false, 0.0
+	err := measure.Overload(cmd.Context(), cfg, func(p measure.Point) {
+		best = max(best, p.Worth)
+		fmt.Fprintf(out, "x%-4v %6.0f calls/s offered, worth %6.0f/s served in time, %.2f of the best so far; %v\n", p.Factor, p.Offered,
+			p.Worth, p.Worth/best, p.Tally)
+		for _, b := range p.Breaks {
+			fmt.Fprintf(out, "rule %s broken: %s\n", b.Rule, b.What)
+		}
+		broken = broken || len(p.Breaks) > 0 || !p.Tally.Balanced()
+	})
+	if err == nil && broken {
+		err = errRule
+	}
+	return err
+}
+
 func runMeasure(cmd *cobra.Command, cfg measure.Config, idle int) error {
 	out := cmd.OutOrStdout()
 	ways, err := measure.Run(cmd.Context(), cfg, func(text string) { fmt.Fprintln(out, text) })
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/rs/zerolog"
+
 	"havencart/control"
 	"havencart/internal/workerlink"
 	"havencart/internal/workerwire"
@@ -42,3 +44,13 @@
 		f.Arrive(at, c)
 	}
 }
+
+// BenchmarkDoor is what a call costs that is refused before it joins the queue; none of it is the loop's.
+func BenchmarkDoor(b *testing.B) {
+	l := NewLoop(LoopConfig{Queue: 1}, zerolog.Nop())
+	l.door.set(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Submit(NewCall())
+	}
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -220,6 +220,15 @@
 	f.settleLater()
 }
 
+// Room is how many arrivals may wait for the Front, of which so many wait at now; what finds as many as may is to
+// be refused without it.
+func (f *Front) Room(now time.Duration, waiting int) int {
+	if waiting == 0 {
+		f.shed.Empty(now)
+	}
+	return f.shed.Room()
+}
+
 func (f *Front) turnAway(c *Call, why string) {
 	f.counts.TurnedAway++
 	c.settle(Final{Kind: Refused, Why: why, RetryAfter: f.set.Control.MaxRetryAfter})
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/cpu"
 
 	"havencart/control"
 	"havencart/internal/directory"
@@ -30,33 +33,60 @@
 	arrivals chan *Call
 	events   chan func(now time.Duration)
 	links    []*workerlink.Link // begun and not known to have ended; the loop's alone
+	open     func(*Loop) Link   // in place of a worker's link, where loops are measured alone
 	kill     chan struct{}
 	done     chan struct{}
+	door     door
+}
+
+// door is what the edges' goroutines share with the loop's, each value in a cache line of its own: in an overload
+// the edges touch both at each call.
+type door struct {
+	_      cpu.CacheLinePad
+	room   atomic.Int64 // arrivals that may wait, as the Front says
+	_      cpu.CacheLinePad
+	turned atomic.Uint64 // calls that were refused without the Front
+	_      cpu.CacheLinePad
+}
+
+// set sets the room where it has changed.
+func (d *door) set(room int) {
+	if int64(room) != d.room.Load() {
+		d.room.Store(int64(room))
+	}
 }
 
 // NewLoop returns a Loop that begins with Run.
 func NewLoop(cfg LoopConfig, log zerolog.Logger) *Loop {
-	return &Loop{cfg: cfg, log: log, arrivals: make(chan *Call, cfg.Queue), done: make(chan struct{}), kill: make(chan struct{}),
+	l := &Loop{cfg: cfg, log: log, arrivals: make(chan *Call, cfg.Queue), done: make(chan struct{}), kill: make(chan struct{}),
 		events: make(chan func(time.Duration), cfg.Events)}
+	l.door.set(math.MaxInt)
+	return l
 }
 
 // Now is the loop's clock: the time since Settings.Began, monotonic.
 func (l *Loop) Now() time.Duration { return time.Since(l.cfg.Began) }
 
-// Submit hands a call over; its final answer comes on c.Answer. A loop whose queue is full, or that has ended,
-// refuses at once.
+// Submit hands a call over; its final answer comes on c.Answer. A loop that is behind, whose queue is full, or
+// that has ended, refuses at once, at no cost to the loop's own goroutine.
 func (l *Loop) Submit(c *Call) {
 	c.queued = l.Now()
-	select {
-	case <-l.done:
-	default:
+	why := "this front end is behind"
+	if int64(len(l.arrivals)) < l.door.room.Load() {
 		select {
-		case l.arrivals <- c:
-			return
+		case <-l.done:
+			why = "this front end has stopped"
 		default:
+			select {
+			case l.arrivals <- c:
+				return
+			default:
+				why = "the front end's queue is full"
+			}
 		}
 	}
-	c.settle(Final{Kind: Refused, Why: "the front end's queue is full", RetryAfter: l.cfg.Control.MaxRetryAfter})
+	l.door.turned.Add(1)
+	c.settle(Final{Kind: Refused, Why: why, RetryAfter: l.cfg.Control.MaxRetryAfter})
 }
 
 // Leave tells that a call's client is gone.
@@ -65,7 +95,7 @@
 // Counts returns the Front's totals, zero once the loop has ended.
 func (l *Loop) Counts() (c Counts) {
 	answer := make(chan Counts, 1)
-	l.post(func(time.Duration) { answer <- l.front.Counts() })
+	l.post(func(time.Duration) { answer <- l.counts() })
 	select {
 	case c = <-answer:
 	case <-l.done:
@@ -73,6 +103,13 @@
 	return c
 }
 
+// counts are the Front's totals, with what was refused without it.
+func (l *Loop) counts() Counts {
+	c := l.front.Counts()
+	c.TurnedAway += l.door.turned.Load()
+	return c
+}
+
 // Kill ends Run at once, once.
 func (l *Loop) Kill() { close(l.kill) }
 
@@ -102,7 +139,7 @@
 	for _, link := range l.links {
 		<-link.Done()
 	}
-	return l.front.Counts(), clean
+	return l.counts(), clean
 }
 
 // serve is the loop. It returns whether nothing was left in hand.
@@ -115,6 +152,7 @@
 		l.catchUp()
 		now := l.Now()
 		l.front.Tick(now)
+		l.door.set(l.front.Room(now, len(l.arrivals)))
 		if ending == nil && l.front.Idle() && len(l.arrivals) == 0 {
 			return true
 		}
@@ -136,12 +174,10 @@
 	}
 }
 
-// catchUp takes the events that are there, where timers are due. It guards against a loop that comes late: an
-// answer that came while it stood still would find its attempt timed out, and its call failed.
+// catchUp takes the events that are there before timers and arrivals. It guards against a loop that comes late: an
+// answer that came while it stood still would find its attempt timed out, and its call failed. And in an overload
+// what is taken in before the answers that free its place only lengthens the module's backlog.
 func (l *Loop) catchUp() {
-	if l.front.Next() > l.Now() {
-		return
-	}
 	for range len(l.events) {
 		event := <-l.events
 		event(l.Now())
@@ -163,6 +199,9 @@
 
 // Open implements Outside.
 func (l *Loop) Open(id control.WorkerID, w directory.Worker) Link {
+	if l.open != nil {
+		return l.open(l)
+	}
 	cfg := l.cfg.Link
 	cfg.Worker, cfg.Address, cfg.Now = w.Name, w.Address, l.Now
 	cfg.FrontEnd, cfg.Seed = l.cfg.Name, l.cfg.Control.Seed^uint64(id)
