--- a/control/control.go
+++ b/control/control.go
@@ -27,6 +27,9 @@
 	farWorth    = 0.0125                 // for each other worker, of rounds that must find a copy there
 	farTry      = 8                      // of so many rounds one is made all the same
 	loadsMost   = 8                      // loads of ours under way at once
+	barAfter    = 3                      // loads failed, and none worked, until all are kept back
+	barFirst    = 100 * time.Millisecond // for so long, doubled by each that fails then
+	barMost     = 2 * time.Second
 	loadNews    = 3 * time.Second        // how long the last load speaks for a request that would need one
 	servedFade  = 3 * time.Second        // memory of the rate of answers
 	shareMemory = 300                    // arrivals by which a tenant's share is judged
@@ -246,12 +249,16 @@
 		}
 	case Miss:
 		f.drop(p)
+		if o.Warmth == LoadFailed {
+			c.loadFailed()
+		}
 	case ConnectFailed, Reset:
 		c.forget(w) // guards against a death that the list tells late: a dead process holds nothing
 		c.suspicion(w, "lost")
 	case Error:
 		if o.Warmth == LoadFailed {
 			f.drop(p)
+			c.loadFailed()
 		} else {
 			c.judge(w, false)
 		}
@@ -321,8 +328,20 @@
 	return c.quietRun[class]
 }
 
+// loadFailed learns that a load failed. Several, with none that worked between, keep loads back, then let one
+// through at a time. It guards against a store that has stopped: a call whose load it refuses at once goes to
+// the next worker at once, and so many fetches keep it down. It would harm where a few workers fail each load
+// they begin: the others' loads wait too.
+func (c *Controller) loadFailed() {
+	if c.failed++; c.failed >= barAfter && c.now >= c.barred {
+		c.bar = min(barMost, max(barFirst, 2*c.bar))
+		c.barred = c.now + c.bar/2 + time.Duration(mix(c.set.Seed, uint64(c.now))%uint64(c.bar))
+	}
+}
+
 // learnLoad takes the time of a load.
 func (c *Controller) learnLoad(f *function, took time.Duration) {
+	c.failed, c.bar = 0, 0
 	c.loadSeen, c.loading = c.now, max(0, c.loading-1)
 	if f.told > 0 {
 		c.ratio.add(float64(took) / float64(f.told))
@@ -582,7 +601,7 @@
 // lend starts a load of f on a cold worker for r and the requests that follow it, up to slots of them, or two
 // or one by the worker's pace where slots is 0.
 func (c *Controller) lend(f *function, r *request, w *worker, slots int) {
-	if w == nil || c.loading >= loadsMost {
+	if w == nil || c.loading >= loadsMost || c.failed >= barAfter && (c.now < c.barred || c.loading > 0) {
 		return
 	}
 	if slots == 0 && c.waitOf(w) <= c.quiet(f.class)/5 { // no slower, but for noise
--- a/control/script_test.go
+++ b/control/script_test.go
@@ -484,6 +484,34 @@
 	}
 }
 
+// TestAStoppedStoreIsLeftAlone: each load fails at once, and its call is sent to the next worker. After a few that
+// failed loads are kept back and tried one at a time; the first that works ends that.
+func TestAStoppedStoreIsLeftAlone(t *testing.T) {
+	s := start(t, settings(), 20)
+	tried := func(as Status, warmth Warmth) (loads int) {
+		for range 100 {
+			r := s.arrive(7, 0)
+			s.answerAsks()
+			s.answerAsks()
+			for id := RequestID(1); id <= r; id++ {
+				for n := 0; s.answers[id] == "" && s.c.requests[id] != nil && s.c.requests[id].at != nil && n < 50; n++ {
+					loads++
+					s.end(id, as, warmth)
+				}
+			}
+			s.pass(20 * ms)
+		}
+		return loads
+	}
+	if loads := tried(Miss, LoadFailed); loads < 4 || loads > 12 {
+		t.Errorf("%d loads were tried in 2 s of a stopped store", loads)
+	}
+	s.pass(2 * barMost)
+	if loads := tried(OK, BeganLoad); loads < 80 {
+		t.Errorf("%d calls of 100 were sent once the store was back", loads)
+	}
+}
+
 func TestNobodyToSendTo(t *testing.T) {
 	s := start(t, settings(), 0)
 	r := s.arrive(7, 0)
--- a/control/state.go
+++ b/control/state.go
@@ -126,6 +126,9 @@
 	taken      []float64       // by tenant, fading
 	over       []float64       // by tenant, of a call that is too many
 	loading    int             // loads of ours under way
+	failed     int             // loads that failed since one worked
+	bar        time.Duration   // how long that last kept loads back
+	barred     time.Duration   // until when it does
 	loadSeen   time.Duration
 }
 
