--- a/cmd/havencart/load.go
+++ b/cmd/havencart/load.go
@@ -112,8 +112,7 @@
 	ctx, cancel := context.WithCancel(cmd.Context())
 	watched := make(chan struct{})
 	go func() { defer close(watched); t.watch(ctx, cmd.ErrOrStderr()) }()
-	client.Runner{Next: next, Fronts: len(pools), Pools: func(i int) *client.Pool { return pools[i] }, Mix: o.mix,
-		Observe: t.observe}.Run(ctx)
+	client.Runner{Next: next, Fronts: len(pools), Pools: func(i int) *client.Pool { return pools[i] }, Observe: t.observe}.Run(ctx)
 	cancel()
 	<-watched
 	return t.print(cmd.OutOrStdout())
--- a/lab/client/run.go
+++ b/lab/client/run.go
@@ -26,7 +26,6 @@
 	Next    func() (time.Duration, load.Call, bool)
 	Pools   func(i int) *Pool // of front end i
 	Fronts  int
-	Mix     load.Mix // habits
 	Observe func(Observation)
 }
 
@@ -57,7 +56,7 @@
 		}
 		o.Outcome, o.Took, o.Tries = seen.Outcome, time.Since(due), try+1
 		o.Lost = seen.Outcome == "" && c.LeaveAfter == 0
-		wait, again := r.Mix.Again(try, seen.Outcome, seen.RetryAfter)
+		wait, again := c.Again(try, seen.Outcome, seen.RetryAfter)
 		if !again || c.LeaveAfter > 0 || !Sleep(ctx, wait) {
 			return o
 		}
--- a/lab/fleet/play.go
+++ b/lab/fleet/play.go
@@ -119,7 +119,7 @@
 	f.Clients.begin(source)
 	var mu sync.Mutex
 	seen := map[string]int{}
-	client.Runner{Mix: m, Fronts: len(f.FrontEnds), Pools: func(i int) *client.Pool { return f.FrontEnds[i].Pool() },
+	client.Runner{Fronts: len(f.FrontEnds), Pools: func(i int) *client.Pool { return f.FrontEnds[i].Pool() },
 		Next: source.Next, Observe: func(o client.Observation) {
 			mu.Lock()
 			defer mu.Unlock()
--- a/lab/hunt/hunt.go
+++ b/lab/hunt/hunt.go
@@ -176,7 +176,7 @@
 
 // verbs that a hunt uses. Kills of front ends and lists that are partial say little of the decisions.
 var verbs = []string{"crash", "deploy", "take-out", "fail", "hang", "pause", "pauses", "slow", "neighbour", "reset", "flush",
-	"re-release", "clock-jump", "store-stop", "store-slow", "store-fail", "directory-lag", "directory-down", "net-delay",
+	"re-release", "clock-jump", "ageing", "handshake", "heavy", "store-stop", "store-slow", "store-fail", "directory-lag", "directory-down", "net-delay",
 	"net-loss", "net-cut", "leave", "surge", "hot", "scan", "stall"}
 
 func (h *hunter) draw() (list []script.Trouble) {
--- a/lab/load/demand.go
+++ b/lab/load/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -13,7 +14,10 @@
 	HotFunctions int                // so many of each class
 	HotSpell     int                // counts the spells: each has functions of its own
 	Scan         float64            // share of calls for functions wanted once only, beside the Mix's
+	Patience     float64            // times the patience
+	Work         float64            // times the work
 	Floods       map[string]float64 // tenants that ask so many times what they usually do
+	Repeats      map[string]int     // tenants whose clients repeat at once so many times, whatever they are told
 }
 
 // Change changes the demand from the next call on. Who asks for what is not changed where an error is returned.
@@ -21,9 +25,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f(&s.demand)
-	for name := range s.demand.Floods {
+	for _, name := range slices.Concat(slices.Collect(maps.Keys(s.demand.Floods)), slices.Collect(maps.Keys(s.demand.Repeats))) {
 		if !slices.Contains(s.tenants, name) {
 			delete(s.demand.Floods, name)
+			delete(s.demand.Repeats, name)
 			return fmt.Errorf("no tenant %q; there are: %v", name, s.tenants)
 		}
 	}
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -24,6 +24,8 @@
 	Lanes                            int
 	Load                             time.Duration
 	LeaveAfter                       time.Duration // the client closes then; 0: it stays
+	Habit                            Habit
+	Retries                          int
 }
 
 // Shape is how the rate of arrivals changes over a run.
@@ -87,7 +89,7 @@
 func NewSource(m Mix, lasts time.Duration, classes, tenants []string, shares []float64, seed uint64) *Source {
 	rng := rand.New(rand.NewPCG(seed, 0x6c6f6164))
 	return &Source{mix: m, lasts: lasts, classes: classes, tenants: tenants, shares: shares, rng: rng,
-		demand: Demand{Surge: 1, Floods: map[string]float64{}},
+		demand: Demand{Surge: 1, Patience: 1, Work: 1, Floods: map[string]float64{}, Repeats: map[string]int{}},
 		zipf:   rand.NewZipf(rng, cmp.Or(m.Zipf, 1.3), 2, uint64(max(1, m.Functions)-1))}
 }
 
@@ -136,9 +138,11 @@
 	s.n++
 	class := s.classes[s.rng.IntN(len(s.classes))]
 	c := Call{ID: fmt.Sprintf("c%d", s.n), Key: fmt.Sprintf("k%d", s.n), Class: class, Function: s.function(class),
-		Patience: m.Patience/2 + time.Duration(s.rng.Float64()*float64(m.Patience/2)), MemoryMB: m.MemoryMB, Lanes: 2, Load: m.Load}
+		Patience: m.Patience/2 + time.Duration(s.rng.Float64()*float64(m.Patience/2)), MemoryMB: m.MemoryMB, Lanes: 2, Load: m.Load,
+		Habit: m.Habit, Retries: m.Retries}
+	c.Patience = time.Duration(s.demand.Patience * float64(c.Patience))
 	sigma := m.WorkSigma
-	c.Work = time.Duration(float64(m.Work) * math.Exp(sigma*s.rng.NormFloat64()-sigma*sigma/2))
+	c.Work = time.Duration(s.demand.Work * float64(m.Work) * math.Exp(sigma*s.rng.NormFloat64()-sigma*sigma/2))
 	if m.Reply > 0 {
 		c.Reply = s.rng.IntN(m.Reply)
 	}
@@ -149,6 +153,9 @@
 		}
 		c.Tenant = s.tenant(shares)
 	}
+	if times := s.demand.Repeats[c.Tenant]; times > 0 {
+		c.Habit, c.Retries = Impolite, times
+	}
 	if s.rng.Float64() < s.demand.Leaving {
 		c.LeaveAfter = 1 + time.Duration(s.rng.Float64()*float64(c.Patience/2))
 	}
@@ -190,14 +197,14 @@
 }
 
 // Again says whether a client tries again after its try (from 0) ended so, and after which wait.
-func (m Mix) Again(try int, outcome string, advice time.Duration) (time.Duration, bool) {
-	if try >= m.Retries || outcome == "served" {
+func (c *Call) Again(try int, outcome string, advice time.Duration) (time.Duration, bool) {
+	if try >= c.Retries || outcome == "served" {
 		return 0, false
 	}
 	if outcome != "refused" && outcome != "unreachable" {
-		return 0, m.Habit == Impolite
+		return 0, c.Habit == Impolite
 	}
-	switch m.Habit {
+	switch c.Habit {
 	case AtOnce, Impolite:
 		return 0, true
 	case Wait:
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -113,6 +113,20 @@
 	}
 }
 
+func TestATenantMayRepeatWhateverItIsTold(t *testing.T) {
+	times, calls := drawTroubled(t, func(d *Demand) { d.Repeats["u"], d.Patience, d.Work = 3, 0.5, 2 },
+		func(d *Demand) { delete(d.Repeats, "u"); d.Patience, d.Work = 1, 1 })
+	abuse := func(c Call) bool { return c.Habit == Impolite && c.Retries == 3 }
+	during, after := within(times, calls, abuse)
+	if math.Abs(float64(during)-200) > 60 || after > 1 { // the first call after the time still has the old demand
+		t.Errorf("%d calls during, %d after", during, after)
+	}
+	long := func(c Call) bool { return c.Patience > 500*time.Millisecond }
+	if during, after := within(times, calls, long); during > 1 || after < 900 {
+		t.Errorf("%d patient clients during, %d after", during, after)
+	}
+}
+
 func TestASurgeMultipliesTheRate(t *testing.T) {
 	times, calls := drawTroubled(t, func(d *Demand) { d.Surge = 3 }, func(d *Demand) { d.Surge = 1 })
 	during, after := within(times, calls, func(Call) bool { return true })
@@ -130,11 +144,11 @@
 	}{{Never, "refused", 0, false}, {AtOnce, "refused", 0, true}, {AtOnce, "failed", 0, false}, {Advised, "refused", 7, true},
 		{Wait, "refused", 50 * time.Millisecond, true}, {Impolite, "failed", 0, true}, {Impolite, "served", 0, false},
 		{Advised, "unreachable", 7, true}} {
-		m := Mix{Habit: x.habit, Retries: 1}
-		if wait, again := m.Again(0, x.outcome, 7); wait != x.wait || again != x.again {
+		c := Call{Habit: x.habit, Retries: 1}
+		if wait, again := c.Again(0, x.outcome, 7); wait != x.wait || again != x.again {
 			t.Errorf("%+v: %v, %t", x, wait, again)
 		}
-		if _, again := m.Again(1, x.outcome, 7); again {
+		if _, again := c.Again(1, x.outcome, 7); again {
 			t.Errorf("%+v: more than it may", x)
 		}
 	}
--- a/lab/script/script.go
+++ b/lab/script/script.go
@@ -50,6 +50,7 @@
 	OtherZone
 	Tenant
 	Functions
+	Times
 	Rate
 	Factor
 	By
@@ -75,6 +76,7 @@
 	Zone:      whole("", "1", "a zone's number", func(t *Trouble) *int { return &t.Number }),
 	OtherZone: whole("", "2", "a zone's number", func(t *Trouble) *int { return &t.To }),
 	Functions: whole("functions", "3", "a number of functions", func(t *Trouble) *int { return &t.Number }),
+	Times:     whole("times", "3", "a number of repeats", func(t *Trouble) *int { return &t.Number }),
 	Tenant: {"", "palermo", func(t *Trouble, s string) error {
 		if t.Name = s; s == "" {
 			return errors.New("found the end of the line; allowed: a tenant's name")
--- a/lab/script/verbs.go
+++ b/lab/script/verbs.go
@@ -33,6 +33,9 @@
 	{"slow", []Word{Share, Factor, For}, "workers run slower",
 		workers(func(t Trouble) (string, string) { return fmt.Sprint("slow ", t.Factor), "slow 1" })},
 	{"neighbour", []Word{Share, Factor, Every, For}, "workers run slower for a while, then not, in turns", (*Play).neighbour},
+	{"ageing", []Word{Share, Factor, For}, "workers run slower and slower, then die and start anew", (*Play).ageing},
+	{"handshake", []Word{Share, By, For}, "new connections to workers take longer to set up",
+		workers(func(t Trouble) (string, string) { return fmt.Sprint("handshake ", max(0, t.By)), "handshake 0s" })},
 	{"reset", []Word{Share}, "connections to workers break; the processes live on",
 		workers(func(Trouble) (string, string) { return "reset", "" })},
 	{"flush", []Word{Share}, "all copies at a share of the workers go void",
@@ -56,6 +59,9 @@
 	{"leave", []Word{Share, For}, "clients close their connections early", (*Play).leave},
 	{"surge", []Word{Factor, For}, "calls come at so many times their rate", (*Play).surge},
 	{"flood", []Word{Tenant, Factor, For}, "one tenant asks so many times what it usually does", (*Play).flood},
+	{"repeat", []Word{Tenant, Times, For}, "one tenant's clients repeat at once so many times, whatever they are told", (*Play).repeat},
+	{"patience", []Word{Factor, For}, "clients' patience is so many times what it was", (*Play).patience},
+	{"heavy", []Word{Factor, For}, "calls do so many times the work", (*Play).heavy},
 	{"hot", []Word{Share, Functions, For}, "a share of the calls goes to a few functions of each class that nobody called before", (*Play).hot},
 	{"scan", []Word{Share, For}, "a share of the calls is for functions that are wanted once only", (*Play).scan},
 	{"kill", []Word{FrontEnd, For}, "a front end is killed and comes back", (*Play).kill},
@@ -164,6 +170,26 @@
 	return p.turns(Trouble{Share: t.Share, Every: 2 * t.Every, For: t.For}, fmt.Sprint("slow ", t.Factor), t.Every, "slow 1")
 }
 
+// ageingSteps are the steps in which a worker ages.
+const ageingSteps = 10
+
+func (p *Play) ageing(t Trouble) error {
+	list := p.pick(t.Share)
+	for i := range ageingSteps {
+		part := float64(i+1) / ageingSteps
+		p.after(t.For*time.Duration(i)/ageingSteps, func() error {
+			return p.command(list, fmt.Sprint("slow ", 1+(t.Factor-1)*part))
+		})
+	}
+	p.after(t.For, func() error {
+		if err := p.die(list); err != nil {
+			return err
+		}
+		return p.start(list)
+	})
+	return nil
+}
+
 func (p *Play) reRelease(t Trouble) error {
 	salt := p.rng.Uint32() // the same functions at all workers
 	return p.command(p.pick(1), fmt.Sprintf("re-release %v %d", t.Share, salt))
@@ -245,6 +271,18 @@
 	return p.demand(t, func(d *load.Demand) { d.Floods[t.Name] = t.Factor }, func(d *load.Demand) { delete(d.Floods, t.Name) })
 }
 
+func (p *Play) repeat(t Trouble) error {
+	return p.demand(t, func(d *load.Demand) { d.Repeats[t.Name] = t.Number }, func(d *load.Demand) { delete(d.Repeats, t.Name) })
+}
+
+func (p *Play) patience(t Trouble) error {
+	return p.demand(t, func(d *load.Demand) { d.Patience *= t.Factor }, func(d *load.Demand) { d.Patience /= t.Factor })
+}
+
+func (p *Play) heavy(t Trouble) error {
+	return p.demand(t, func(d *load.Demand) { d.Work *= t.Factor }, func(d *load.Demand) { d.Work /= t.Factor })
+}
+
 func (p *Play) hot(t Trouble) error {
 	return p.demand(t, func(d *load.Demand) { d.Hot, d.HotFunctions, d.HotSpell = t.Share, t.Number, d.HotSpell+1 },
 		func(d *load.Demand) { d.Hot = 0 })
--- a/lab/sim/front.go
+++ b/lab/sim/front.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -209,6 +210,11 @@
 		s.broke(w)
 		return nil
 	}
+	if argument, shake := strings.CutPrefix(line, "handshake "); shake {
+		d, err := time.ParseDuration(argument)
+		s.shakes[i] = d
+		return err
+	}
 	_, err := w.Command(line)
 	if line == "die" {
 		s.broke(w)
--- a/lab/sim/link.go
+++ b/lab/sim/link.go
@@ -40,6 +40,7 @@
 	out, in   *model.Way      // of the connection
 	pulse     *linkcare.Pulse // kept while something ails the way
 	zone, far int             // of the front end and of the worker
+	index     int             // of the worker
 	queue     []any           // *workerlink.Attempt, *workerlink.Order, or func() to be sent
 	attempts  []*workerlink.Attempt
 	orders    []*workerlink.Order
@@ -51,7 +52,7 @@
 	l.zone = f.sim.net.Zone(f.number)
 	for i, w := range f.sim.workers {
 		if w.Config.Name == name {
-			l.worker, l.far = w, f.sim.net.Zone(i)
+			l.worker, l.index, l.far = w, i, f.sim.net.Zone(i)
 		}
 	}
 	l.redial = linkcare.NewRedial(f.drawn(uint64(id)).Uint64())
@@ -105,7 +106,7 @@
 	l.out.Carry(func() {
 		l.in.Carry(func() {
 			l.out.Carry(func() {
-				l.sim.clock.After(l.sim.cfg.Handshake, func() { l.in.Carry(func() { over(); l.met() }) })
+				l.sim.clock.After(l.sim.cfg.Handshake+l.sim.shakes[l.index], func() { l.in.Carry(func() { over(); l.met() }) })
 			})
 		})
 	})
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -126,6 +126,7 @@
 	down    bool
 	lag     time.Duration
 	skew    []time.Duration // of the workers' wall clocks
+	shakes  []time.Duration // that connections to the workers take longer to set up
 	net     *model.Network
 	seen    map[string]int
 	series  []Sample
@@ -208,7 +209,7 @@
 	s.book = audit.NewBookOn(epoch, s.clock.Now)
 	s.net = model.NewNetwork(s.clock, model.NetworkConfig{Zones: max(cfg.Zones, script.Zones(cfg.Troubles)), Net: cfg.Net,
 		Jitter: cfg.Jitter}, s.rng)
-	s.skew = make([]time.Duration, cfg.Workers)
+	s.skew, s.shakes = make([]time.Duration, cfg.Workers), make([]time.Duration, cfg.Workers)
 	s.store = model.NewStore(s.clock, cfg.Store)
 	groups := make([]*model.Group, max(1, cfg.Cells))
 	for i := range groups {
@@ -433,7 +434,7 @@
 // end ends a try, and begins another one if that is the client's habit.
 func (t *client) end(outcome string, advice time.Duration) {
 	t.over = true
-	wait, again := t.s.cfg.Mix.Again(t.try, outcome, advice)
+	wait, again := t.call.Again(t.try, outcome, advice)
 	if !again || t.call.LeaveAfter > 0 {
 		t.s.seen[outcome]++
 		return
--- a/lab/transcript/course.go
+++ b/lab/transcript/course.go
@@ -15,16 +15,20 @@
 	trouble script.Trouble
 	assumed string
 }{
-	"crash":       {script.Trouble{Verb: "crash"}, ""},
-	"hang":        {script.Trouble{Verb: "hang"}, ""},
-	"slow":        {script.Trouble{Verb: "slow", Factor: 4}, "factor assumed"},
-	"fast_errors": {script.Trouble{Verb: "fail", Factor: 0.6}, "rate assumed"},
-	"pauses":      {script.Trouble{Verb: "pauses", Stop: 200 * time.Millisecond, Every: 2 * time.Second}, "pauses assumed"},
-	"neighbour":   {script.Trouble{Verb: "neighbour", Factor: 2, Every: 2 * time.Second}, "factor assumed"},
-	"origin_slow": {script.Trouble{Verb: "store-slow", Factor: 4}, "factor assumed"},
-	"flush":       {script.Trouble{Verb: "re-release", Share: 0.6}, "share assumed"},
-	"scan":        {script.Trouble{Verb: "scan", Share: 0.1}, "share assumed"},
-	"hot_key":     {script.Trouble{Verb: "hot", Share: 0.1, Number: 2}, "share assumed"},
+	"crash":          {script.Trouble{Verb: "crash"}, ""},
+	"hang":           {script.Trouble{Verb: "hang"}, ""},
+	"slow":           {script.Trouble{Verb: "slow", Factor: 4}, "factor assumed"},
+	"fast_errors":    {script.Trouble{Verb: "fail", Factor: 0.6}, "rate assumed"},
+	"pauses":         {script.Trouble{Verb: "pauses", Stop: 200 * time.Millisecond, Every: 2 * time.Second}, "pauses assumed"},
+	"neighbour":      {script.Trouble{Verb: "neighbour", Factor: 2, Every: 2 * time.Second}, "factor assumed"},
+	"ageing":         {script.Trouble{Verb: "ageing", Factor: 6}, "factor assumed"},
+	"handshake_slow": {script.Trouble{Verb: "handshake", By: 300 * time.Millisecond}, "time assumed"},
+	"give_up":        {script.Trouble{Verb: "patience", Factor: 0.5}, "factor assumed"},
+	"shift":          {script.Trouble{Verb: "heavy", Factor: 1.5}, "factor assumed"},
+	"origin_slow":    {script.Trouble{Verb: "store-slow", Factor: 4}, "factor assumed"},
+	"flush":          {script.Trouble{Verb: "re-release", Share: 0.6}, "share assumed"},
+	"scan":           {script.Trouble{Verb: "scan", Share: 0.1}, "share assumed"},
+	"hot_key":        {script.Trouble{Verb: "hot", Share: 0.1, Number: 2}, "share assumed"},
 }
 
 // course makes troubles of the events.
