--- a/cmd/havencart/measure.go
+++ b/cmd/havencart/measure.go
@@ -14,7 +14,7 @@
 func measureCommand() *cobra.Command {
 	cfg := measure.Config{}
 	over := measure.OverloadConfig{}
-	profile, idle := "", 0
+	profile, idle, refusal := "", 0, false
 	cmd := &cobra.Command{Use: "measure", Short: "Measure the front end beside a direct call and a plain reverse proxy",
 		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 			if profile != "" {
@@ -31,6 +31,12 @@
 			if over.Factors != nil {
 				return runOverload(cmd, over)
 			}
+			if refusal {
+				return measure.Refusal(cmd.Context(), cfg, func(served, refused float64) {
+					fmt.Fprintf(cmd.OutOrStdout(), "CPU of a call, whole process: served %.1f µs, refused %.1f µs, %.2f of it\n", served, refused,
+						refused/served)
+				})
+			}
 			return runMeasure(cmd, cfg, idle)
 		}}
 	flags := cmd.Flags()
@@ -42,6 +48,7 @@
 	flags.IntVar(&cfg.Rounds, "rounds", 5, "rounds, the ways in turn")
 	flags.IntVar(&cfg.Loops, "loops", 1, "front ends in the process")
 	flags.IntVar(&idle, "idle", 2000, "idle connections whose memory is measured; 0: none")
+	flags.BoolVar(&refusal, "refusal", false, "instead: the cost of a refusal beside a served call")
 	flags.Float64SliceVar(&over.Factors, "overload", nil, "instead: whole installations at these multiples of what the workers can do")
 	flags.Uint64Var(&over.Seed, "overload-seed", 1, "of the clients' calls")
 	flags.IntVar(&over.Workers, "overload-workers", 8, "emulated workers of two cores")
--- a/lab/measure/measure.go
+++ b/lab/measure/measure.go
@@ -16,6 +16,7 @@
 	"net/url"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,7 @@
 type rig struct {
 	cfg    Config
 	ways   []*Way
+	dir    string // the directory's URL
 	closes []func()
 }
 
@@ -132,11 +134,13 @@
 	if err != nil {
 		return err
 	}
-	gate, err := r.gateway(dir.URL())
+	gate, err := r.gateway(dir.URL(), settings)
 	if err != nil {
 		return err
 	}
-	r.ways = []*Way{{Name: "direct", Address: faces}, {Name: "proxy", Address: []string{proxy}}, {Name: "gateway", Address: []string{gate}}}
+	r.dir = dir.URL()
+	r.ways = []*Way{{Name: "direct", Address: faces}, {Name: "proxy", Address: []string{proxy}},
+		{Name: "gateway", Address: []string{gate.Address()}}}
 	return nil
 }
 
@@ -225,21 +229,21 @@
 	}})
 }
 
-func (r *rig) gateway(dir string) (string, error) {
+func (r *rig) gateway(dir, settings string) (*gateway.Service, error) {
 	set, err := config.Parse("measure", fmt.Sprintf("listen 127.0.0.1:0\ndirectory consul %s workers\nloops %d\nfront-ends %d\n%s",
 		dir, r.cfg.Loops, r.cfg.Loops, settings))
 	if err != nil {
-		return "", err
+		return nil, err
 	}
 	s, err := gateway.NewService(set, zerolog.Nop())
 	if err != nil {
-		return "", err
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _, _ = s.Run(ctx) }()
 	r.later(func() { cancel(); <-done })
-	return s.Address(), nil
+	return s, nil
 }
 
 // caller is one client's connection.
@@ -334,7 +338,7 @@
 	})
 	took, n := time.Since(began), float64(t.hist.TotalCount())
 	s := Sample{Rate: n / took.Seconds(), P50: t.at(50), P99: t.at(99), P999: t.at(99.9), Errors: t.errors}
-	s.CPUPerCallMicros = float64((cpuTime() - cpu).Microseconds()) / max(1, n)
+	s.CPUPerCallMicros = float64((cpuTime() - cpu).Microseconds()) / max(1, n+float64(t.errors))
 	return s, err
 }
 
@@ -371,6 +375,38 @@
 	return list[0], list[len(list)/2], list[len(list)-1]
 }
 
+// Refusal measures the processor time of a call that is served and of one that is refused at the door of a loop
+// that is behind, in microseconds of the whole process, clients and workers included, in turn for each round.
+func Refusal(ctx context.Context, cfg Config, tell func(served, refused float64)) error {
+	r := &rig{cfg: cfg}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return err
+	}
+	s, err := r.gateway(r.dir, strings.Replace(settings, "queue 100000", "queue 1", 1))
+	if err != nil {
+		return err
+	}
+	behind := &Way{Name: "refused", Address: []string{s.Address()}}
+	if _, err := r.closed(ctx, r.ways[2], cfg.Lasts/4); err != nil {
+		return err
+	}
+	for range cfg.Rounds {
+		served, err := r.closed(ctx, r.ways[2], cfg.Lasts)
+		if err != nil {
+			return err
+		}
+		s.Stall(cfg.Lasts + time.Second) // one call waits in the queue, the others are refused
+		refused, err := r.closed(ctx, behind, cfg.Lasts)
+		if err != nil {
+			return err
+		}
+		tell(served.CPUPerCallMicros, refused.CPUPerCallMicros)
+		time.Sleep(time.Second)
+	}
+	return nil
+}
+
 // Idle measures the memory of n idle connections to the gateway, both ends of each, in bytes a connection.
 func Idle(ctx context.Context, cfg Config, n int) (heap, stack float64, err error) {
 	r := &rig{cfg: cfg}
