Reports show service by class and by tenant over time

Change: a Score is a course (worth asked and got, by second), and so is each class's and tenant's part; the page draws both for the first variant. A test holds that seconds, classes and tenants add up to the whole.

Measured: nothing beside the tests.

--- a/lab/audit/score.go
+++ b/lab/audit/score.go
@@ -10,15 +10,30 @@
 // Score is service: the worth answered in time over the worth asked, a client's repeats counted as part of its
 // first try. An answer after its aim earns what the class keeps of a late one.
 type Score struct {
-	Asked, Got float64 // worth
-	Calls      int     // first tries
-	ByClass    map[string]*Part
-	ByTenant   map[string]*Part
-	Seconds    []Part // by the second of the first try
+	Course
+	Calls    int // first tries
+	ByClass  map[string]*Course
+	ByTenant map[string]*Course
+}
+
+// Course is a part of a Score over time.
+type Course struct {
+	Part
+	Seconds []Part // by the second of the first try
+}
+
+func (c *Course) add(second int, asked, got float64) {
+	c.Asked += asked
+	c.Got += got
+	for len(c.Seconds) <= second {
+		c.Seconds = append(c.Seconds, Part{})
+	}
+	c.Seconds[second].Asked += asked
+	c.Seconds[second].Got += got
 }
 
 // Part is a part of a Score.
-type Part struct{ Asked, Got float64 }
+type Part struct{ Asked, Got float64 } // worth
 
 // Share is the part's service, 1 where nothing was asked.
 func (p Part) Share() float64 {
@@ -29,7 +44,7 @@
 }
 
 // Service is the whole run's.
-func (s Score) Service() float64 { return Part{s.Asked, s.Got}.Share() }
+func (s Score) Service() float64 { return s.Share() }
 
 // Worst is the least service of any stretch of so many seconds.
 func (s Score) Worst(seconds int) float64 {
@@ -49,7 +64,7 @@
 func (b *Book) Score(classes map[string]control.Class) Score {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := Score{ByClass: map[string]*Part{}, ByTenant: map[string]*Part{}}
+	s := Score{ByClass: map[string]*Course{}, ByTenant: map[string]*Course{}}
 	first := map[string]*Ask{}
 	got := map[string]float64{}
 	var order []string
@@ -81,22 +96,15 @@
 
 func (s *Score) add(a *Ask, asked, got float64) {
 	s.Calls++
-	s.Asked += asked
-	s.Got += got
+	second := int(a.Sent / time.Second)
+	s.Course.add(second, asked, got)
 	for _, x := range []struct {
-		table map[string]*Part
+		table map[string]*Course
 		name  string
 	}{{s.ByClass, a.Class}, {s.ByTenant, a.Tenant}} {
 		if x.table[x.name] == nil {
-			x.table[x.name] = &Part{}
+			x.table[x.name] = &Course{}
 		}
-		x.table[x.name].Asked += asked
-		x.table[x.name].Got += got
-	}
-	second := int(a.Sent / time.Second)
-	for len(s.Seconds) <= second {
-		s.Seconds = append(s.Seconds, Part{})
+		x.table[x.name].add(second, asked, got)
 	}
-	s.Seconds[second].Asked += asked
-	s.Seconds[second].Got += got
 }
--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -119,7 +119,7 @@
 func made(s *Spec, service map[string][]float64) (list []Cell) {
 	for name, values := range service {
 		for i, v := range values {
-			r := sim.Result{Score: audit.Score{Asked: 1, Got: v}}
+			r := sim.Result{Score: audit.Score{Course: audit.Course{Part: audit.Part{Asked: 1, Got: v}}}}
 			list = append(list, Cell{Variant: name, Day: "quiet", Seed: uint64(s.First + i), Result: r})
 		}
 	}
--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -7,6 +7,7 @@
 	"html/template"
 	"image/color"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 
@@ -166,12 +167,31 @@
 		}
 		d.Plots = append(d.Plots, template.HTML(svg)) // made here from numbers and the spec's own names
 	}
-	d.Parts = append(parts("class", first.Result.Score.ByClass), parts("tenant", first.Result.Score.ByTenant)...)
+	score := first.Result.Score
+	for _, by := range []struct {
+		kind  string
+		table map[string]*audit.Course
+	}{{"class", score.ByClass}, {"tenant", score.ByTenant}} {
+		svg, err := draws(fmt.Sprintf("service of %s, by %s", first.Variant, by.kind), courses(by.table))
+		if err != nil {
+			return d, err
+		}
+		d.Plots = append(d.Plots, template.HTML(svg))
+	}
+	d.Parts = append(parts("class", score.ByClass), parts("tenant", score.ByTenant)...)
 	d.Told, d.Of = first.Result.Told, first.Variant
 	return d, nil
 }
 
-func parts(kind string, table map[string]*audit.Part) (list []htmlPart) {
+// courses are the parts of a score over time.
+func courses(table map[string]*audit.Course) (list []curve) {
+	for _, name := range slices.Sorted(maps.Keys(table)) {
+		list = append(list, curve{name, service(table[name].Seconds)})
+	}
+	return list
+}
+
+func parts(kind string, table map[string]*audit.Course) (list []htmlPart) {
 	for name, p := range table {
 		list = append(list, htmlPart{kind, name, p.Asked, p.Got, p.Share()})
 	}
--- a/lab/report/report_test.go
+++ b/lab/report/report_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"html"
+	"math"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -63,11 +64,34 @@
 			t.Errorf("the page has %q", bad)
 		}
 	}
-	if n := strings.Count(text, "<svg"); n != 1+len(series) {
+	if n := strings.Count(text, "<svg"); n != 3+len(series) {
 		t.Errorf("%d plots", n)
 	}
 }
 
+// TestThePartsAddUpToTheWhole: by class, by tenant and by second.
+func TestThePartsAddUpToTheWhole(t *testing.T) {
+	for _, c := range made(t).Cells {
+		s := c.Result.Score
+		for _, table := range []map[string]*audit.Course{s.ByClass, s.ByTenant} {
+			var all audit.Course
+			for _, part := range table {
+				var seconds audit.Part
+				for _, x := range part.Seconds {
+					seconds.Asked, seconds.Got = seconds.Asked+x.Asked, seconds.Got+x.Got
+				}
+				if math.Abs(seconds.Asked-part.Asked)+math.Abs(seconds.Got-part.Got) > 1e-6 {
+					t.Errorf("%s: seconds %v, in all %v", c.Variant, seconds, part.Part)
+				}
+				all.Asked, all.Got = all.Asked+part.Asked, all.Got+part.Got
+			}
+			if math.Abs(all.Asked-s.Asked)+math.Abs(all.Got-s.Got) > 1e-6 || s.Asked == 0 {
+				t.Errorf("%s: parts %v, in all %v", c.Variant, all.Part, s.Part)
+			}
+		}
+	}
+}
+
 func TestBrokenRulesLeadTheReport(t *testing.T) {
 	r := made(t)
 	r.Cells[0].Result.Breaks = []audit.Break{{Rule: "twice", What: "an effect"}}
