One place says why a run counts for nothing; a program is read once an experiment

Need: service, comparison and report each decided it for themselves. A run that did not account for all calls counted 0 and was told nowhere. The key of each of hundreds of runs read and hashed the whole program again.

Change: Cell.Void, called by all three; each program's hash is made once. Keys of runs change, so that results files of earlier builds are not gone on with (they were not before either).

Measured: the tests, with a new one for a run that lost a call, which fails without the change.

--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -28,9 +28,22 @@
 	Result  sim.Result
 }
 
-// Service is what the run counts: nothing where a rule broke or the variant failed.
+// Void is why the run counts for nothing, empty where it counts.
+func (c *Cell) Void() string {
+	switch r := &c.Result; {
+	case c.Failed != "":
+		return "failed: " + c.Failed
+	case len(r.Breaks) > 0:
+		return fmt.Sprintf("broke rule %s (%d times): %s", r.Breaks[0].Rule, len(r.Breaks), r.Breaks[0].What)
+	case !r.Tally.Balanced():
+		return fmt.Sprintf("does not account for all calls: %v", r.Tally)
+	}
+	return ""
+}
+
+// Service is what the run counts.
 func (c *Cell) Service() float64 {
-	if c.Failed != "" || len(c.Result.Breaks) > 0 || !c.Result.Tally.Balanced() {
+	if c.Void() != "" {
 		return 0
 	}
 	return c.Result.Score.Service()
@@ -102,29 +115,40 @@
 
 // cells lists all runs, variants of one day and seed side by side.
 func (s *Spec) cells() (list []Cell) {
+	programs := map[string]uint64{}
+	for _, v := range s.Variants {
+		if _, known := programs[v.Program]; !known {
+			programs[v.Program] = fingerprint(v.Program)
+		}
+	}
 	for _, d := range s.Days {
 		for i := range s.Seeds {
 			for _, v := range s.Variants {
 				seed := uint64(s.First + i)
-				list = append(list, Cell{Variant: v.Name, Day: d.Name, Seed: seed, Key: s.key(v, d, seed)})
+				list = append(list, Cell{Variant: v.Name, Day: d.Name, Seed: seed, Key: s.key(v, d, seed, programs[v.Program])})
 			}
 		}
 	}
 	return list
 }
 
-// key is a hash of all that a run depends on, this program's or the variant's included.
-func (s *Spec) key(v Variant, d Day, seed uint64) string {
+// key is a hash of all that a run depends on, the program that plays it included.
+func (s *Spec) key(v Variant, d Day, seed, program uint64) string {
 	h := xxhash.New()
-	fmt.Fprintf(h, "%+v", s.config(v, d, seed))
-	program := v.Program
+	fmt.Fprintf(h, "%+v %x", s.config(v, d, seed), program)
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// fingerprint is a hash of a program, of this one if the path is empty; 0 where it cannot be read.
+func fingerprint(program string) uint64 {
 	if program == "" {
-		program, _ = os.Executable() // without it, the key is the spec's alone
+		program, _ = os.Executable()
 	}
-	if raw, err := os.ReadFile(program); err == nil {
-		_, _ = h.Write(raw)
+	raw, err := os.ReadFile(program)
+	if err != nil {
+		return 0
 	}
-	return strconv.FormatUint(h.Sum64(), 16)
+	return xxhash.Sum64(raw)
 }
 
 // one plays one cell, here or by another program. A variant that fails is told, and the others go on.
--- a/lab/experiment/stats.go
+++ b/lab/experiment/stats.go
@@ -66,7 +66,7 @@
 		if seconds := len(c.Result.Score.Seconds); seconds > 0 && c.Service() > 0 {
 			worth[c.Variant] = append(worth[c.Variant], c.Result.Score.Got/float64(seconds))
 		}
-		if c.Failed != "" || len(c.Result.Breaks) > 0 {
+		if c.Void() != "" {
 			broken[c.Variant]++
 		}
 	}
--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -31,14 +31,8 @@
 // broken lists the runs that count for nothing.
 func (r Report) broken() (list []string) {
 	for i := range r.Cells {
-		c := &r.Cells[i]
-		switch {
-		case c.Failed != "":
-			list = append(list, fmt.Sprintf("%s on %s, seed %d failed: %s", c.Variant, c.Day, c.Seed, c.Failed))
-		case len(c.Result.Breaks) > 0:
-			b := c.Result.Breaks[0]
-			list = append(list, fmt.Sprintf("%s on %s, seed %d broke rule %s (%d times): %s", c.Variant, c.Day, c.Seed, b.Rule,
-				len(c.Result.Breaks), b.What))
+		if c := &r.Cells[i]; c.Void() != "" {
+			list = append(list, fmt.Sprintf("%s on %s, seed %d %s", c.Variant, c.Day, c.Seed, c.Void()))
 		}
 	}
 	return list
--- a/lab/report/report_test.go
+++ b/lab/report/report_test.go
@@ -102,3 +102,14 @@
 		t.Errorf("broken at %d, first table at %d", broken, table)
 	}
 }
+
+// TestARunThatLostCallsIsTold: it counts for nothing, so the report must say so.
+func TestARunThatLostCallsIsTold(t *testing.T) {
+	r := made(t)
+	r.Cells[0].Result.Tally.Asked++
+	var text bytes.Buffer
+	r.Text(&text)
+	if r.Cells[0].Service() != 0 || !strings.Contains(text.String(), "does not account for all calls") {
+		t.Errorf("service %v and the report:\n%s", r.Cells[0].Service(), text.String())
+	}
+}
