Laboratory and link: one piece each for what was written twice

The demo's store, the naming of workers and the cells' groups stood in several places; a link's end of an item was written once for attempts and once for orders; negative delays were refused when they were played, not when the script was read; clients waited for each other while a connection was tested.

--- a/internal/workerlink/io.go
+++ b/internal/workerlink/io.go
@@ -131,24 +131,14 @@
 	l.work = false
 	var never []item
 	for _, s := range spans {
-		gone := s.end <= n
-		switch {
-		case s.attempt != nil && s.attempt.state == leaving:
-			if gone {
-				s.attempt.state = left
-				continue
-			}
-			delete(l.attempts, s.attempt.number)
-			never = append(never, s.item)
-			s.item.end(unsent)
-		case s.order != nil && s.order.state == leaving:
-			if gone {
-				s.order.state = left
-				continue
-			}
-			delete(l.orders, s.order.number)
+		switch at := s.state(); {
+		case at == nil || *at != leaving:
+		case s.end <= n:
+			*at = left
+		default:
+			*at = unsent
+			l.forget(s.item)
 			never = append(never, s.item)
-			s.item.end(unsent)
 		}
 	}
 	l.mu.Unlock()
@@ -157,6 +147,16 @@
 	}
 }
 
+// forget drops an item that is under way; the lock is held.
+func (l *Link) forget(i item) {
+	switch {
+	case i.attempt != nil:
+		delete(l.attempts, i.attempt.number)
+	case i.order != nil:
+		delete(l.orders, i.order.number)
+	}
+}
+
 // read handles frames until the connection breaks.
 func (l *Link) read(conn net.Conn, reader *workerwire.Reader) error {
 	for {
--- a/internal/workerlink/link.go
+++ b/internal/workerlink/link.go
@@ -224,12 +224,20 @@
 	return taken
 }
 
-func (i item) end(as state) {
-	if i.attempt != nil {
-		i.attempt.state = as
+// state is where the item's attempt or order stands, nil for what has none.
+func (i item) state() *state {
+	switch {
+	case i.attempt != nil:
+		return &i.attempt.state
+	case i.order != nil:
+		return &i.order.state
 	}
-	if i.order != nil {
-		i.order.state = as
+	return nil
+}
+
+func (i item) end(as state) {
+	if s := i.state(); s != nil {
+		*s = as
 	}
 }
 
--- a/lab/client/client.go
+++ b/lab/client/client.go
@@ -73,12 +73,9 @@
 	return seen, nil
 }
 
+// get returns a connection that stands. To find that out takes time, which no other client waits for.
 func (p *Pool) get() (*conn, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for len(p.free) > 0 {
-		n := p.free[len(p.free)-1]
-		p.free = p.free[:len(p.free)-1]
+	for n := p.take(); n != nil; n = p.take() {
 		if n.alive() {
 			return n, nil
 		}
@@ -91,6 +88,18 @@
 	return &conn{c, bufio.NewReader(c)}, nil
 }
 
+// take returns the idle connection that was used last, nil if there is none.
+func (p *Pool) take() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.free) == 0 {
+		return nil
+	}
+	n := p.free[len(p.free)-1]
+	p.free = p.free[:len(p.free)-1]
+	return n
+}
+
 // alive says whether an idle connection still stands.
 func (n *conn) alive() bool {
 	_ = n.SetReadDeadline(time.Now().Add(100 * time.Microsecond))
--- a/lab/experiment/spec.go
+++ b/lab/experiment/spec.go
@@ -14,7 +14,6 @@
 	"havencart/internal/lines"
 	"havencart/lab/fleet"
 	"havencart/lab/load"
-	"havencart/lab/model"
 	"havencart/lab/script"
 	"havencart/lab/sim"
 )
@@ -185,13 +184,14 @@
 func (s *Spec) config(v Variant, d Day, seed uint64) sim.Config {
 	worker := fleet.DemoWorker()
 	worker.Cores, worker.MemoryMB, worker.Queue, worker.MissAnswers = d.Cores, d.Memory, d.Queue, d.Miss
+	store := fleet.DemoStore()
+	store.Places, store.Limit = d.StorePlaces, d.StoreLimit
 	set := v.Set
 	if d.Miss {
 		set = append([]string{"on-miss miss"}, set...)
 	}
 	return sim.Config{Workers: d.Workers, Cells: d.Cells, FrontEnds: d.FrontEnds, Worker: worker, Settings: override(fleet.DemoSettings, set),
-		Store: model.StoreConfig{Places: d.StorePlaces, Limit: d.StoreLimit, FallMultiple: 3, FallAfter: 3 * time.Second, FallFor: 2 * time.Second},
-		Mix:   d.Mix, Lasts: d.Lasts, ListLag: d.Lag, Jitter: 0.3, Troubles: d.Troubles, Seed: seed, Policy: v.Policy, LogLevel: zerolog.InfoLevel}
+		Store: store, Mix: d.Mix, Lasts: d.Lasts, ListLag: d.Lag, Jitter: 0.3, Troubles: d.Troubles, Seed: seed, Policy: v.Policy, LogLevel: zerolog.InfoLevel}
 }
 
 // override puts lines in place of those of the same directive outside blocks.
--- a/lab/fleet/demo.go
+++ b/lab/fleet/demo.go
@@ -61,6 +61,11 @@
 		ColdFrom: 0.2, ColdTime: 4 * time.Second, TipMultiple: 3, TipWindow: time.Second, KeyMemory: 6 * time.Second}
 }
 
+// DemoStore is the demo's function store.
+func DemoStore() model.StoreConfig {
+	return model.StoreConfig{Places: 8, Limit: 40, FallMultiple: 3, FallAfter: 3 * time.Second, FallFor: 2 * time.Second}
+}
+
 // Demo is a whole installation with a load and a script of troubles.
 type Demo struct {
 	Workers, FrontEnds int
@@ -87,7 +92,7 @@
 		return Result{}, err
 	}
 	f, err := Start(Config{Workers: d.Workers, Cells: 3, FrontEnds: d.FrontEnds, Zones: script.Zones(troubles), Worker: DemoWorker(),
-		Store:    model.StoreConfig{Places: 8, Limit: 40, FallMultiple: 3, FallAfter: 3 * time.Second, FallFor: 2 * time.Second},
+		Store:    DemoStore(),
 		Settings: DemoSettings, Slack: time.Second, Log: d.Log})
 	if err != nil {
 		return Result{}, err
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -89,16 +89,11 @@
 	if f.Directory, err = directory.Start("127.0.0.1:0"); err != nil {
 		return err
 	}
-	groups := make([]*model.Group, max(1, f.cfg.Cells))
-	for i := range groups {
-		groups[i] = model.NewGroup()
-	}
+	groups := model.Groups(f.cfg.Cells)
 	f.network = model.NewNetwork(f.World, model.NetworkConfig{Zones: f.cfg.Zones}, rand.New(rand.NewPCG(1, 0x6e6574)))
 	f.skew = make([]time.Duration, f.cfg.Workers)
 	for i := range f.cfg.Workers {
-		cell := i % len(groups)
-		wc := f.cfg.Worker
-		wc.Name, wc.Cell = fmt.Sprintf("worker-%d", i+1), fmt.Sprintf("cell-%d", cell+1)
+		wc, cell := f.cfg.Worker.Numbered(i, len(groups))
 		w, err := worker.Start(f.World, worker.Config{WorkerConfig: wc, Address: "127.0.0.1:0", Work: 50 * time.Millisecond,
 			Ways: f.ways(i)}, f.fetcher, groups[cell], f.Book)
 		if err != nil {
--- a/lab/hunt/base.go
+++ b/lab/hunt/base.go
@@ -8,14 +8,13 @@
 
 	"havencart/lab/fleet"
 	"havencart/lab/load"
-	"havencart/lab/model"
 	"havencart/lab/sim"
 )
 
 // Base is the installation of hunts: 12 workers at about 0.6 of their capacity, 3 front ends.
 func Base(lasts time.Duration) sim.Config {
 	return sim.Config{Workers: 12, Cells: 3, FrontEnds: 3, Zones: zones, Worker: fleet.DemoWorker(), Settings: fleet.DemoSettings,
-		Store: model.StoreConfig{Places: 8, Limit: 40, FallMultiple: 3, FallAfter: 3 * time.Second, FallFor: 2 * time.Second},
+		Store: fleet.DemoStore(),
 		Mix: load.Mix{Rate: 400, Functions: 12, Zipf: 1.3, Work: 60 * time.Millisecond, WorkSigma: 0.6, Load: 600 * time.Millisecond,
 			MemoryMB: 400, Patience: 2 * time.Second, Habit: load.Advised, Retries: 1},
 		Lasts: lasts, Jitter: 0.3, Seed: 1, LogLevel: zerolog.WarnLevel}
--- a/lab/hunt/hunt.go
+++ b/lab/hunt/hunt.go
@@ -204,6 +204,7 @@
 		{script.Rate, func() { t.Factor = float64(3+h.rng.IntN(8)) / 10 }},
 		{script.Factor, func() { t.Factor = float64(2 + h.rng.IntN(8)) }},
 		{script.By, func() { t.By = h.tenths(1, 50) }},
+		{script.Skew, func() { t.By = h.tenths(1, 50) }},
 		{script.Stop, func() { t.Stop = h.tenths(1, 6) }},
 		{script.Every, func() { t.Every = h.tenths(8, 30) }},
 		{script.Over, func() { t.Over = h.tenths(10, lasts/2) }},
--- a/lab/measure/overload.go
+++ b/lab/measure/overload.go
@@ -30,11 +30,13 @@
 	Seed               uint64
 }
 
+// overloadCores are those of each worker.
+const overloadCores = 2
+
 // Overload plays each factor on an installation of its own: emulated workers of two cores, clients that do not
 // repeat, three classes. The front ends are real, behind sockets.
 func Overload(ctx context.Context, cfg OverloadConfig, tell func(Point)) error {
-	const cores = 2
-	capacity := cores * float64(cfg.Workers) / cfg.Work.Seconds()
+	capacity := overloadCores * float64(cfg.Workers) / cfg.Work.Seconds()
 	for _, factor := range cfg.Factors {
 		p, err := cfg.point(ctx, factor, factor*capacity)
 		if err != nil {
@@ -47,7 +49,7 @@
 
 func (cfg OverloadConfig) point(ctx context.Context, factor, rate float64) (Point, error) {
 	w := fleet.DemoWorker()
-	w.Cores = 2
+	w.Cores = overloadCores
 	f, err := fleet.Start(fleet.Config{Workers: cfg.Workers, Cells: 2, FrontEnds: cfg.FrontEnds, Worker: w,
 		Store: model.StoreConfig{Places: 8, Limit: 40}, Settings: fleet.DemoSettings, Slack: time.Second, Log: zerolog.Nop()})
 	if err != nil {
--- a/lab/model/worker.go
+++ b/lab/model/worker.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -92,6 +93,22 @@
 // Group is the memory of keys that the workers of one cell share.
 type Group struct{ ran map[string]time.Duration }
 
+// Numbered is the configuration of worker i, from 0, of an installation with so many cells; the cell's index, from
+// 0, comes with it. Workers are dealt out to cells one by one.
+func (c WorkerConfig) Numbered(i, cells int) (numbered WorkerConfig, cell int) {
+	cell = i % cells
+	c.Name, c.Cell = fmt.Sprintf("worker-%d", i+1), fmt.Sprintf("cell-%d", cell+1)
+	return c, cell
+}
+
+// Groups returns an empty Group for each of so many cells, for one at the least.
+func Groups(cells int) (list []*Group) {
+	for range max(1, cells) {
+		list = append(list, NewGroup())
+	}
+	return list
+}
+
 // NewGroup returns an empty Group.
 func NewGroup() *Group { return &Group{ran: map[string]time.Duration{}} }
 
--- a/lab/script/script.go
+++ b/lab/script/script.go
@@ -54,6 +54,7 @@
 	Rate
 	Factor
 	By
+	Skew
 	Stop
 	Every
 	Over
@@ -85,7 +86,8 @@
 	}, func(t Trouble) string { return t.Name }},
 	Rate:   number("rate", "0.5", 0, 1),
 	Factor: number("factor", "4", 0.01, 1000),
-	By:     span("by", "600ms", -day, func(t *Trouble) *time.Duration { return &t.By }),
+	By:     span("by", "600ms", 0, func(t *Trouble) *time.Duration { return &t.By }),
+	Skew:   span("by", "-30s", -day, func(t *Trouble) *time.Duration { return &t.By }),
 	Stop:   span("stop", "200ms", 0, func(t *Trouble) *time.Duration { return &t.Stop }),
 	Every:  span("every", "2s", time.Millisecond, func(t *Trouble) *time.Duration { return &t.Every }),
 	Over:   span("over", "4s", 0, func(t *Trouble) *time.Duration { return &t.Over }),
--- a/lab/script/script_test.go
+++ b/lab/script/script_test.go
@@ -22,16 +22,20 @@
 
 func TestAllErrorsAreToldWithTheirPlace(t *testing.T) {
 	_, err := Parse("day", "at 2s crash 25% for 3s\nat noon crash 25% for 3s\nat 1s explode\nat 1s crash 250% for 3s\n"+
-		"at 1s fail 20% rate 2 for 1s\nat 1s crash 25% during 3s\nat 1s end now\ncrash\nat 1s kill 0 for 1s\n")
+		"at 1s fail 20% rate 2 for 1s\nat 1s crash 25% during 3s\nat 1s end now\ncrash\nat 1s kill 0 for 1s\n"+
+		"at 1s net-delay 1 2 by -1s for 1s\nat 1s clock-jump 10% by -1s for 1s\n")
 	if !errors.Is(err, ErrScript) {
 		t.Fatal(err)
 	}
 	for _, want := range []string{"day:2:4: ", "day:3:7: found \"explode\"", "day:4:13: ", "day:5:21: ", "day:6:17: found \"during\"",
-		"day:7:11: ", "day:8:1: ", "day:9:12: "} {
+		"day:7:11: ", "day:8:1: ", "day:9:12: ", "day:10:24: "} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("no %q in:\n%v", want, err)
 		}
 	}
+	if strings.Contains(err.Error(), "day:11:") {
+		t.Errorf("a clock may be behind: %v", err)
+	}
 }
 
 func FuzzParse(f *testing.F) {
--- a/lab/script/verbs.go
+++ b/lab/script/verbs.go
@@ -1,7 +1,6 @@
 package script
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
@@ -35,13 +34,13 @@
 	{"neighbour", []Word{Share, Factor, Every, For}, "workers run slower for a while, then not, in turns", (*Play).neighbour},
 	{"ageing", []Word{Share, Factor, For}, "workers run slower and slower, then die and start anew", (*Play).ageing},
 	{"handshake", []Word{Share, By, For}, "new connections to workers take longer to set up",
-		workers(func(t Trouble) (string, string) { return fmt.Sprint("handshake ", max(0, t.By)), "handshake 0s" })},
+		workers(func(t Trouble) (string, string) { return fmt.Sprint("handshake ", t.By), "handshake 0s" })},
 	{"reset", []Word{Share}, "connections to workers break; the processes live on",
 		workers(func(Trouble) (string, string) { return "reset", "" })},
 	{"flush", []Word{Share}, "all copies at a share of the workers go void",
 		workers(func(Trouble) (string, string) { return "flush", "" })},
 	{"re-release", []Word{Share}, "a share of the functions is released anew: their copies go void at all workers", (*Play).reRelease},
-	{"clock-jump", []Word{Share, By, For}, "workers' wall clocks are off, back with a minus: what starts meanwhile tells the directory a wrong start",
+	{"clock-jump", []Word{Share, Skew, For}, "workers' wall clocks are off, back with a minus: what starts meanwhile tells the directory a wrong start",
 		(*Play).clockJump},
 	{"store-stop", []Word{For}, "the function store answers nothing", (*Play).storeStop},
 	{"store-slow", []Word{Factor, For}, "the store is slower", (*Play).storeSlow},
@@ -197,39 +196,34 @@
 
 func (p *Play) clockJump(t Trouble) error {
 	list := p.pick(t.Share)
-	set := func(by time.Duration) error {
+	set := func(by time.Duration) {
 		for _, w := range list {
 			p.stage.Clock(w, by)
 		}
-		return nil
 	}
-	p.after(t.For, func() error { return set(0) })
-	return set(t.By)
+	return p.during(t, func() { set(t.By) }, func() { set(0) })
 }
 
 func (p *Play) storeStop(t Trouble) error { p.stage.StoreStop(t.For); return nil }
 
 func (p *Play) storeSlow(t Trouble) error {
-	return p.lasting(t, func() error { p.stage.StoreSlow(t.Factor); return nil }, func() error { p.stage.StoreSlow(1); return nil })
+	return p.during(t, func() { p.stage.StoreSlow(t.Factor) }, func() { p.stage.StoreSlow(1) })
 }
 
 func (p *Play) storeFail(t Trouble) error {
-	return p.lasting(t, func() error { p.stage.StoreFail(t.Factor); return nil }, func() error { p.stage.StoreFail(0); return nil })
+	return p.during(t, func() { p.stage.StoreFail(t.Factor) }, func() { p.stage.StoreFail(0) })
 }
 
 func (p *Play) directoryLag(t Trouble) error {
-	if t.By < 0 {
-		return errors.New("a lag cannot be negative")
-	}
-	return p.lasting(t, func() error { p.stage.DirectoryLag(t.By); return nil }, func() error { p.stage.DirectoryLag(0); return nil })
+	return p.during(t, func() { p.stage.DirectoryLag(t.By) }, func() { p.stage.DirectoryLag(0) })
 }
 
 func (p *Play) directoryDown(t Trouble) error {
-	return p.lasting(t, func() error { p.stage.DirectoryDown(true); return nil }, func() error { p.stage.DirectoryDown(false); return nil })
+	return p.during(t, func() { p.stage.DirectoryDown(true) }, func() { p.stage.DirectoryDown(false) })
 }
 
 func (p *Play) directoryPart(t Trouble) error {
-	return p.lasting(t, func() error { p.stage.DirectoryPart(t.Share); return nil }, func() error { p.stage.DirectoryPart(1); return nil })
+	return p.during(t, func() { p.stage.DirectoryPart(t.Share) }, func() { p.stage.DirectoryPart(1) })
 }
 
 func (p *Play) directoryBack(Trouble) error { p.stage.DirectoryBack(); return nil }
@@ -240,14 +234,16 @@
 	return begin()
 }
 
+// during is lasting for what cannot fail.
+func (p *Play) during(t Trouble, begin, end func()) error {
+	return p.lasting(t, func() error { begin(); return nil }, func() error { end(); return nil })
+}
+
 // network makes a trouble of the ways between two zones.
 func network(of func(Trouble) model.NetTrouble) func(*Play, Trouble) error {
 	return func(p *Play, t Trouble) error {
 		x := of(t)
 		x.From, x.To = t.Number, t.To
-		if x.Delay < 0 {
-			return errors.New("a delay cannot be negative")
-		}
 		end := p.stage.Network(x)
 		p.after(t.For, func() error { end(); return nil })
 		return nil
--- a/lab/sim/front.go
+++ b/lab/sim/front.go
@@ -134,8 +134,8 @@
 }
 
 // Open implements gateway.Outside.
-func (f *front) Open(id control.WorkerID, w directory.Worker) gateway.Link {
-	l := newLink(f, id, w.Name)
+func (f *front) Open(id control.WorkerID, _ directory.Worker) gateway.Link {
+	l := newLink(f, id)
 	f.links = append(slices.DeleteFunc(f.links, func(x *link) bool { return x.stopped }), l)
 	return l
 }
--- a/lab/sim/link.go
+++ b/lab/sim/link.go
@@ -47,14 +47,10 @@
 	ending    []*workerlink.Attempt // whose end the front end is still to hear
 }
 
-func newLink(f *front, id control.WorkerID, name string) *link {
-	l := &link{front: f, sim: f.sim, id: id}
-	l.zone = f.sim.net.Zone(f.number)
-	for i, w := range f.sim.workers {
-		if w.Config.Name == name {
-			l.worker, l.index, l.far = w, i, f.sim.net.Zone(i)
-		}
-	}
+func newLink(f *front, id control.WorkerID) *link {
+	i := f.sim.byID[id]
+	l := &link{front: f, sim: f.sim, id: id, worker: f.sim.workers[i], index: i, zone: f.sim.net.Zone(f.number),
+		far: f.sim.net.Zone(i)}
 	l.redial = linkcare.NewRedial(f.drawn(uint64(id)).Uint64())
 	l.dial()
 	return l
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -133,8 +133,8 @@
 	told    []string
 	policy  func(time.Duration, control.Settings, control.Actions) gateway.Module
 
-	byID      map[control.WorkerID]*model.Worker // for the oracle, as is the next
-	functions map[control.FunctionID]string
+	byID      map[control.WorkerID]int      // in workers
+	functions map[control.FunctionID]string // for the oracle
 }
 
 var epoch = time.Unix(0, 0)
@@ -205,22 +205,18 @@
 	set.FrontEnds = cfg.FrontEnds
 	s := &Sim{cfg: cfg, set: set, clock: &model.Sim{}, rng: rand.New(rand.NewPCG(cfg.Seed, 0x73696d)), trace: xxhash.New(),
 		catalog: gateway.CatalogOf(set), part: 1, seen: map[string]int{},
-		byID: map[control.WorkerID]*model.Worker{}, functions: map[control.FunctionID]string{}}
+		byID: map[control.WorkerID]int{}, functions: map[control.FunctionID]string{}}
 	s.book = audit.NewBookOn(epoch, s.clock.Now)
 	s.net = model.NewNetwork(s.clock, model.NetworkConfig{Zones: max(cfg.Zones, script.Zones(cfg.Troubles)), Net: cfg.Net,
 		Jitter: cfg.Jitter}, s.rng)
 	s.skew, s.shakes = make([]time.Duration, cfg.Workers), make([]time.Duration, cfg.Workers)
 	s.store = model.NewStore(s.clock, cfg.Store)
-	groups := make([]*model.Group, max(1, cfg.Cells))
-	for i := range groups {
-		groups[i] = model.NewGroup()
-	}
+	groups := model.Groups(cfg.Cells)
 	for i := range cfg.Workers {
-		wc := cfg.Worker
-		wc.Name, wc.Cell = fmt.Sprintf("worker-%d", i+1), fmt.Sprintf("cell-%d", i%len(groups)+1)
-		w := model.NewWorker(s.clock, wc, fetcher{s}, groups[i%len(groups)], observer{s.book, s})
+		wc, cell := cfg.Worker.Numbered(i, len(groups))
+		w := model.NewWorker(s.clock, wc, fetcher{s}, groups[cell], observer{s.book, s})
 		s.workers = append(s.workers, w)
-		s.byID[gateway.WorkerID(wc.Name)] = w
+		s.byID[gateway.WorkerID(wc.Name)] = i
 		s.entries = append(s.entries, directory.Worker{Name: wc.Name, Address: wc.Name + ":1", Cell: wc.Cell, Scale: 1,
 			Started: epoch.Add(-w.Uptime()), State: control.Ready})
 	}
@@ -255,7 +251,7 @@
 
 // Estimate implements baseline.Truth.
 func (t truth) Estimate(id control.WorkerID, f control.FunctionID, r control.Request) (load, rest time.Duration, may bool) {
-	w := t.s.byID[id]
+	w := t.s.workers[t.s.byID[id]]
 	return w.Estimate(t.s.functions[f], r.MemoryMB, r.Lanes, r.LoadTime, t.s.cfg.Mix.Work, t.s.store)
 }
 
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -11,7 +11,6 @@
 
 	"havencart/lab/baseline"
 	"havencart/lab/fleet"
-	"havencart/lab/model"
 	"havencart/lab/script"
 )
 
@@ -23,7 +22,7 @@
 		t.Fatal(err)
 	}
 	return Config{Workers: 12, Cells: 3, FrontEnds: 3, Worker: fleet.DemoWorker(), Settings: fleet.DemoSettings,
-		Store: model.StoreConfig{Places: 8, Limit: 40, FallMultiple: 3, FallAfter: 3 * time.Second, FallFor: 2 * time.Second},
+		Store: fleet.DemoStore(),
 		Mix:   fleet.DemoMix(150), Lasts: lasts, Troubles: troubles, Seed: 1, LogLevel: zerolog.WarnLevel, ListLag: 20 * time.Millisecond,
 		Jitter: 0.3}
 }
