A client's leaving reaches its call in the loop's queue and in a link's outbox

Read from the code: the loop takes events before arrivals (catchUp), so a leave can be heard before its call; Front.Left then changed nothing, as the call was not taken yet, and Front.Arrive took it on for nobody. Where the settings forbid cancelling, a call that still waited on a dial or in a link's outbox was sent all the same. Left now enters the final state from any earlier one, Arrive drops what is not fresh, and Link.Withdraw takes back what has not begun to leave.

--- a/internal/execlink/link.go
+++ b/internal/execlink/link.go
@@ -156,6 +156,19 @@
 	}
 }
 
+// Withdraw takes back an attempt that has not begun to leave, and says whether it did: its end is then not told.
+func (l *Link) Withdraw(a *workerlink.Attempt) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.attempts[a]
+	if s == nil || !s.box.Withdraw(a) {
+		return false
+	}
+	delete(l.attempts, a)
+	s.wake()
+	return true
+}
+
 // Abandon gives an attempt up: its end is not told after this, unless it already was. It returns whether the
 // worker may have seen it; if so it is told that nobody waits.
 func (l *Link) Abandon(a *workerlink.Attempt) (mayHaveLeft bool) {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -53,6 +53,7 @@
 // Link is the way to one worker, as workerlink.Link is.
 type Link interface {
 	Send(*workerlink.Attempt) *workerlink.Result
+	Withdraw(*workerlink.Attempt) (notLeft bool)
 	Abandon(*workerlink.Attempt) (mayHaveLeft bool)
 	Load(*workerlink.Order) control.Status
 	AbandonOrder(*workerlink.Order)
@@ -224,9 +225,13 @@
 	}
 }
 
-// Arrive takes a call from the client edge, or refuses it at once.
+// Arrive takes a call from the client edge, or refuses it at once. One whose client left while it waited in the
+// loop's queue is dropped.
 func (f *Front) Arrive(now time.Duration, c *Call) {
 	f.now = now
+	if c.state != fresh {
+		return
+	}
 	c.deadline = c.Since + c.Patience - f.set.Margin
 	behind := c.queued > 0 && f.shed.Arrived(now, now-c.queued)
 	switch {
@@ -293,17 +298,26 @@
 		LoadTime: c.Copy.LoadTime()})
 }
 
-// Left takes the news that a call's client is gone. It may come at any time, also after the final answer: then
-// an answer that is still on its way is given up.
+// Left takes the news that a call's client is gone. It may come at any time: before the call's own arrival, as the
+// loop takes events before arrivals; and after the final answer, when an answer that is still on its way is given
+// up. Where the module may not call an attempt back, one that has not left its link is still taken back here.
 func (f *Front) Left(now time.Duration, c *Call) {
 	f.now = now
-	if c.state == waiting {
+	was := c.state
+	if was < answered {
 		c.state = left
 		f.counts.Left++
+	}
+	if was == waiting {
 		f.module.Gone(now, c.id)
 	}
-	if c.out != nil && c.out.begun {
-		f.giveUp(c.out, control.Cancelled, "the client left")
+	f.settleLater()
+	switch a := c.out; {
+	case a == nil:
+	case a.begun:
+		f.giveUp(a, control.Cancelled, "the client left")
+	case c.state == left && a.worker.withdraw(a):
+		f.ended(a, workerlink.Result{Status: control.Moot, Why: "the client left", Crowd: -1})
 	}
 	f.forget(c)
 	f.settleLater()
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -55,6 +55,14 @@
 	return was
 }
 
+func (l *fakeLink) Withdraw(a *workerlink.Attempt) bool {
+	was := slices.Contains(l.queued, a)
+	if was {
+		l.drop(a)
+	}
+	return was
+}
+
 func (l *fakeLink) drop(a *workerlink.Attempt) {
 	match := func(x *workerlink.Attempt) bool { return x == a }
 	l.queued, l.left = slices.DeleteFunc(l.queued, match), slices.DeleteFunc(l.left, match)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -213,6 +214,12 @@
 	f.ended(a, workerlink.Result{Status: as, Why: why, Crowd: -1})
 }
 
+// withdraw takes an attempt back from the link that has it, if it has not begun to leave.
+func (w *worker) withdraw(a *attempt) bool {
+	return w.link.Withdraw(&a.Attempt) ||
+		slices.ContainsFunc(w.retired, func(l Link) bool { return l.Withdraw(&a.Attempt) })
+}
+
 // abandon gives an attempt up on the link that has it.
 func (w *worker) abandon(a *attempt) bool {
 	left := w.link.Abandon(&a.Attempt)
--- a/internal/workerlink/link.go
+++ b/internal/workerlink/link.go
@@ -75,6 +75,13 @@
 	return nil
 }
 
+// Withdraw takes back an attempt that has not begun to leave, and says whether it did: its end is then not told.
+func (l *Link) Withdraw(a *Attempt) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.box.Withdraw(a)
+}
+
 // Abandon gives an attempt up: its end is not told after this, unless it already was. It returns whether the
 // worker may have seen it; if so it is told that nobody waits.
 func (l *Link) Abandon(a *Attempt) (mayHaveLeft bool) {
--- a/internal/workerlink/outbox.go
+++ b/internal/workerlink/outbox.go
@@ -102,6 +102,11 @@
 	return x
 }
 
+// Withdraw takes back an attempt that has not begun to leave, and says whether it did.
+func (o *Outbox) Withdraw(a *Attempt) bool {
+	return a.state == queued && len(o.Unqueue(func(i Item) bool { return i.Attempt == a })) > 0
+}
+
 // Abandon gives an attempt up. It returns whether it was under way, and whether the worker may have seen it.
 //
 // An end that was told may still wait for who is to hear it, behind other events, when the attempt is abandoned.
@@ -109,7 +114,7 @@
 func (o *Outbox) Abandon(a *Attempt) (underWay, mayHaveLeft bool) {
 	switch a.state {
 	case queued:
-		o.Unqueue(func(i Item) bool { return i.Attempt == a })
+		o.Withdraw(a)
 	case leaving, left:
 		a.state, underWay = ended, true
 		delete(o.attempts, a.number)
--- a/lab/sim/link.go
+++ b/lab/sim/link.go
@@ -323,6 +323,13 @@
 	return nil
 }
 
+// Withdraw takes back an attempt that has not left.
+func (l *link) Withdraw(a *workerlink.Attempt) bool {
+	n := len(l.queue)
+	l.queue = slices.DeleteFunc(l.queue, func(x any) bool { return x == any(a) })
+	return len(l.queue) < n
+}
+
 // Abandon gives an attempt up and says whether it may have left.
 func (l *link) Abandon(a *workerlink.Attempt) bool {
 	if slices.Contains(l.attempts, a) {
@@ -332,7 +339,7 @@
 		}
 		return true
 	}
-	l.queue = slices.DeleteFunc(l.queue, func(x any) bool { return x == any(a) })
+	l.Withdraw(a)
 	return slices.Contains(l.ending, a)
 }
 
