Stops and closes: what the machine accepted is served, what came whole is not closed on

Read from the code, each in callrpc or Relay.Run: - at a stop the listener was closed with connections in its backlog, which resets them; it now accepts what is there for 0.1 s more, and is closed then; - a connection was closed as idle by a look that was older than its next message, also between a request's last byte and its taking: its client sends it anew under an id that is taken by then. closeIf asks the verdict anew under the lock, and what came whole counts as open; - at a stop a message half read was cut off: it may end within the time that any message has; - the time for calls in hand ended with the kill itself; it ends 0.1 s before; - a stop that had to give final answers itself exited 3; each has its answer, so relay exits 0; - a second SIGTERM, or a SIGHUP or SIGTERM at the very end, killed the process; - errors of accept that belong to the connection ended the accepting for good.

--- a/cmd/havencart/main.go
+++ b/cmd/havencart/main.go
@@ -28,10 +28,10 @@
 
 func main() {
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
+	// Signals are heard until the process ends: a second one, or one that comes at the very end, kills nothing.
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := root().ExecuteContext(ctx)
-	stop()
-	os.Exit(exitCode(err))
+	defer stop()
+	os.Exit(exitCode(root().ExecuteContext(ctx)))
 }
 
 // errUsage is wrapped by errors about the command line.
--- a/cmd/havencart/relay.go
+++ b/cmd/havencart/relay.go
@@ -19,8 +19,7 @@
 	return &cobra.Command{Use: "relay", Short: "Run a front end of the users' platform, as told by RELAY_CONFIG",
 		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 			again := make(chan os.Signal, 1)
-			signal.Notify(again, syscall.SIGHUP)
-			defer signal.Stop(again)
+			signal.Notify(again, syscall.SIGHUP) // until the process ends: one that comes late kills nothing
 			log, err := o.logger()
 			if err != nil {
 				return err
--- a/internal/callrpc/conn.go
+++ b/internal/callrpc/conn.go
@@ -33,6 +33,7 @@
 	last    uint32               // number of the last request
 	asked   bool
 	half    bool      // a part of a message has come
+	taking  bool      // a message that came whole is being taken: it may become an open request
 	since   time.Time // since when it stands so
 	out     []byte    // answers to be written; bounded by MaxOut
 	writing bool
@@ -52,14 +53,27 @@
 func (c *conn) standing(now time.Time) doorkeep.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return doorkeep.Conn{Open: len(c.open), Asked: c.asked, Half: c.half, Since: now.Sub(c.since)}
+	return c.stands(now)
 }
 
-// closeIdle closes a connection on which nothing is open and nothing is to be written.
-func (c *conn) closeIdle() bool {
+// stands is how the connection stands; the lock is held.
+func (c *conn) stands(now time.Time) doorkeep.Conn {
+	open := len(c.open)
+	if c.taking || c.writing {
+		open++
+	}
+	return doorkeep.Conn{Open: open, Asked: c.asked, Half: c.half, Since: now.Sub(c.since)}
+}
+
+// closeIf closes a connection on which nothing is open and nothing is to be written, if may says so of how it stands
+// now: a message may have begun to come since it was looked at.
+//
+// A message that came whole counts as open until it is taken or turned down. It guards against a request that is read
+// from a connection which is closed meanwhile: its client sends it anew under the same id, and would find that in use.
+func (c *conn) closeIf(may func(doorkeep.Conn) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.open) > 0 || c.writing || c.closed {
+	if stands := c.stands(time.Now()); c.closed || stands.Open > 0 || !may(stands) {
 		return false
 	}
 	c.shut()
@@ -109,9 +123,10 @@
 	if _, err := c.in.Peek(1); err != nil {
 		return false
 	}
-	c.stand(true)
+	c.stand(true, false)
 	m, err := reader.Next()
-	c.stand(false)
+	c.stand(false, true)
+	defer c.stand(false, false)
 	switch {
 	case errors.Is(err, rpcwire.ErrMalformed):
 		c.refute(m.Number, err)
@@ -129,11 +144,11 @@
 	return true
 }
 
-// stand notes that a message begins to come, or has come.
-func (c *conn) stand(half bool) {
+// stand notes that a message begins to come, that it is being taken, or that this is over.
+func (c *conn) stand(half, taking bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.half, c.since = half, time.Now()
+	c.half, c.taking, c.since = half, taking, time.Now()
 }
 
 // refute tells a client that its request breaks the protocol, where it has a number.
--- a/internal/callrpc/server.go
+++ b/internal/callrpc/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	MaxOpen  int // requests of one connection; one more breaks the protocol
 	MaxOut   int // bytes of answers that a client has not taken; beyond, its connection is closed
 	Write    time.Duration
+	Rest     time.Duration // for which connections that the machine took are still accepted once Finish was called
 }
 
 // Counts are totals of a Server.
@@ -36,6 +38,7 @@
 
 	mu        sync.Mutex
 	conns     map[*conn]bool // bounded by MaxConns
+	listener  net.Listener   // while it is served
 	finishing bool
 	tasks     sync.WaitGroup
 
@@ -58,15 +61,21 @@
 // acceptPause is how long accepting rests where the system has no descriptor left.
 const acceptPause = 5 * time.Millisecond
 
-// Serve takes connections until l is closed, and looks over those that stand until ctx ends.
+// Serve takes connections until l is closed or Finish was called, and looks over those that stand until ctx ends. It
+// closes l.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	defer l.Close()
 	s.tasks.Go(func() { s.look(ctx) })
+	s.mu.Lock()
+	s.listener = l
+	s.endAccepting()
+	s.mu.Unlock()
 	for {
 		nc, err := l.Accept()
 		switch {
 		case err == nil:
 			s.take(nc)
-		case errors.Is(err, net.ErrClosed):
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
 		case isPassing(err):
 			s.evict()
@@ -100,7 +109,7 @@
 	list, states := s.states()
 	s.mu.Unlock()
 	i := doorkeep.Evict(states)
-	if i < 0 || !list[i].closeIdle() {
+	if i < 0 || !list[i].closeIf(doorkeep.MayEvict) {
 		return false
 	}
 	s.evicted.Add(1)
@@ -132,8 +141,12 @@
 		list, states := s.states()
 		finishing := s.finishing
 		s.mu.Unlock()
+		over := doorkeep.Over
+		if finishing {
+			over = doorkeep.OverAtStop
+		}
 		for i, c := range list {
-			if (doorkeep.Over(states[i]) || finishing && states[i].Open == 0) && c.closeIdle() {
+			if over(states[i]) && c.closeIf(over) {
 				s.closed.Add(1)
 			}
 		}
@@ -153,11 +166,24 @@
 	return len(s.conns)
 }
 
-// Finish makes each connection close once nothing is open on it. The listener is to be closed before.
+// Finish makes each connection close once nothing is open on it, and ends the accepting.
 func (s *Server) Finish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.finishing = true
+	s.endAccepting()
+}
+
+// endAccepting ends the accepting of one that finishes; the lock is held. Connections that the machine took before are
+// still accepted, for Rest: closing a listener resets those that wait there, and the requests on them are lost.
+func (s *Server) endAccepting() {
+	if !s.finishing || s.listener == nil {
+		return
+	}
+	l, can := s.listener.(interface{ SetDeadline(time.Time) error })
+	if !can || l.SetDeadline(time.Now().Add(s.cfg.Rest)) != nil {
+		s.listener.Close()
+	}
 }
 
 // Shutdown closes all connections behind the answers that are on their way, each at once where nothing is, and
--- a/internal/decide/doorkeep/doorkeep.go
+++ b/internal/decide/doorkeep/doorkeep.go
@@ -44,12 +44,18 @@
 	return c.Since >= idleFor
 }
 
+// OverAtStop says the same while the front end stops: what is idle goes, what is in the middle of a message may end it.
+func OverAtStop(c Conn) bool { return c.Open == 0 && (!c.Half || Over(c)) }
+
+// MayEvict says whether a connection may go to make room.
+func MayEvict(c Conn) bool { return c.Open == 0 && !(c.Half && c.Since < comingFor) }
+
 // Evict chooses the connection that goes where one more is wanted than there may be, -1 if none may go: those that
 // have asked nothing first, then those that ask nothing now, the longest so of each first.
 func Evict(all []Conn) int {
 	best := -1
 	for i, c := range all {
-		if c.Open > 0 || c.Half && c.Since < comingFor {
+		if !MayEvict(c) {
 			continue
 		}
 		if best < 0 || all[best].Asked && !c.Asked || all[best].Asked == c.Asked && c.Since > all[best].Since {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -48,7 +48,8 @@
 	relayWrite   = 2 * time.Second        // that a client may stand still while it is answered
 	relayOpen    = 32                     // requests of one connection, by the platform's page
 	relayComing  = 700 * time.Millisecond // that clients go on coming after a stop was asked for
-	relayMostEnd = 3 * time.Second        // that the longest deadline counts for at a stop
+	relayMostEnd = 3 * time.Second        // that the longest deadline counts for at a stop, from when the last clients came
+	relayRest    = 100 * time.Millisecond // before the end of relayComing clients came last; for as long they may be late
 	relayTell    = 5 * time.Second        // between two lines of the totals
 	memoryPart   = 0.7                    // of the limit, from which the runtime collects harder
 )
@@ -75,7 +76,7 @@
 			Keyed: c.Repeat == control.Keyed})
 	}
 	r.clients = callrpc.New(callrpc.Config{Rules: rules, MaxConns: clients, MaxOpen: relayOpen, MaxOut: relayOut,
-		Write: relayWrite}, r, log)
+		Write: relayWrite, Rest: relayRest}, r, log)
 	r.loop = NewLoop(r.loopConfig(), log)
 	return r, nil
 }
@@ -83,7 +84,7 @@
 func (r *Relay) loopConfig() LoopConfig {
 	site := r.set.Site
 	return LoopConfig{Source: r.bulletin, Queue: relayQueue, Events: relayEvents, Dial: r.dial,
-		StopWait: min(site.Longest(), relayMostEnd),
+		StopWait: max(relayRest, min(site.Longest(), relayMostEnd)-relayRest),
 		Settings: Settings{Name: r.set.Name, Classes: site.Classes, Tenants: site.Tenants, Zones: site.Zones,
 			Control: site.Control, Margin: relayMargin, MaxCalls: min(relayCalls, site.MaxCalls), Began: time.Now()}}
 }
@@ -143,9 +144,8 @@
 	defer context.AfterFunc(ctx, func() {
 		r.leaving.Store(true)
 		r.after(relayComing, func() {
-			r.listener.Close()
-			r.clients.Finish()
 			stop()
+			r.clients.Finish()
 		})
 	})()
 	looking, done := context.WithCancel(context.Background())
@@ -153,15 +153,20 @@
 	var telling sync.WaitGroup
 	telling.Go(func() { r.tell(looking) })
 	accepted := make(chan error, 1)
-	go func() { accepted <- r.clients.Serve(looking, r.listener) }()
+	go func() {
+		err := r.clients.Serve(looking, r.listener)
+		if err != nil {
+			stop() // nobody can come any longer: better none than one that serves nobody
+		}
+		accepted <- err
+	}()
 	counts, clean := r.loop.Run(serving)
-	r.listener.Close()
 	err := <-accepted
 	done()
 	r.clients.Shutdown()
 	telling.Wait()
-	if err == nil && !clean {
-		err = ErrUnclean
+	if !clean {
+		r.log.Warn().Msg("stopped with calls in hand; each got its final answer")
 	}
 	return counts, err
 }
