Connections to workers: a second answer ends no later attempt; list watches come back spread

A strand remembers the last 32 numbers answered by other than their end and takes none of them again. - execlink: a call was written to an idle connection whose end stood unread in the machine's buffer, and then had to be told as one that may have run. Before the first write after an idle time the buffer is looked into. - execlink: the write limit was set after the batch was claimed, so that a drain between the two was overruled; it is set under the same lock, and a drain leaves half of the grace, as that counts from the telling. - execlink: a write that stood still held up a stop for up to 2 s. - directory: hundreds of front ends found a silent list at exactly 2.5 s, and a break or a move at once, all in one instant. Waits are drawn: silence 2.2 to 3.0 s, first return within 0.2 s, later ones half to all of up to 0.5 s.

--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -24,15 +25,22 @@
 	last         uint64
 	workers      map[uint32]bulletinwire.Entry // not gone; bounded by what one whole list may hold
 
+	rng  *rand.Rand // Run's alone
+	dial func(ctx context.Context, address string) (net.Conn, error)
+
 	mu      sync.Mutex
 	address string
 	moved   chan struct{} // closed when the address changes
 }
 
-// NewBulletin returns a source that follows the bulletin at an address from the events known on.
-func NewBulletin(address string, known []byte, zones, kinds []string) (*Bulletin, error) {
+// NewBulletin returns a source that follows the bulletin at an address from the events known on, with waits drawn by
+// seed.
+func NewBulletin(address string, known []byte, zones, kinds []string, seed uint64) (*Bulletin, error) {
 	b := &Bulletin{zones: zones, kinds: kinds, workers: map[uint32]bulletinwire.Entry{}, address: address,
-		moved: make(chan struct{})}
+		moved: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 0x6c697374)),
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: linkcare.ListDial()}).DialContext(ctx, "tcp", address)
+		}}
 	last, events, err := bulletinwire.ParseKnown(known, zones, kinds)
 	if err != nil {
 		return nil, err
@@ -76,11 +84,20 @@
 		if err != nil && ctx.Err() == nil {
 			sink.ListFailed(err)
 		}
+		b.pause(ctx, moved, failures)
+	}
+}
+
+// pause waits before the bulletin is asked again. Where it moves meanwhile, or has, the wait is that for a new address.
+func (b *Bulletin) pause(ctx context.Context, moved <-chan struct{}, failures int) {
+	for {
 		select {
 		case <-ctx.Done():
+			return
 		case <-moved:
-			failures = 0
-		case <-time.After(linkcare.ListAgain(failures)):
+			failures, moved = 0, nil
+		case <-time.After(linkcare.ListAgain(failures, b.rng.Float64())):
+			return
 		}
 	}
 }
@@ -96,7 +113,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	conn, err := (&net.Dialer{Timeout: linkcare.ListDial()}).DialContext(ctx, "tcp", address)
+	conn, err := b.dial(ctx, address)
 	if err != nil {
 		return false, fmt.Errorf("connect to the bulletin: %w", err)
 	}
@@ -107,8 +124,9 @@
 		return false, fmt.Errorf("write to the bulletin: %w", err)
 	}
 	r := bufio.NewReader(conn)
+	silence := linkcare.ListSilence(b.rng.Float64())
 	for {
-		_ = conn.SetReadDeadline(time.Now().Add(linkcare.ListSilence())) // fails on a closed connection only
+		_ = conn.SetReadDeadline(time.Now().Add(silence)) // fails on a closed connection only
 		e, err := bulletinwire.Read(r, len(b.zones), len(b.kinds))
 		if err != nil {
 			return told, fmt.Errorf("read the bulletin: %w", err)
--- /dev/null
+++ b/internal/execlink/crossings_test.go
@@ -0,0 +1,165 @@
+package execlink
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"havencart/control"
+	"havencart/internal/execwire"
+	"havencart/internal/workerlink"
+	"havencart/lab/executor"
+)
+
+// TestASecondAnswerEndsNoLaterAttempt: a call that was turned away goes to the same worker again, under the same number,
+// and only then the answer that turned it away comes a second time.
+func TestASecondAnswerEndsNoLaterAttempt(t *testing.T) {
+	for _, first := range []execwire.Code{execwire.Full, execwire.Miss, execwire.Over, execwire.Error} {
+		t.Run(fmt.Sprint(first), func(t *testing.T) {
+			type seen struct {
+				c *executor.Conn
+				f execwire.Frame
+			}
+			came := make(chan seen, 4)
+			l, h, _ := open(t, func(c *executor.Conn, f execwire.Frame) { came <- seen{c, f} })
+			send(t, l, attempt(5))
+			one := <-came
+			one.c.Answer(execwire.Frame{Code: first, ID: one.f.ID})
+			if r := <-h.ends; r.Status != statuses[first] {
+				t.Fatalf("ended as %+v", r)
+			}
+			send(t, l, attempt(5))
+			two := <-came
+			one.c.Answer(execwire.Frame{Code: first, ID: one.f.ID})
+			select {
+			case <-h.late:
+			case r := <-h.ends:
+				t.Fatalf("a second answer with code %d ended the next attempt as %+v", first, r)
+			}
+			two.c.Answer(execwire.Frame{Code: execwire.OK, ID: two.f.ID})
+			if r := <-h.ends; r.Status != control.OK {
+				t.Errorf("after a second answer with code %d the next attempt ended as %+v", first, r)
+			}
+			if two.c.Number == one.c.Number {
+				t.Errorf("the next attempt went on the connection that answered its number with code %d", first)
+			}
+		})
+	}
+}
+
+// pair is both ends of a connection.
+func pair(t *testing.T) (ours, theirs *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	a, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { a.Close(); b.Close() })
+	return a.(*net.TCPConn), b.(*net.TCPConn)
+}
+
+// alone is a strand whose goroutines the test stands for.
+func alone(t *testing.T, conn net.Conn) (*Link, *strand) {
+	l, _ := link(t, "127.0.0.1:1", 1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := newStrand(l)
+	s.conn, s.heard = conn, true
+	l.strands = append(l.strands, s)
+	l.cfg.Budget.used.Add(1)
+	return l, s
+}
+
+// TestNothingIsWrittenToAConnectionThatTheWorkerHasEnded: its end stands in the machine's buffer and was not read yet.
+func TestNothingIsWrittenToAConnectionThatTheWorkerHasEnded(t *testing.T) {
+	for name, end := range map[string]func(c *net.TCPConn){
+		"closed": func(c *net.TCPConn) { c.Close() },
+		"reset":  func(c *net.TCPConn) { _ = c.SetLinger(0); c.Close() },
+	} {
+		ours, theirs := pair(t)
+		l, s := alone(t, ours)
+		end(theirs)
+		for ended(ours) == nil { // until it is in the buffer
+		}
+		a := attempt(5)
+		send(t, l, a)
+		if err := s.write(ours, make(chan struct{})); err == nil || s.box.Waiting() != 1 || a.MayHaveLeft() {
+			t.Errorf("%s: %v, %d wait, may have left %v", name, err, s.box.Waiting(), a.MayHaveLeft())
+		}
+	}
+}
+
+func TestALookForTheEndTakesNothing(t *testing.T) {
+	ours, theirs := pair(t)
+	if err := ended(ours); err != nil {
+		t.Errorf("one that stands: %v", err)
+	}
+	if _, err := theirs.Write([]byte("ab")); err != nil {
+		t.Fatal(err)
+	}
+	theirs.Close()
+	if err := ended(ours); err != nil {
+		t.Errorf("one with something to read: %v", err)
+	}
+	if got, err := io.ReadAll(ours); err != nil || string(got) != "ab" {
+		t.Errorf("read %q, %v", got, err)
+	}
+	if err := ended(ours); !errors.Is(err, io.EOF) {
+		t.Errorf("one that was read to its end: %v", err)
+	}
+	ours.Close()
+	if err := ended(ours); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("our own close: %v", err)
+	}
+}
+
+// TestADrainShortensTheWriteThatIsAboutToBegin: the frames were claimed, their first byte is not written yet.
+func TestADrainShortensTheWriteThatIsAboutToBegin(t *testing.T) {
+	ours, theirs := net.Pipe() // nobody reads
+	defer theirs.Close()
+	l, s := alone(t, ours)
+	send(t, l, attempt(5))
+	var b workerlink.Batch
+	s.claim(ours, &b)
+	if attempts, _ := l.Drain(time.Millisecond); len(attempts) != 0 {
+		t.Error("what is leaving was taken back")
+	}
+	if _, err := ours.Write(b.Bytes); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("written: %v", err)
+	}
+}
+
+// TestAWriteThatStandsStillHoldsUpNoStop: the worker reads nothing, and the machine's buffers are full.
+func TestAWriteThatStandsStillHoldsUpNoStop(t *testing.T) {
+	ours, theirs := net.Pipe() // nobody reads, nothing is buffered
+	defer theirs.Close()
+	l, s := alone(t, ours)
+	send(t, l, attempt(5))
+	served := make(chan error, 1)
+	l.tasks.Go(func() { served <- s.serve(ours) })
+	if _, err := theirs.Read(make([]byte, 1)); err != nil { // the write has begun
+		t.Fatal(err)
+	}
+	l.Stop()
+	if err := <-served; !errors.Is(err, io.ErrClosedPipe) {
+		t.Errorf("served: %v", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if left := s.box.Lost(); len(left) != 0 {
+		t.Error("an attempt that was not written whole counts as left")
+	}
+}
--- a/internal/execlink/link.go
+++ b/internal/execlink/link.go
@@ -121,7 +121,7 @@
 	}
 	all := make([]strands.Strand, len(l.strands))
 	for i, s := range l.strands {
-		all[i] = strands.Strand{Open: s.box.Open(), Retired: s.retired || s.box.Has(number), Used: s.used}
+		all[i] = strands.Strand{Open: s.box.Open(), Retired: s.retired || s.box.Has(number) || s.was(number), Used: s.used}
 	}
 	switch i := strands.Place(all, l.cfg.Streams, l.cfg.Budget.spare(len(all))); i {
 	case strands.None:
@@ -252,14 +252,15 @@
 }
 
 // Drain takes back all new work that has not left, returns it, and takes on none from now: none of it ran.
-// What is being written has until the grace is over. What has left goes on. Resume ends it.
+// What is being written has until the grace is half over, as it counts from when the drain was told, not from here.
+// What has left goes on. Resume ends it.
 func (l *Link) Drain(grace time.Duration) (attempts []*workerlink.Attempt, orders []*workerlink.Order) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.draining = true
 	for _, s := range l.strands {
 		if s.conn != nil && s.box.Writing() {
-			_ = s.conn.SetWriteDeadline(time.Now().Add(grace)) // fails on a closed connection only, whose writes fail too
+			_ = s.conn.SetWriteDeadline(time.Now().Add(grace / 2)) // fails on a closed connection only, whose writes fail too
 		}
 		a, o := s.box.TakeBack()
 		attempts, orders = append(attempts, a...), append(orders, o...)
--- a/internal/execlink/strand.go
+++ b/internal/execlink/strand.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -30,6 +32,22 @@
 	retired bool // takes nothing new; closed once nothing is open on it
 	heard   bool // something was heard on the connection
 	used    time.Duration
+	past    [pastNumbers]uint64 // answered here last, by other than their end; a ring, the oldest is forgotten
+	pastAt  int
+}
+
+// pastNumbers is how many numbers that were answered on a connection are not used on it again: an answer may come
+// twice, and the second one would be taken for that of the next attempt under its number. A call whose first attempt
+// was turned away would so be called unrun while it runs. It would harm where a worker turns much away and
+// connections are few: the call then goes elsewhere.
+const pastNumbers = 32
+
+// was says whether a number was answered on this connection lately.
+func (s *strand) was(number uint64) bool { return number != 0 && slices.Contains(s.past[:], number) }
+
+// answered notes that a number was answered.
+func (s *strand) answered(number uint64) {
+	s.past[s.pastAt], s.pastAt = number, (s.pastAt+1)%pastNumbers
 }
 
 func newStrand(l *Link) *strand {
@@ -139,6 +157,7 @@
 	s.l.mu.Lock()
 	s.conn = conn
 	s.l.mu.Unlock()
+	defer context.AfterFunc(s.l.ctx, func() { conn.Close() })() // a write that stands still does not hold up a stop
 	wrote, gone := make(chan error, 1), make(chan struct{})
 	go func() {
 		err := s.write(conn, gone)
@@ -160,10 +179,12 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		left, done := s.claim(&b)
+		if err := s.gone(conn); err != nil {
+			return fmt.Errorf("write to %s: %w", s.l.cfg.Worker, err)
+		}
+		left, done := s.claim(conn, &b)
 		workerlink.Tell(s.l.events, b.Faulty, control.Moot, control.Error, "its frame cannot be encoded")
 		if len(b.Bytes) > 0 {
-			_ = conn.SetWriteDeadline(time.Now().Add(strands.WriteLimit())) // fails on a closed connection only
 			n, err := conn.Write(b.Bytes)
 			s.l.mu.Lock()
 			never := s.box.Written(&b, n)
@@ -190,12 +211,28 @@
 	}
 }
 
+// gone says whether the other side has ended a connection on which nothing is open, while something waits to be
+// written on it. It guards against a call that is written to a connection whose end stands unread in the machine's
+// buffer: it would never run, and nobody could tell. It costs a system call where a connection was idle.
+func (s *strand) gone(conn net.Conn) error {
+	s.l.mu.Lock()
+	idle := s.box.Waiting() > 0 && s.box.Open() == s.box.Waiting() && s.heard
+	s.l.mu.Unlock()
+	if !idle {
+		return nil
+	}
+	return ended(conn)
+}
+
 // claim encodes the next batch, and says whether nothing needs the connection any longer, or for how long it is
-// kept still.
-func (s *strand) claim(b *workerlink.Batch) (left time.Duration, done bool) {
+// kept still. The limit of the write stands before a drain can shorten it.
+func (s *strand) claim(conn net.Conn, b *workerlink.Batch) (left time.Duration, done bool) {
 	s.l.mu.Lock()
 	defer s.l.mu.Unlock()
 	s.box.Claim(b, s.encode)
+	if len(b.Bytes) > 0 {
+		_ = conn.SetWriteDeadline(time.Now().Add(strands.WriteLimit())) // fails on a closed connection only
+	}
 	s.l.forget(b.Faulty)
 	if s.box.Open() > 0 || len(s.probes) > 0 {
 		return time.Hour, false
@@ -277,6 +314,9 @@
 		delete(s.probes, f.ID)
 	} else if a = s.box.Answered(f.ID); a != nil {
 		delete(s.l.attempts, a)
+		if f.Code != execwire.OK { // else nothing is sent under it again
+			s.answered(f.ID)
+		}
 	} else if o = s.box.OrderAnswered(f.ID); o != nil {
 		delete(s.l.orders, o)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -64,7 +64,7 @@
 		after: func(d time.Duration, f func()) { time.AfterFunc(d, f) }}
 	var err error
 	site := set.Site
-	if r.bulletin, err = directory.NewBulletin(set.Bulletin, set.Known, site.Zones, site.Kinds); err != nil {
+	if r.bulletin, err = directory.NewBulletin(set.Bulletin, set.Known, site.Zones, site.Kinds, set.Seed); err != nil {
 		return nil, err
 	}
 	if r.listener, err = net.Listen("tcp", set.Listen); err != nil {
