Cold workers: the lot counts how many front ends have a call, also where most started anew

A test puts 30 and 300 Controllers of unequal traffic before one cold worker and counts all they send in any window of TipWindow.

At fault: roomCold's floor of 1/coldCrowd calls a window, which holds for any function, and a rate of answers that begins at 0 with a front end and takes ten seconds to be right, so that the floor alone decided after a restart. The rate is now that of the time counted, and the floor is not above what this front end's own calls of the function say of how many have one.

Constants are as before.

--- a/control/control.go
+++ b/control/control.go
@@ -729,18 +729,19 @@
 // roomCold keeps rule 4: a cold worker is sent less than would push it over if every front end sent it as
 // much. What it could do warm is guessed from what the warm ones serve this front end. Where its part is
 // less than a call, a call goes by lot, drawn anew in each window, and the lot falls the more often the fewer
-// front ends have a call for that worker when it does: at most coldCrowd times as many as for a worker in the
-// mean. It would harm where more had one: functions are spread so that none wants a third of a worker at one.
+// front ends have a call for that worker when it does: as many as this one's own calls of the function tell,
+// and at most coldCrowd times as many as for a worker in the mean. It would harm where more had one that each
+// sees seldom: functions are spread so that none wants a third of a worker at one.
 func (c *Controller) roomCold(w *worker, r *request) bool {
 	age := c.now - w.Started
 	if w.Started == LongAgo || age >= c.set.ColdTime || c.set.TipWindow <= 0 {
 		return true
 	}
 	w.sends = recent(w.sends, c.now-c.set.TipWindow)
-	part := c.partOf(w)
-	rate := c.served.now(c.now, servedFade) / servedFade.Seconds() / max(part, c.warmth(r.f.class))
-	calls := rate * c.size(w) * c.set.TipWindow.Seconds()
-	budget := coldPart * c.set.TipMultiple * part * max(calls, 1/coldCrowd)
+	part, window := c.partOf(w), c.set.TipWindow.Seconds()
+	calls := c.perSecond(&c.served, servedFade) / max(part, c.warmth(r.f.class)) * c.size(w) * window
+	wanted := c.perSecond(&r.f.work, shareFade) / float64(c.runOf(r.f)) * window
+	budget := coldPart * c.set.TipMultiple * part * max(calls, min(1/coldCrowd, calls/min(1, wanted)))
 	budget = max(budget, coldLeast/float64(max(1, c.set.FrontEnds)))
 	lot := mix(mix(c.set.Seed, uint64(w.ID)), uint64(age/c.set.TipWindow))
 	return float64(len(w.sends)) < math.Floor(budget+chance(lot))
--- /dev/null
+++ b/control/fleet_test.go
@@ -0,0 +1,264 @@
+package control
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// These tests are of what many front ends, each with a Controller of its own and no word between them, send together to
+// one cold worker.
+
+// fleet is many Controllers before the same workers, in virtual time.
+type fleet struct {
+	rng     *rand.Rand
+	set     Settings
+	now     time.Duration
+	fronts  []*fleetFront
+	list    []WorkerInfo
+	copies  map[pair]time.Duration // since when a copy stands
+	run     time.Duration
+	load    time.Duration
+	pending fleetEvents
+	seq     int
+	cold    WorkerID
+	sends   []time.Duration // to the cold worker
+	served  int
+	draw    func() FunctionID
+}
+
+// fleetFront is one front end of a fleet.
+type fleetFront struct {
+	*fleet
+	c      *Controller
+	part   float64 // of the fleet's traffic
+	life   int
+	nextID RequestID
+	tries  map[RequestID]int
+}
+
+type fleetEvent struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type fleetEvents []fleetEvent
+
+func (h fleetEvents) Len() int { return len(h) }
+func (h fleetEvents) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h fleetEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *fleetEvents) Push(x any)   { *h = append(*h, x.(fleetEvent)) }
+func (h *fleetEvents) Pop() any {
+	x := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return x
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.pending, fleetEvent{f.now + d, f.seq, do})
+}
+
+func (f *fleet) pass(until time.Duration) {
+	for len(f.pending) > 0 && f.pending[0].at <= until {
+		e := heap.Pop(&f.pending).(fleetEvent)
+		f.now = e.at
+		e.do()
+	}
+	f.now = until
+}
+
+// start starts a front end, or starts it anew.
+func (f *fleet) start(x *fleetFront, self int) {
+	x.life++
+	set := f.set
+	set.Self, set.Seed = self, f.rng.Uint64()
+	x.tries = map[RequestID]int{}
+	x.c = New(f.now, set, x)
+	x.c.Workers(f.now, f.list, true)
+}
+
+// later does something to a front end unless it was started anew meanwhile.
+func (x *fleetFront) later(d time.Duration, do func()) {
+	life := x.life
+	x.after(d, func() {
+		if x.life == life {
+			do()
+		}
+	})
+}
+
+func (x *fleetFront) Wake(after time.Duration, token uint64) {
+	x.later(max(after, x.set.Resolution), func() { x.c.Woke(x.now, token) })
+}
+
+func (x *fleetFront) Send(r RequestID, w WorkerID, _ time.Duration) {
+	q := x.c.requests[r]
+	key, attempt := pair{w, q.Function}, x.tries[r]
+	x.tries[r]++
+	if w == x.cold {
+		x.sends = append(x.sends, x.now)
+	}
+	if _, stands := x.copies[key]; !stands {
+		x.copies[key] = x.now + x.load
+	}
+	took := max(0, x.copies[key]-x.now) + time.Duration(x.rng.ExpFloat64()*float64(x.run))
+	x.later(took, func() {
+		x.served++
+		x.c.Outcome(x.now, Outcome{Request: r, Attempt: attempt, Worker: w, Status: OK, Latency: took, Closed: true, Crowd: -1})
+	})
+}
+
+func (x *fleetFront) Load(w WorkerID, fn FunctionID, copies int) {
+	stand := 0
+	if since, stands := x.copies[pair{w, fn}]; stands && since <= x.now {
+		stand = 1
+	}
+	took := ms
+	if copies > 0 && stand == 0 {
+		took, stand = x.load, 1
+		x.copies[pair{w, fn}] = x.now + x.load
+	}
+	x.later(took, func() {
+		x.c.Loaded(x.now, Loaded{Worker: w, Function: fn, Status: OK, Latency: took, Copies: stand})
+	})
+}
+
+func (x *fleetFront) Refuse(RequestID, time.Duration) {}
+func (x *fleetFront) Fail(RequestID)                  {}
+func (x *fleetFront) Cancel(RequestID, int)           {}
+func (x *fleetFront) Unload(WorkerID, FunctionID)     {}
+func (x *fleetFront) Probe(WorkerID)                  {}
+func (x *fleetFront) Follow()                         {}
+func (x *fleetFront) Log(string)                      {}
+
+// arrivals has calls come to x at its part of rate.
+func (x *fleetFront) arrivals(rate float64) {
+	var next func()
+	next = func() {
+		x.nextID++
+		x.c.Arrive(x.now, Request{ID: x.nextID, Class: x.rng.IntN(2), Function: x.draw(), Budget: 3 * time.Second, Lanes: 4})
+		x.after(time.Duration(x.rng.ExpFloat64()/(rate*x.part)*float64(time.Second)), next)
+	}
+	x.after(time.Duration(x.rng.ExpFloat64()/(rate*x.part)*float64(time.Second)), next)
+}
+
+const (
+	fleetLoad = 0.6 // of what warm workers can do, that is asked for: as the platform's large days have it, at most
+	eachWorks = 20  // calls a second that a warm worker can do
+)
+
+// newFleet starts a fleet whose front ends have unequal traffic: a tenth of them has four times what the others have.
+func newFleet(seed uint64, fronts, workers, functions int, set Settings) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 7)), set: set, now: time.Minute, copies: map[pair]time.Duration{},
+		run: 100 * ms, load: 500 * ms, cold: WorkerID(workers)}
+	f.set.FrontEnds = fronts
+	for i := range workers {
+		f.list = append(f.list, WorkerInfo{ID: WorkerID(i + 1), Cell: i % 2, Started: LongAgo, State: Ready, Scale: 1})
+	}
+	f.list[workers-1].State = Gone
+	all := 0.0
+	for i := range fronts {
+		x := &fleetFront{fleet: f, part: 1}
+		if i%10 == 0 {
+			x.part = 4
+		}
+		all += x.part
+		f.fronts = append(f.fronts, x)
+	}
+	zipf := rand.NewZipf(f.rng, 1.3, 2, uint64(functions-1))
+	f.draw = func() FunctionID { return FunctionID(1000 + zipf.Uint64()) }
+	rate := fleetLoad * eachWorks * float64(workers-1)
+	for i, x := range f.fronts {
+		x.part /= all
+		f.after(time.Duration(i)*set.Resolution, func() { f.start(x, i) })
+		f.after(time.Second, func() { x.arrivals(rate) })
+	}
+	return f
+}
+
+// worst is the largest count of sends to the cold worker in a window, beside what may be sent in that window.
+func (f *fleet) worst(began time.Duration) (over float64, text string) {
+	from := 0
+	over = math.Inf(-1)
+	for i, at := range f.sends {
+		for f.sends[from] <= at-f.set.TipWindow {
+			from++
+		}
+		age := max(0, at-f.set.TipWindow-began)
+		part := f.set.ColdFrom + (1-f.set.ColdFrom)*float64(age)/float64(f.set.ColdTime)
+		n := f.set.TipMultiple * part * eachWorks * f.set.TipWindow.Seconds()
+		got, most := float64(i-from+1), n+2*math.Sqrt(n)+2
+		if got-most > over {
+			over, text = got-most, fmt.Sprintf("%.0f sends in the window that ends %v after its start, %.1f at most", got, at-began, most)
+		}
+	}
+	return over, text
+}
+
+// there returns functions that every front end would load at the cold worker first.
+func (f *fleet) there(n int) (out []FunctionID) {
+	c := f.fronts[0].c
+	for id := FunctionID(1 << 20); len(out) < n; id++ {
+		if c.ranked(&function{id: id})[0].ID == f.cold {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// TestAFleetPushesNoColdWorkerOver holds rule 4 for the sum of all front ends: over the window that the settings name,
+// N + 2 sqrt N + 2 calls, N being what the settings allow the worker at that age.
+func TestAFleetPushesNoColdWorkerOver(t *testing.T) {
+	for _, size := range []struct {
+		fronts, workers int
+		seeds           uint64
+	}{{30, 12, 5}, {300, 60, 1}} {
+		for _, test := range []struct {
+			name     string
+			few      int           // new functions, which all would load there, in place of the many; 0: as before
+			restarts time.Duration // after the worker's start, that seven in ten front ends start anew; 0: none
+		}{
+			{"as before", 0, 0},
+			{"a few new functions", 4, 0},
+			{"started anew behind it", 0, 500 * ms},
+			{"a few new functions and started anew behind it", 4, 500 * ms},
+		} {
+			t.Run(fmt.Sprintf("%d front ends, %s", size.fronts, test.name), func(t *testing.T) {
+				for seed := range size.seeds {
+					f := newFleet(seed, size.fronts, size.workers, 400, settings())
+					f.pass(f.now + 4*time.Second)
+					began := f.now
+					f.list[size.workers-1].State, f.list[size.workers-1].Started = Ready, began
+					for _, x := range f.fronts {
+						x.c.Workers(f.now, f.list, true)
+					}
+					if test.few > 0 {
+						few := f.there(test.few)
+						f.draw = func() FunctionID { return few[f.rng.IntN(len(few))] }
+					}
+					if test.restarts > 0 {
+						f.pass(f.now + test.restarts)
+						for i, x := range f.fronts {
+							if i%10 < 7 {
+								f.start(x, i)
+							}
+						}
+					}
+					f.pass(began + 5*time.Second)
+					over, text := f.worst(began)
+					t.Logf("seed %d: %s; %d sends, %d served", seed, text, len(f.sends), f.served)
+					if over > 0 {
+						t.Errorf("seed %d: %s", seed, text)
+					}
+				}
+			})
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -111,6 +111,7 @@
 	set        Settings
 	act        Actions
 	now        time.Duration
+	began      time.Duration
 	ticked     time.Duration // last tick
 	resumed    time.Duration // last end of a stall of our own
 	workers    map[WorkerID]*worker
@@ -359,6 +360,13 @@
 	return x.value
 }
 
+// perSecond is the rate of what x counts with a memory. A front end that started lately has counted for as long as it
+// stands, and a second more, so that its first few say little.
+func (c *Controller) perSecond(x *fading, memory time.Duration) float64 {
+	counted := 1 - math.Exp(-float64(c.now-c.began+lately)/float64(memory))
+	return x.now(c.now, memory) / (counted * memory.Seconds())
+}
+
 // add counts n more.
 func (x *fading) add(t, memory time.Duration, n float64) { x.value = x.now(t, memory) + n }
 
@@ -417,7 +425,7 @@
 }
 
 func newController(now time.Duration, s Settings, a Actions) *Controller {
-	return &Controller{set: s, act: a, now: now, ticked: now, waitFade: waitMost, workers: map[WorkerID]*worker{},
+	return &Controller{set: s, act: a, now: now, began: now, ticked: now, waitFade: waitMost, workers: map[WorkerID]*worker{},
 		functions: map[FunctionID]*function{}, requests: map[RequestID]*request{}, orders: map[pair]int{},
 		runs: make([]mean, len(s.Classes)), quietRun: make([]time.Duration, len(s.Classes)),
 		quietAt: make([]time.Duration, len(s.Classes)), taken: make([]taken, len(s.Tenants)),
