--- a/cmd/havencart/main.go
+++ b/cmd/havencart/main.go
@@ -12,8 +12,10 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"havencart/internal/bulletinwire"
 	"havencart/internal/config"
 	"havencart/internal/gateway"
+	"havencart/internal/settings"
 	"havencart/lab/script"
 )
 
@@ -43,7 +45,8 @@
 	}
 	fmt.Fprintln(os.Stderr, "havencart:", err)
 	switch {
-	case errors.Is(err, config.ErrSettings), errors.Is(err, errUsage):
+	case errors.Is(err, config.ErrSettings), errors.Is(err, settings.ErrMalformed), errors.Is(err, bulletinwire.ErrMalformed),
+		errors.Is(err, errUsage):
 		return exitSettings
 	case errors.Is(err, gateway.ErrUnclean):
 		return exitUnclean
--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -33,17 +33,20 @@
 	moved   chan struct{} // closed when the address changes
 }
 
-// NewBulletin returns a source that follows the bulletin at an address from the events known on, with waits drawn by
-// seed.
+// NewBulletin returns a source that follows the bulletin at an address from the events known on, if any, with waits
+// drawn by seed.
 func NewBulletin(address string, known []byte, zones, kinds []string, seed uint64) (*Bulletin, error) {
 	b := &Bulletin{zones: zones, kinds: kinds, workers: map[uint32]bulletinwire.Entry{}, address: address,
 		moved: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 0x6c697374)),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return (&net.Dialer{Timeout: linkcare.ListDial()}).DialContext(ctx, "tcp", address)
 		}}
+	if len(known) == 0 {
+		return b, nil // nothing is known yet
+	}
 	last, events, err := bulletinwire.ParseKnown(known, zones, kinds)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("known: %w", err)
 	}
 	for _, e := range events {
 		b.apply(e)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -130,8 +130,13 @@
 	return out
 }
 
-// Follow makes the relay go by a configuration read anew. Only the bulletin's address can change while it runs.
+// Follow makes the relay go by a configuration read anew. Only the bulletin's address can change while it runs; a
+// configuration of another deployment changes nothing.
 func (r *Relay) Follow(set *settings.Relay) {
+	if field := r.set.Differs(set); field != "" {
+		r.log.Error().Str("field", field).Msg("the configuration stays as it was: the new one is of another front end")
+		return
+	}
 	r.log.Info().Str("bulletin", set.Bulletin).Msg("configuration read anew")
 	r.bulletin.Move(set.Bulletin)
 }
