--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -148,6 +148,7 @@
 	defer stop()
 	defer context.AfterFunc(ctx, func() {
 		r.leaving.Store(true)
+		r.log.Info().Msg("stopping")
 		r.after(relayComing, func() {
 			stop()
 			r.clients.Finish()
