--- a/internal/execlink/crossings_test.go
+++ b/internal/execlink/crossings_test.go
@@ -163,3 +163,54 @@
 		t.Error("an attempt that was not written whole counts as left")
 	}
 }
+
+// TestAnswersComeInPieces: cut at every byte, and many in one segment.
+func TestAnswersComeInPieces(t *testing.T) {
+	raw, err := execwire.Append(nil, execwire.FromExecutor, execwire.Frame{Code: execwire.OK, ID: 5, Fields: "peers_in=3", Body: []byte("answer")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cut := make(chan int, 1)
+	l, h, _ := open(t, func(c *executor.Conn, _ execwire.Frame) {
+		i := <-cut
+		c.Raw(raw[:i])
+		c.Raw(raw[i:])
+	})
+	for i := range raw {
+		cut <- i
+		send(t, l, attempt(5))
+		if r := <-h.ends; r.Status != control.OK || string(r.Answer.Body) != "answer" || r.Crowd != 3 {
+			t.Fatalf("cut at %d it ended as %+v", i, r)
+		}
+	}
+}
+
+// TestACallThatWaitsOnADialIsTakenBack: by its client's leaving or by a give-up, and nothing is written once the
+// connection is up.
+func TestACallThatWaitsOnADialIsTakenBack(t *testing.T) {
+	for name, back := range map[string]func(l *Link, a *workerlink.Attempt) bool{
+		"withdrawn": func(l *Link, a *workerlink.Attempt) bool { return l.Withdraw(a) },
+		"given up":  func(l *Link, a *workerlink.Attempt) bool { return !l.Abandon(a) },
+		"drained": func(l *Link, a *workerlink.Attempt) bool {
+			attempts, _ := l.Drain(time.Second)
+			return len(attempts) == 1 && attempts[0] == a
+		},
+	} {
+		ours, theirs := net.Pipe()
+		defer theirs.Close()
+		l, s := alone(t, nil) // the dial is under way
+		a := attempt(5)
+		send(t, l, a)
+		if !back(l, a) || l.Busy() {
+			t.Errorf("%s: it is still there", name)
+		}
+		if l.Withdraw(a) {
+			t.Errorf("%s: taken back twice", name)
+		}
+		s.conn = ours // it comes up late
+		var b workerlink.Batch
+		if s.claim(ours, &b); len(b.Bytes) > 0 {
+			t.Errorf("%s: %d bytes are written", name, len(b.Bytes))
+		}
+	}
+}
--- a/internal/gateway/crossings_test.go
+++ b/internal/gateway/crossings_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"havencart/control"
+	"havencart/internal/workerlink"
 )
 
 // TestAClientThatLeftBeforeItsArrivalIsSentNowhere: the loop takes events before arrivals, so that a client's leaving
@@ -62,3 +64,131 @@
 		}
 	}
 }
+
+// crossed plays two events in both orders.
+func crossed(t *testing.T, first, second string, play func(t *testing.T, firstFirst bool)) {
+	t.Run(first+", then "+second, func(t *testing.T) { play(t, true) })
+	t.Run(second+", then "+first, func(t *testing.T) { play(t, false) })
+}
+
+// TestAClientThatLeavesBetweenAttemptsIsSentNowhere: its attempt was turned away, and the next one would go out.
+func TestAClientThatLeavesBetweenAttemptsIsSentNowhere(t *testing.T) {
+	for _, end := range []control.Status{control.Full, control.Miss, control.ConnectFailed, control.Error, control.Timeout, control.Reset} {
+		crossed(t, "left", "ended", func(t *testing.T, leftFirst bool) {
+			b := newBench(t, 3, nil)
+			c := b.call(safe)
+			_, a := b.out(c)
+			ended := func() { b.Ended(b.at, a, workerlink.Result{Status: end, Crowd: -1}) }
+			if leftFirst {
+				b.Left(b.at, c)
+				before := b.Counts().Attempts
+				ended()
+				if n := b.Counts().Attempts; n != before {
+					t.Errorf("after %v %d attempts more", end, n-before)
+				}
+			} else {
+				ended()
+				b.Left(b.at, c)
+			}
+			before := b.Counts().Attempts
+			b.pass(3 * time.Second)
+			if n := b.Counts().Attempts; n != before || !b.Idle() {
+				t.Errorf("after %v %d attempts more, idle %v", end, n-before, b.Idle())
+			}
+			b.want(c, 0)
+		})
+	}
+}
+
+// TestAClientThatLeavesWhileItsCallWaitsForAnOrderIsSentNowhere: the order goes on, it may serve others.
+func TestAClientThatLeavesWhileItsCallWaitsForAnOrderIsSentNowhere(t *testing.T) {
+	crossed(t, "left", "loaded", func(t *testing.T, leftFirst bool) {
+		b := newBench(t, 1, func(s *Settings) { s.Control.MissAnswered, s.Control.MayOrder = true, true })
+		c := b.call(safe)
+		l := b.links["w0"]
+		for len(l.orders) > 0 { // questions for standing copies, then the order
+			o := l.orders[0]
+			l.orders = l.orders[1:]
+			if o.Load.Copies == 0 {
+				b.OrderEnded(b.at, o, control.OK, 0)
+				continue
+			}
+			if leftFirst {
+				b.Left(b.at, c)
+			}
+			b.OrderEnded(b.at, o, control.OK, 1)
+			if !leftFirst {
+				b.out(c)
+				b.Left(b.at, c)
+			}
+		}
+		if n := b.Counts().Attempts; leftFirst && n != 0 || len(l.left)+len(l.queued) > 0 || !b.Idle() {
+			t.Errorf("%d attempts, %d out", n, len(l.left)+len(l.queued))
+		}
+		b.want(c, 0)
+	})
+}
+
+// TestAnAnswerOfAWorkerThatWasJustRemovedCounts, whichever is heard first; one that comes back is used again.
+func TestAnAnswerOfAWorkerThatWasJustRemovedCounts(t *testing.T) {
+	crossed(t, "removed", "answered", func(t *testing.T, removedFirst bool) {
+		b := newBench(t, 1, nil)
+		c := b.call(unsafe)
+		if removedFirst {
+			b.list(0, nil)
+			b.pass(2 * time.Second / 4) // the sweep keeps what is busy
+			b.end(c, control.OK)
+		} else {
+			b.end(c, control.OK)
+			b.list(0, nil)
+		}
+		b.want(c, Served)
+		b.pass(2 * time.Second)
+		b.list(1, nil)
+		again := b.call(unsafe)
+		b.end(again, control.OK)
+		b.want(again, Served)
+	})
+}
+
+// TestAWholeListThatDropsAWorkerAndBringsItBack leaves its calls alone, and sends it nothing meanwhile.
+func TestAWholeListThatDropsAWorkerAndBringsItBack(t *testing.T) {
+	b := newBench(t, 1, nil)
+	out := b.call(safe)
+	l := b.links["w0"]
+	b.list(0, nil)
+	if !l.drained || b.isOut(b.call(unsafe)) {
+		t.Error("a worker that the list lacks is sent something")
+	}
+	b.list(1, nil)
+	if l.drained || b.opened != 1 {
+		t.Errorf("drained %v, %d links opened for a worker that came back", l.drained, b.opened)
+	}
+	b.end(out, control.OK)
+	b.want(out, Served)
+}
+
+// TestAGiveUpAgainstTheAnswer: the time is up and the answer is there; one end counts, and it is told as it was.
+func TestAGiveUpAgainstTheAnswer(t *testing.T) {
+	crossed(t, "answer", "time-out", func(t *testing.T, answerFirst bool) {
+		b := newBench(t, 1, nil)
+		c := b.call(unsafe)
+		l, a := b.out(c)
+		answer := func() {
+			l.drop(a)
+			b.Ended(b.at, a, workerlink.Result{Status: control.OK, Crowd: -1, Answer: &workerlink.Answer{Body: []byte("x")}})
+		}
+		if answerFirst {
+			answer()
+			b.pass(3 * time.Second)
+			b.want(c, Served)
+		} else {
+			b.pass(2*time.Second - 20*ms) // until it is due
+			answer()
+			b.want(c, Failed) // it may have run
+		}
+		if n := b.Counts().Attempts; n != 1 || !b.Idle() {
+			t.Errorf("%d attempts, idle %v", n, b.Idle())
+		}
+	})
+}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -103,6 +103,67 @@
 	}
 }
 
+// beat asks whether the front end is well.
+func (r *relayed) beat(c net.Conn, number int, well bool) {
+	r.t.Helper()
+	raw, err := msgpack.Marshal([]any{0, number, "heartbeat", []any{map[string]string{}}})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if _, err := c.Write(raw); err != nil {
+		r.t.Fatal(err)
+	}
+	r.expect(c, rpcwire.AppendTrue(nil, uint32(number), well))
+}
+
+// TestARelayServesFromWhatIsKnownWhileTheListIsDown and is ready at once.
+func TestARelayServesFromWhatIsKnownWhileTheListIsDown(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	e, err := executor.Start(served)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	set, err := settings.ParseRelay(fmt.Appendf(nil, relayText, "127.0.0.1:1", e.Address()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay, err := NewRelay(set, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &relayed{Relay: relay, t: t, stop: cancel, waits: make(chan func(), 1), ended: make(chan error, 1)}
+	relay.after = func(_ time.Duration, f func()) { r.waits <- f }
+	c := r.connect() // before it runs: the machine takes it
+	go func() { _, err := relay.Run(ctx); r.ended <- err }()
+	r.beat(c, 1, true)
+	r.ask(c, 2, "quote", 1)
+	r.expect(c, rpcwire.AppendServed(nil, 2, []byte("did body")))
+	r.end()
+}
+
+// TestAStopBeforeTheStartIsOver ends by itself, and answers what the machine took meanwhile.
+func TestAStopBeforeTheStartIsOver(t *testing.T) {
+	r := &relayed{t: t, waits: make(chan func(), 1), ended: make(chan error, 1)}
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	set, err := settings.ParseRelay(fmt.Appendf(nil, relayText, "127.0.0.1:1", "127.0.0.1:1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Relay, err = NewRelay(set, zerolog.Nop()); err != nil {
+		t.Fatal(err)
+	}
+	r.after = func(_ time.Duration, f func()) { r.waits <- f }
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	cancel() // SIGTERM, before the list and before anything is served
+	c := r.connect()
+	go func() { _, err := r.Run(ctx); r.ended <- err }()
+	r.beat(c, 1, false)
+	r.end()
+}
+
 func (r *relayed) end() {
 	r.t.Helper()
 	r.stop()
@@ -173,13 +234,15 @@
 	<-come
 	r.stop()
 	over := <-r.waits // nobody comes any longer once this is called
+	r.beat(c, 2, false)
 	late := r.connect()
-	r.ask(late, 1, "quote", 2)
+	r.beat(late, 1, false)
+	r.ask(late, 2, "quote", 2)
 	<-come
 	over()
 	close(answer)
 	r.expect(c, rpcwire.AppendServed(nil, 1, []byte("did body")))
-	r.expect(late, rpcwire.AppendServed(nil, 1, []byte("did body")))
+	r.expect(late, rpcwire.AppendServed(nil, 2, []byte("did body")))
 	if err := <-r.ended; err != nil {
 		t.Errorf("stopped: %v", err)
 	}
