--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -34,7 +34,8 @@
 	leaving  atomic.Bool
 	after    func(time.Duration, func()) // calls a function later; tests do so by hand
 
-	ids ids
+	ids    ids
+	bodies atomic.Int64 // bytes of the requests in hand
 }
 
 // The bounds of a relay, beside those of its settings.
@@ -52,6 +53,7 @@
 	relayRest    = 100 * time.Millisecond // before the end of relayComing clients came last; for as long they may be late
 	relayTell    = 5 * time.Second        // between two lines of the totals
 	memoryPart   = 0.7                    // of the limit, from which the runtime collects harder
+	bodiesPart   = 0.25                   // of the limit, for bodies of requests in hand; more are refused at once
 )
 
 // NewRelay prepares a front end and begins to listen; Run serves.
@@ -108,15 +110,24 @@
 	if !r.ids.take(in.ID) {
 		return nil, fmt.Errorf("%w: id %s was used before", callrpc.ErrBroken, in.ID)
 	}
-	c := NewCallTo(func(f Final) {
+	size := int64(len(in.Body))
+	over := sync.OnceFunc(func() { // its final answer, or its client's leaving, whichever comes first
 		r.ids.end(in.ID)
+		r.bodies.Add(-size)
+	})
+	c := NewCallTo(func(f Final) {
+		over()
 		answer(f.rpc())
 	})
 	c.ID, c.Class, c.Tenant, c.Key, c.Cost, c.Body = in.ID, in.Class, in.Tenant, in.Key, in.Cost, in.Body
 	c.Patience, c.Since = in.Patience, in.Came.Sub(r.loop.cfg.Began)
 	c.Copy = workerwire.Copy{Function: in.Function, MemoryMB: in.MemoryMB, Lanes: in.Lanes, LoadMillis: millis(in.Load)}
+	if r.bodies.Add(size) > int64(bodiesPart*float64(r.set.MemoryMB)*(1<<20)) {
+		c.settle(Final{Kind: Refused, Why: "too much in hand", RetryAfter: r.set.Site.Control.MaxRetryAfter})
+		return func() {}, nil
+	}
 	r.loop.Submit(c)
-	return func() { r.ids.end(in.ID); r.loop.Leave(c) }, nil
+	return func() { over(); r.loop.Leave(c) }, nil
 }
 
 var rpcKinds = map[Kind]callrpc.Kind{Served: callrpc.Served, Refused: callrpc.Refused, Failed: callrpc.Failed}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -84,9 +84,14 @@
 }
 
 func (r *relayed) ask(c net.Conn, number int, class string, id int) {
+	r.t.Helper()
+	r.askWith(c, number, class, id, []byte("body"))
+}
+
+func (r *relayed) askWith(c net.Conn, number int, class string, id int, body []byte) {
 	r.t.Helper()
 	raw, err := msgpack.Marshal([]any{0, number, class, []any{map[string]string{"id": fmt.Sprintf("%016x", id), "wait": "20000",
-		"tenant": "acme", "key": "7f3a9c21e0b4d655", "attrs": "memory_mb:100;lanes:2"}, []byte("body")}})
+		"tenant": "acme", "key": "7f3a9c21e0b4d655", "attrs": "memory_mb:100;lanes:2"}, body}})
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -263,3 +268,32 @@
 	}
 	r.end()
 }
+
+// TestRequestsInHandStayWithinTheMemory: what would go beyond is refused at once, and what ends or leaves makes room.
+func TestRequestsInHandStayWithinTheMemory(t *testing.T) {
+	come, answer := make(chan bool, 64), make(chan bool)
+	r := startRelay(t, func(c *executor.Conn, f execwire.Frame) {
+		if f.Code == execwire.Request {
+			come <- true
+			<-answer
+			served(c, execwire.Frame{ID: f.ID})
+		}
+	})
+	r.set.MemoryMB = 1 // of which a quarter is for bodies
+	large := make([]byte, rpcwire.MaxBody)
+	c := r.connect()
+	for i := range 16 {
+		r.askWith(c, 1+i, "quote", 1+i, large)
+	}
+	<-come
+	r.askWith(c, 17, "quote", 17, large)
+	r.expect(c, rpcwire.AppendError(nil, 17, "Backoff", "after", "500"))
+	c.Close()
+	close(answer)
+	for r.bodies.Load() > 0 { // until it is heard that the client left
+	}
+	next := r.connect()
+	r.askWith(next, 1, "quote", 18, large)
+	r.expect(next, rpcwire.AppendServed(nil, 1, []byte("did ")))
+	r.end()
+}
