A call that is given up while it is written, or held by the machine, does not begin later

Read from the code: a write that stands still (a worker that reads nothing) could go on for 2 s after the client of a call in it left, and what the machine holds for a path that is cut is sent when the path is whole again; an attempt may begin 0.1 s after its client left at most. Giving up a call in the write under way leaves that write 50 ms; the close of a connection on which a call was given up takes back what the machine still holds (linger 0). Both tests fail without it.

--- a/internal/decide/strands/strands.go
+++ b/internal/decide/strands/strands.go
@@ -6,12 +6,13 @@
 import "time"
 
 const (
-	dialTries  = 3               // connections in a row that break before a word is heard on them, for one call
-	idlePart   = 0.7             // of the time after which the worker closes an idle connection, that we keep it
-	spareFor   = 5 * time.Second // that one beyond the first is kept idle
-	frameLimit = time.Second     // between the head of an answer and its end
-	writeLimit = 2 * time.Second // that a write may stand still
-	kept       = 8               // one part in so many of all connections is kept for workers that have none
+	dialTries  = 3                     // connections in a row that break before a word is heard on them, for one call
+	idlePart   = 0.7                   // of the time after which the worker closes an idle connection, that we keep it
+	spareFor   = 5 * time.Second       // that one beyond the first is kept idle
+	frameLimit = time.Second           // between the head of an answer and its end
+	writeLimit = 2 * time.Second       // that a write may stand still
+	givenUp    = 50 * time.Millisecond // the same, once a call in it was given up; by the platform's page an attempt begins 0.1 s later at most
+	kept       = 8                     // one part in so many of all connections is kept for workers that have none
 )
 
 // Strand is what counts of one connection.
@@ -88,5 +89,10 @@
 // short on a connection that stays open.
 func FrameLimit() time.Duration { return frameLimit }
 
+// GivenUpLimit is how long the write under way may go on once a call in it was given up. It guards against a call that
+// reaches a worker long after its client left, as that worker reads nothing for a while. It would harm the other calls
+// of that write: those that were not written whole go elsewhere.
+func GivenUpLimit() time.Duration { return givenUp }
+
 // WriteLimit is how long a write may stand still before the connection is given up.
 func WriteLimit() time.Duration { return writeLimit }
--- a/internal/execlink/crossings_test.go
+++ b/internal/execlink/crossings_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -214,3 +215,78 @@
 		}
 	}
 }
+
+// limited notes the limits that are set for writes.
+type limited struct {
+	net.Conn
+	limits []time.Time
+}
+
+func (c *limited) SetWriteDeadline(t time.Time) error {
+	c.limits = append(c.limits, t)
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// TestAGivenUpCallsWriteEndsSoon: the worker reads nothing, and the call's client leaves while it is being written.
+func TestAGivenUpCallsWriteEndsSoon(t *testing.T) {
+	ours, theirs := net.Pipe() // nobody reads
+	defer theirs.Close()
+	c := &limited{Conn: ours}
+	l, s := alone(t, c)
+	a, other := attempt(5), attempt(6)
+	send(t, l, a)
+	send(t, l, other)
+	var b workerlink.Batch
+	s.claim(c, &b)
+	began := time.Now()
+	if !l.Abandon(a) {
+		t.Error("what is leaving is told as never left")
+	}
+	if n := len(c.limits); n != 2 || c.limits[1].Sub(began) > 100*time.Millisecond || !c.limits[1].Before(c.limits[0]) {
+		t.Errorf("limits of the write: %v from %v on", c.limits, began)
+	}
+	n, err := c.Write(b.Bytes)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("written: %v", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if never := s.box.Written(&b, n); len(never) != 1 || never[0].Attempt != other {
+		t.Errorf("%d of the others never left", len(never))
+	}
+}
+
+// TestACallGivenUpIsTakenBackFromTheMachineToo: the close of its connection sends no more of it on a path that was cut
+// and is whole again; a worker sees that by a reset.
+func TestACallGivenUpIsTakenBackFromTheMachineToo(t *testing.T) {
+	for _, givenUp := range []bool{true, false} {
+		ours, theirs := pair(t)
+		l, s := alone(t, ours)
+		a := attempt(5)
+		send(t, l, a)
+		served := make(chan error, 1)
+		l.tasks.Go(func() { served <- s.serve(ours) })
+		r := execwire.NewReader(theirs, execwire.FromFront, execwire.MaxBody)
+		if f, err := r.Next(); err != nil || f.ID != 5 {
+			t.Fatalf("read %+v, %v", f, err)
+		}
+		if givenUp {
+			l.Abandon(a)
+		} else {
+			raw, _ := execwire.Append(nil, execwire.FromExecutor, execwire.Frame{Code: execwire.OK, ID: 5})
+			if _, err := theirs.Write(raw); err != nil {
+				t.Fatal(err)
+			}
+			l.mu.Lock()
+			s.retired = true
+			s.wake()
+			l.mu.Unlock()
+		}
+		if err := <-served; !errors.Is(err, errDone) {
+			t.Errorf("served: %v", err)
+		}
+		if _, err := io.Copy(io.Discard, theirs); errors.Is(err, syscall.ECONNRESET) != givenUp {
+			t.Errorf("given up %v: the worker saw %v", givenUp, err)
+		}
+	}
+}
--- a/internal/execlink/link.go
+++ b/internal/execlink/link.go
@@ -179,9 +179,12 @@
 		return a.MayHaveLeft() // its end was told
 	}
 	delete(l.attempts, a)
+	if s.box.Leaving(a) && s.conn != nil {
+		_ = s.conn.SetWriteDeadline(time.Now().Add(strands.GivenUpLimit())) // fails on a closed connection only
+	}
 	underWay, mayHaveLeft := s.box.Abandon(a)
 	if underWay {
-		s.retired = s.retired || strands.Retire()
+		s.retired, s.givenUp = s.retired || strands.Retire(), true
 		s.box.Push(execwire.Frame{Code: execwire.GiveUp, ID: workerlink.Item{Attempt: a}.Number()})
 	}
 	s.wake()
--- a/internal/execlink/strand.go
+++ b/internal/execlink/strand.go
@@ -30,6 +30,7 @@
 	probes  map[uint64]bool // asked, not answered; bounded by what the module asks
 	conn    net.Conn
 	retired bool // takes nothing new; closed once nothing is open on it
+	givenUp bool // a call that had left was given up on it
 	heard   bool // something was heard on the connection
 	used    time.Duration
 	past    [pastNumbers]uint64 // answered here last, by other than their end; a ring, the oldest is forgotten
@@ -197,6 +198,7 @@
 			continue
 		}
 		if done {
+			s.discard(conn)
 			return errDone
 		}
 		timer.Reset(left)
@@ -211,6 +213,17 @@
 	}
 }
 
+// discard has the close of a connection on which a call was given up take back what the machine still holds for it.
+// It guards against a call that reaches its worker long after its client left, once a path that was cut is whole
+// again. A worker that is there sees a reset in place of the end; either gives up all that was open.
+func (s *strand) discard(conn net.Conn) {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	if tcp, is := conn.(*net.TCPConn); is && s.givenUp {
+		_ = tcp.SetLinger(0) // fails on a closed connection only
+	}
+}
+
 // gone says whether the other side has ended a connection on which nothing is open, while something waits to be
 // written on it. It guards against a call that is written to a connection whose end stands unread in the machine's
 // buffer: it would never run, and nobody could tell. It costs a system call where a connection was idle.
--- a/internal/workerlink/outbox.go
+++ b/internal/workerlink/outbox.go
@@ -107,6 +107,9 @@
 	return a.state == queued && len(o.Unqueue(func(i Item) bool { return i.Attempt == a })) > 0
 }
 
+// Leaving says whether the write under way holds an attempt.
+func (o *Outbox) Leaving(a *Attempt) bool { return a.state == leaving }
+
 // Abandon gives an attempt up. It returns whether it was under way, and whether the worker may have seen it.
 //
 // An end that was told may still wait for who is to hear it, behind other events, when the attempt is abandoned.
