--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -27,6 +27,7 @@
 	cold    WorkerID
 	sends   []time.Duration // to the cold worker
 	served  int
+	loads   int
 	draw    func() FunctionID
 }
 
@@ -107,6 +108,7 @@
 	}
 	if _, stands := x.copies[key]; !stands {
 		x.copies[key] = x.now + x.load
+		x.loads++
 	}
 	took := max(0, x.copies[key]-x.now) + time.Duration(x.rng.ExpFloat64()*float64(x.run))
 	x.later(took, func() {
@@ -123,6 +125,7 @@
 	took := ms
 	if copies > 0 && stand == 0 {
 		took, stand = x.load, 1
+		x.loads++
 		x.copies[pair{w, fn}] = x.now + x.load
 	}
 	x.later(took, func() {
@@ -262,3 +265,29 @@
 		}
 	}
 }
+
+// TestNewVersionsBringNoStormOfLoads: on a quiet day four in ten of the copies that stand are void at once, as what they
+// hold comes in a new version. Each is loaded again where it is called; hundreds of front ends that see calls take
+// longer there do not load it at other workers as well.
+func TestNewVersionsBringNoStormOfLoads(t *testing.T) {
+	for _, size := range []struct{ fronts, workers int }{{30, 12}, {300, 60}} {
+		t.Run(fmt.Sprint(size.fronts, " front ends"), func(t *testing.T) {
+			f := newFleet(1, size.fronts, size.workers, 200, settings())
+			f.pass(f.now + 8*time.Second)
+			usual := f.loads
+			f.pass(f.now + 3*time.Second)
+			usual = f.loads - usual
+			void, before := 0, f.loads
+			for key := range f.copies {
+				if key.f%10 < 4 {
+					delete(f.copies, key)
+					void++
+				}
+			}
+			f.pass(f.now + 3*time.Second)
+			if got := f.loads - before; got < void/4 || got > void+void/4+usual {
+				t.Errorf("%d copies void; %d loads in the 3 s after it, %d in the 3 s before", void, got, usual)
+			}
+		})
+	}
+}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -143,6 +143,9 @@
 	c := r.connect() // before it runs: the machine takes it
 	go func() { _, err := relay.Run(ctx); r.ended <- err }()
 	r.beat(c, 1, true)
+	if n := e.Made(); n != 0 {
+		t.Errorf("%d connections to workers before any call: hundreds that start together would all dial", n)
+	}
 	r.ask(c, 2, "quote", 1)
 	r.expect(c, rpcwire.AppendServed(nil, 2, []byte("did body")))
 	r.end()
