--- a/internal/callrpc/conn.go
+++ b/internal/callrpc/conn.go
@@ -36,6 +36,7 @@
 	taking  bool      // a message that came whole is being taken: it may become an open request
 	since   time.Time // since when it stands so
 	out     []byte    // answers to be written; bounded by MaxOut
+	ready   time.Time // since when the first of them is
 	writing bool
 	closing bool // closes behind what is to be written; nothing new is taken
 	closed  bool
@@ -248,6 +249,9 @@
 func (c *conn) write(add func([]byte) []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.out) == 0 {
+		c.ready = time.Now()
+	}
 	c.out = add(c.out)
 	switch {
 	case c.closed || len(c.out) == 0:
@@ -275,7 +279,11 @@
 			c.mu.Unlock()
 			return
 		}
+		ready := c.ready
 		c.mu.Unlock()
+		if c.s.cfg.Wrote != nil {
+			c.s.cfg.Wrote(time.Since(ready)) // before the write: what a client takes is not ours
+		}
 		_ = c.net.SetWriteDeadline(time.Now().Add(c.s.cfg.Write)) // fails on a closed connection only
 		if _, err := c.net.Write(buf); err != nil {
 			c.mu.Lock()
--- a/internal/callrpc/server.go
+++ b/internal/callrpc/server.go
@@ -22,7 +22,8 @@
 	MaxOpen  int // requests of one connection; one more breaks the protocol
 	MaxOut   int // bytes of answers that a client has not taken; beyond, its connection is closed
 	Write    time.Duration
-	Rest     time.Duration // for which connections that the machine took are still accepted once Finish was called
+	Wrote    func(took time.Duration) // where set, told how long answers waited to be written
+	Rest     time.Duration            // for which connections that the machine took are still accepted once Finish was called
 }
 
 // Counts are totals of a Server.
--- a/internal/decide/lateness/lateness.go
+++ b/internal/decide/lateness/lateness.go
@@ -8,20 +8,25 @@
 	heed   = 5 * time.Millisecond   // lateness up to which nothing is done
 	passes = 2                      // times that a call waits for the process: to be read, and for its answer to be written
 	most   = 250 * time.Millisecond // that answers are ever given sooner
-	memory = 2 * time.Second        // in which what was seen fades to nothing
 )
 
-// Lateness remembers how late the loop came to what was due.
+// Lateness remembers how late a front end came to what was due: its loop to timers, its connections to answers that were
+// to be written. What was seen fades to nothing within the longest time that a client waits: it counts as long as a
+// call is in hand that was there then.
 //
 // It guards against a process that shares its core with others, or is held to a part of one: it stands still for tens of
 // milliseconds at a time, requests are read late, and answers that were given in time by its own clock are written when
 // their clients have given up. It would harm where one long stall is all there was: for a while calls are given up
 // that could still have been served.
 type Lateness struct {
-	worst time.Duration
-	at    time.Duration
+	memory time.Duration
+	worst  time.Duration
+	at     time.Duration
 }
 
+// New returns a Lateness that has seen nothing, of a front end whose clients wait for so long at most.
+func New(longest time.Duration) Lateness { return Lateness{memory: max(longest, time.Second)} }
+
 // Came takes the news that what was due so long ago is done at now.
 func (l *Lateness) Came(now, late time.Duration) {
 	if late >= l.faded(now) {
@@ -31,7 +36,7 @@
 
 // faded is the worst that was seen, less as it ages.
 func (l *Lateness) faded(now time.Duration) time.Duration {
-	left := max(0, 1-float64(now-l.at)/float64(memory))
+	left := max(0, 1-float64(now-l.at)/float64(l.memory))
 	return time.Duration(left * float64(l.worst))
 }
 
--- a/internal/decide/lateness/lateness_test.go
+++ b/internal/decide/lateness/lateness_test.go
@@ -5,10 +5,13 @@
 	"time"
 )
 
-const ms = time.Millisecond
+const (
+	ms     = time.Millisecond
+	memory = 2 * time.Second
+)
 
 func TestAnswersAreGivenSoonerByALoopThatIsLate(t *testing.T) {
-	var l Lateness
+	l := New(memory)
 	if l.Lead(0) != 0 {
 		t.Error("sooner before anything was seen")
 	}
@@ -31,7 +34,7 @@
 }
 
 func TestLatenessFades(t *testing.T) {
-	var l Lateness
+	l := New(memory)
 	l.Came(0, 100*ms)
 	for now, before := time.Duration(0), most+1; now < memory; now += memory / 10 {
 		lead := l.Lead(now)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -158,7 +158,11 @@
 
 // New returns a Front that starts at now and knows no workers.
 func New(now time.Duration, set Settings, outside Outside, log zerolog.Logger) *Front {
-	f := &Front{set: set, outside: outside, log: log, roster: roster.New(), now: now,
+	longest := time.Duration(0)
+	for _, c := range set.Control.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	f := &Front{set: set, outside: outside, late: lateness.New(longest), log: log, roster: roster.New(), now: now,
 		tenancy: tenancy.New(set.Tenancy),
 		calls:   map[control.RequestID]*Call{}, attempts: map[*workerlink.Attempt]*attempt{},
 		orders: map[*workerlink.Order]*order{}, workers: map[control.WorkerID]*worker{},
@@ -343,6 +347,9 @@
 	return next
 }
 
+// Behind takes the news that something else of the front end's process came so late to what was due.
+func (f *Front) Behind(now, late time.Duration) { f.late.Came(now, late) }
+
 // Tick fires the timers that are due at now.
 func (f *Front) Tick(now time.Duration) {
 	f.now = now
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -57,6 +57,8 @@
 	_      cpu.CacheLinePad
 	turned atomic.Uint64 // calls that were refused without the Front
 	_      cpu.CacheLinePad
+	late   atomic.Int64 // the latest that an edge came to what was due, since the loop asked last
+	_      cpu.CacheLinePad
 }
 
 // set sets the room where it has changed.
@@ -99,6 +101,16 @@
 	c.settle(Final{Kind: Refused, Why: why, RetryAfter: l.cfg.Control.MaxRetryAfter})
 }
 
+// Behind tells that an edge came so late to what was due.
+func (l *Loop) Behind(late time.Duration) {
+	for {
+		worst := l.door.late.Load()
+		if int64(late) <= worst || l.door.late.CompareAndSwap(worst, int64(late)) {
+			return
+		}
+	}
+}
+
 // Leave tells that a call's client is gone.
 func (l *Loop) Leave(c *Call) { l.post(func(now time.Duration) { l.front.Left(now, c) }) }
 
@@ -161,6 +173,9 @@
 	for {
 		l.catchUp()
 		now := l.Now()
+		if l.door.late.Load() > 0 {
+			l.front.Behind(now, time.Duration(l.door.late.Swap(0)))
+		}
 		l.front.Tick(now)
 		l.door.set(l.front.Room(now, len(l.arrivals)))
 		if ending == nil && l.front.Idle() && len(l.arrivals) == 0 {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -78,7 +78,7 @@
 			Keyed: c.Repeat == control.Keyed})
 	}
 	r.clients = callrpc.New(callrpc.Config{Rules: rules, MaxConns: clients, MaxOpen: relayOpen, MaxOut: relayOut,
-		Write: relayWrite, Rest: relayRest}, r, log)
+		Write: relayWrite, Rest: relayRest, Wrote: func(took time.Duration) { r.loop.Behind(took) }}, r, log)
 	r.loop = NewLoop(r.loopConfig(), log)
 	return r, nil
 }
