--- a/internal/callrpc/conn.go
+++ b/internal/callrpc/conn.go
@@ -268,7 +268,7 @@
 // flush writes until there is nothing more to write.
 func (c *conn) flush() {
 	var buf []byte
-	for {
+	for first := true; ; first = false {
 		c.mu.Lock()
 		buf, c.out = c.out, buf[:0]
 		if len(buf) == 0 || c.closed {
@@ -281,8 +281,8 @@
 		}
 		ready := c.ready
 		c.mu.Unlock()
-		if c.s.cfg.Wrote != nil {
-			c.s.cfg.Wrote(time.Since(ready)) // before the write: what a client takes is not ours
+		if first && c.s.cfg.Wrote != nil { // the others waited for the client to take what was before them
+			c.s.cfg.Wrote(time.Since(ready))
 		}
 		_ = c.net.SetWriteDeadline(time.Now().Add(c.s.cfg.Write)) // fails on a closed connection only
 		if _, err := c.net.Write(buf); err != nil {
--- a/internal/callrpc/crossings_test.go
+++ b/internal/callrpc/crossings_test.go
@@ -162,3 +162,25 @@
 		t.Error("an idle one is kept at a stop")
 	}
 }
+
+// TestAClientThatReadsNothingIsNotOurLateness: its answers wait for it, and that says nothing of the process.
+func TestAClientThatReadsNothingIsNotOurLateness(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	ours, theirs := net.Pipe()
+	h := taker{make(chan *taken, 4), make(chan string, 4)}
+	told := make(chan time.Duration, 4)
+	s := New(Config{Rules: rules, MaxConns: 4, MaxOpen: 4, MaxOut: 1 << 20, Write: time.Minute,
+		Wrote: func(took time.Duration) { told <- took }}, h, zerolog.Nop())
+	s.take(ours)
+	write(t, theirs, append(ask(t, 1, "quote", good(1)), ask(t, 2, "quote", good(2))...))
+	first, second := <-h.calls, <-h.calls
+	first.answer(Answer{Kind: Served, Body: []byte("one")})
+	<-told // the write of the first one begins, and nobody reads
+	second.answer(Answer{Kind: Served, Body: []byte("two")})
+	expect(t, theirs, rpcwire.AppendServed(rpcwire.AppendServed(nil, 1, []byte("one")), 2, []byte("two")))
+	if len(told) != 0 {
+		t.Errorf("the second answer's wait of %v for its client is told as ours", <-told)
+	}
+	theirs.Close()
+	s.Shutdown()
+}
