--- a/internal/callrpc/conn.go
+++ b/internal/callrpc/conn.go
@@ -36,7 +36,6 @@
 	taking  bool      // a message that came whole is being taken: it may become an open request
 	since   time.Time // since when it stands so
 	out     []byte    // answers to be written; bounded by MaxOut
-	ready   time.Time // since when the first of them is
 	writing bool
 	closing bool // closes behind what is to be written; nothing new is taken
 	closed  bool
@@ -249,9 +248,6 @@
 func (c *conn) write(add func([]byte) []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.out) == 0 {
-		c.ready = time.Now()
-	}
 	c.out = add(c.out)
 	switch {
 	case c.closed || len(c.out) == 0:
@@ -261,14 +257,19 @@
 		c.shut() // it does not read
 	case !c.writing:
 		c.writing = true
-		c.s.tasks.Go(c.flush)
+		ready := time.Now()
+		c.s.tasks.Go(func() { c.flush(ready) })
 	}
 }
 
-// flush writes until there is nothing more to write.
-func (c *conn) flush() {
+// flush writes until there is nothing more to write; the first of it is ready since a time. How long that waited says
+// how late the process is: what comes later waits for the client to take what was before it.
+func (c *conn) flush(ready time.Time) {
+	if c.s.cfg.Wrote != nil {
+		c.s.cfg.Wrote(time.Since(ready))
+	}
 	var buf []byte
-	for first := true; ; first = false {
+	for {
 		c.mu.Lock()
 		buf, c.out = c.out, buf[:0]
 		if len(buf) == 0 || c.closed {
@@ -279,11 +280,7 @@
 			c.mu.Unlock()
 			return
 		}
-		ready := c.ready
 		c.mu.Unlock()
-		if first && c.s.cfg.Wrote != nil { // the others waited for the client to take what was before them
-			c.s.cfg.Wrote(time.Since(ready))
-		}
 		_ = c.net.SetWriteDeadline(time.Now().Add(c.s.cfg.Write)) // fails on a closed connection only
 		if _, err := c.net.Write(buf); err != nil {
 			c.mu.Lock()
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -56,21 +56,29 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(e.Close)
-	set, err := settings.ParseRelay(fmt.Appendf(nil, relayText, board.Address(), e.Address()))
+	r, run := newRelayed(t, board.Address(), e.Address())
+	r.board = board
+	run()
+	t.Cleanup(r.stop)
+	<-board.Asked()
+	return r
+}
+
+// newRelayed prepares a front end, which listens; run begins its Run.
+func newRelayed(t *testing.T, board, worker string) (r *relayed, run func()) {
+	t.Helper()
+	set, err := settings.ParseRelay(fmt.Appendf(nil, relayText, board, worker))
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := NewRelay(set, zerolog.Nop())
+	relay, err := NewRelay(set, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	out := &relayed{Relay: r, t: t, board: board, stop: cancel, waits: make(chan func(), 1), ended: make(chan error, 1)}
-	r.after = func(_ time.Duration, f func()) { out.waits <- f }
-	go func() { _, err := r.Run(ctx); out.ended <- err }()
-	t.Cleanup(cancel)
-	<-board.Asked()
-	return out
+	r = &relayed{Relay: relay, t: t, stop: cancel, waits: make(chan func(), 1), ended: make(chan error, 1)}
+	relay.after = func(_ time.Duration, f func()) { r.waits <- f }
+	return r, func() { go func() { _, err := relay.Run(ctx); r.ended <- err }() }
 }
 
 func (r *relayed) connect() net.Conn {
@@ -129,19 +137,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(e.Close)
-	set, err := settings.ParseRelay(fmt.Appendf(nil, relayText, "127.0.0.1:1", e.Address()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	relay, err := NewRelay(set, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	r := &relayed{Relay: relay, t: t, stop: cancel, waits: make(chan func(), 1), ended: make(chan error, 1)}
-	relay.after = func(_ time.Duration, f func()) { r.waits <- f }
+	r, run := newRelayed(t, "127.0.0.1:1", e.Address())
 	c := r.connect() // before it runs: the machine takes it
-	go func() { _, err := relay.Run(ctx); r.ended <- err }()
+	run()
 	r.beat(c, 1, true)
 	if n := e.Made(); n != 0 {
 		t.Errorf("%d connections to workers before any call: hundreds that start together would all dial", n)
@@ -153,21 +151,11 @@
 
 // TestAStopBeforeTheStartIsOver ends by itself, and answers what the machine took meanwhile.
 func TestAStopBeforeTheStartIsOver(t *testing.T) {
-	r := &relayed{t: t, waits: make(chan func(), 1), ended: make(chan error, 1)}
 	t.Cleanup(func() { goleak.VerifyNone(t) })
-	set, err := settings.ParseRelay(fmt.Appendf(nil, relayText, "127.0.0.1:1", "127.0.0.1:1"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if r.Relay, err = NewRelay(set, zerolog.Nop()); err != nil {
-		t.Fatal(err)
-	}
-	r.after = func(_ time.Duration, f func()) { r.waits <- f }
-	ctx, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
-	cancel() // SIGTERM, before the list and before anything is served
+	r, run := newRelayed(t, "127.0.0.1:1", "127.0.0.1:1")
+	r.stop() // SIGTERM, before the list and before anything is served
 	c := r.connect()
-	go func() { _, err := r.Run(ctx); r.ended <- err }()
+	run()
 	r.beat(c, 1, false)
 	r.end()
 }
