--- /dev/null
+++ b/cmd/havencart/incident_test.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"havencart/internal/platform/endpointstream"
+	"havencart/internal/platform/workerframe"
+	"havencart/lab/faultproxy"
+	"havencart/lab/platformdiscovery"
+	"havencart/lab/platformworker"
+)
+
+// These tests reproduce incident-1 (docs/incidents/incident-1.md) with a front end in a process of its own, two workers
+// of one cell and a proxy before the second one, whose connections come up late.
+
+// keyRetention is for how long the workers of these tests drop the repeat of a request with a key.
+const keyRetention = 500 * time.Millisecond
+
+// A network is late by this much on top of what the rules allow.
+const ruleSlack = 50 * time.Millisecond
+
+const keyedConfig = `{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+	"limits":{"cores":1,"memory_mb":256,"sockets":256},"bulletin":%q,
+	"known":{"no":1,"items":[{"no":1,"roster":{"seq":1,"whole":true,"hosts":[
+	{"host":"s-00000001","dial":%q,"site":"room","class":"std","block":0,"health":"up","share":1,"born_ms":0}]}}]},
+	"settings":{"azs":["room"],"skus":["std"],
+	"limits":{"streamsPerConn":32,"connectTimeout":5000.0,"connIdle":30000.0,"maxAttempts":5,"mayCancel":true},
+	"rules":{"stopSendingWithin":500.0},"familyInfo":{"keep":8000.0},
+	"classes":[{"name":"status","deadline":20000.0,"onTime":1500.0,"repeat":"dedup","keyScope":"cell","memorySpan":500.0,"worth":2.0}]}}`
+
+// arrivals notes when requests arrive at workers.
+type arrivals struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (a *arrivals) add() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.times = append(a.times, time.Now())
+}
+
+// firstAndLast returns the first and the last arrival, and how many there were.
+func (a *arrivals) firstAndLast() (first, last time.Time, count int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.times) == 0 {
+		return first, last, 0
+	}
+	return a.times[0], a.times[len(a.times)-1], len(a.times)
+}
+
+// keyExpiryInstallation is a front end whose first attempt of a request may have executed at a worker that is gone, and
+// whose retry waits for a connection to the only worker that is left.
+type keyExpiryInstallation struct {
+	*testing.T
+	frontEnd *process
+	client   *rpcClient
+	proxy    *faultproxy.Proxy
+	requests arrivals
+	expired  <-chan time.Time // receives once the key is no longer remembered
+	response chan [2]any      // failure and result of the request
+}
+
+// startRetryThatWaits plays an installation up to the moment where the retry waits for its connection.
+func startRetryThatWaits(t *testing.T) *keyExpiryInstallation {
+	t.Helper()
+	installation := &keyExpiryInstallation{T: t, response: make(chan [2]any, 1)}
+	discovery, err := platformdiscovery.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(discovery.Close)
+	received := make(chan *platformworker.Conn, 1)
+	first := installation.startWorker(func(c *platformworker.Conn, _ workerframe.Frame) { received <- c })
+	second := installation.startWorker(func(c *platformworker.Conn, f workerframe.Frame) {
+		c.Respond(workerframe.Frame{Code: workerframe.OK, ID: f.ID, Body: f.Body})
+	})
+	installation.proxy, err = faultproxy.Start(second.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(installation.proxy.Close)
+	if err := installation.proxy.HoldConnects(); err != nil {
+		t.Fatal(err)
+	}
+	installation.frontEnd = startProcess(t, fmt.Sprintf(keyedConfig, discovery.Address(), first.Address()))
+	installation.client = installation.frontEnd.connect(installation.frontEnd.waitForLog("running")["listen"].(string))
+	<-discovery.Resumed()
+	go installation.call() // ends with the response, or with the connection
+	connection := <-received
+	installation.expired = time.After(keyRetention + 2*ruleSlack)
+	discovery.Publish(endpointstream.Event{Number: 2, Kind: endpointstream.Delta, Entries: []endpointstream.Entry{
+		{ID: 1, Address: netip.MustParseAddrPort(first.Address()), State: endpointstream.Removed},
+		{ID: 2, Address: netip.MustParseAddrPort(installation.proxy.Address()), State: endpointstream.Ready, Weight: 1},
+	}})
+	installation.frontEnd.waitForLog(`"state":"removed"`)
+	connection.Reset()
+	installation.frontEnd.waitForLog("request retried")
+	return installation
+}
+
+// startWorker starts a worker that handles requests by a script, and notes their arrival.
+func (k *keyExpiryInstallation) startWorker(script platformworker.Script) *platformworker.Server {
+	k.Helper()
+	worker, err := platformworker.Start(func(c *platformworker.Conn, f workerframe.Frame) {
+		if f.Code == workerframe.Request {
+			k.requests.add()
+			script(c, f)
+		}
+	})
+	if err != nil {
+		k.Fatal(err)
+	}
+	k.Cleanup(worker.Close)
+	return worker
+}
+
+// call sends the request and delivers its response.
+func (k *keyExpiryInstallation) call() {
+	fields := map[string]string{
+		"id": "000000000000002a", "wait": "20000", "key": "7f3a9c21e0b4d655", "once": "5c0f6e1a2b3d4c59a8b7c6d5e4f30211",
+	}
+	failure, result := k.client.send("status", fields, []byte("body"))
+	k.response <- [2]any{failure, result}
+}
+
+// verify ends the front end and reports a request that arrived after its key had expired, or got no failure.
+func (k *keyExpiryInstallation) verify() {
+	k.Helper()
+	response := <-k.response
+	k.frontEnd.signal(syscall.SIGTERM)
+	if code := k.frontEnd.waitForExit(); code != 0 {
+		k.Errorf("the front end ended with code %d", code)
+	}
+	first, last, count := k.requests.firstAndLast()
+	if count > 1 && last.Sub(first) > keyRetention+ruleSlack {
+		k.Errorf("the request was sent again %v after its first attempt, its key is remembered for %v", last.Sub(first), keyRetention)
+	}
+	if failure := response[0]; failure == nil || failure == "Backoff" {
+		k.Errorf("final response is %v, %v; want a failure: the request may have executed", response[0], response[1])
+	}
+}
+
+// The connection for the retry comes up after the key has expired.
+func TestIncident1_ConnectionUpAfterKeyExpired_RetryIsNotSent(t *testing.T) {
+	installation := startRetryThatWaits(t)
+	<-installation.expired
+	if err := installation.proxy.ReleaseConnects(); err != nil {
+		t.Fatal(err)
+	}
+	installation.verify()
+}
+
+// The process stands still while its connection comes up, and goes on when the key has expired.
+func TestIncident1_ProcessStoppedUntilKeyExpired_RetryIsNotSent(t *testing.T) {
+	installation := startRetryThatWaits(t)
+	installation.frontEnd.signal(syscall.SIGSTOP)
+	if err := installation.proxy.ReleaseConnects(); err != nil {
+		t.Fatal(err)
+	}
+	<-installation.proxy.Accepted()
+	<-installation.expired
+	installation.frontEnd.signal(syscall.SIGCONT)
+	installation.verify()
+}
--- /dev/null
+++ b/lab/faultproxy/proxy.go
@@ -0,0 +1,291 @@
+// Package faultproxy is a TCP proxy on loopback that stands for the network between two processes. It can hold back new
+// connections as a network does that loses their first packets, stop what is under way in either direction, and reset
+// connections.
+package faultproxy
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// bufferSize is what one read forwards at most, in bytes.
+const bufferSize = 16 << 10
+
+// fillTimeout is how long a connection that fills the backlog is waited for.
+const fillTimeout = 50 * time.Millisecond
+
+// maxNotedAccepts bounds the connections that Accepted has not told yet.
+const maxNotedAccepts = 64
+
+// listenBacklog is the backlog of the listener while connections are not held back.
+const listenBacklog = 512
+
+// Proxy forwards each connection that is made to it to its target. Its methods may be called from any goroutine.
+type Proxy struct {
+	target   string
+	listener *net.TCPListener
+	done     chan struct{}
+	accepts  *gate
+	forward  *gate // from who connects to the target
+	backward *gate
+	parked   chan struct{} // receives when the accepting goroutine waits at the closed gate
+	accepted chan struct{}
+	tasks    sync.WaitGroup
+
+	mu          sync.Mutex
+	connections map[*net.TCPConn]bool // both sides
+	fillers     map[string]net.Conn   // fill the backlog while connections are held back, by their local address
+	closeOnce   sync.Once
+}
+
+// Start starts a proxy to a target (host:port).
+func Start(target string) (*Proxy, error) {
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, fmt.Errorf("fault proxy: %w", err)
+	}
+	p := &Proxy{
+		target:      target,
+		listener:    listener,
+		done:        make(chan struct{}),
+		accepts:     newOpenGate(),
+		forward:     newOpenGate(),
+		backward:    newOpenGate(),
+		parked:      make(chan struct{}, 1),
+		accepted:    make(chan struct{}, maxNotedAccepts),
+		fillers:     map[string]net.Conn{},
+		connections: map[*net.TCPConn]bool{},
+	}
+	p.tasks.Go(p.accept)
+	return p, nil
+}
+
+// Address is where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Accepted receives for each connection that came up, but for those that nobody received in time.
+func (p *Proxy) Accepted() <-chan struct{} { return p.accepted }
+
+// HoldConnects holds back new connections: their SYNs are dropped, so that they come up when the system sends the SYN
+// again after ReleaseConnects, or time out. Connections that exist go on.
+func (p *Proxy) HoldConnects() error {
+	p.accepts.close()
+	if err := p.setBacklog(0); err != nil {
+		return err
+	}
+	if err := p.fill(); err != nil { // releases the accepting goroutine from its accept
+		return err
+	}
+	select {
+	case <-p.parked:
+	case <-p.done:
+		return net.ErrClosed
+	}
+	return p.fill() // and this one fills the backlog
+}
+
+// fill makes a connection that only takes a place in the backlog. That it cannot be made in time means that the backlog
+// is full already.
+func (p *Proxy) fill() error {
+	conn, err := net.DialTimeout("tcp", p.Address(), fillTimeout)
+	if isTimeout(err) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("fault proxy: fill the backlog: %w", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fillers[conn.LocalAddr().String()] = conn
+	return nil
+}
+
+// ReleaseConnects ends HoldConnects.
+func (p *Proxy) ReleaseConnects() error {
+	p.mu.Lock()
+	for _, conn := range p.fillers {
+		_ = conn.Close()
+	}
+	p.mu.Unlock()
+	err := p.setBacklog(listenBacklog)
+	p.accepts.open()
+	return err
+}
+
+// setBacklog changes how many connections the system completes before they are accepted.
+func (p *Proxy) setBacklog(backlog int) error {
+	raw, err := p.listener.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("fault proxy: %w", err)
+	}
+	var listenErr error
+	if err := raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), backlog) }); err != nil {
+		return fmt.Errorf("fault proxy: %w", err)
+	}
+	return listenErr
+}
+
+// StallForward stops what who connects sends to the target, until ResumeForward; connections stay open.
+func (p *Proxy) StallForward() { p.forward.close() }
+
+// ResumeForward ends StallForward: what was held back is delivered.
+func (p *Proxy) ResumeForward() { p.forward.open() }
+
+// StallBackward stops what the target sends, until ResumeBackward; connections stay open.
+func (p *Proxy) StallBackward() { p.backward.close() }
+
+// ResumeBackward ends StallBackward: what was held back is delivered.
+func (p *Proxy) ResumeBackward() { p.backward.open() }
+
+// ResetConnections resets all connections, on both sides.
+func (p *Proxy) ResetConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.connections {
+		reset(conn)
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	p.closeOnce.Do(func() {
+		close(p.done)
+		_ = p.listener.Close()
+		p.ResetConnections()
+		p.mu.Lock()
+		for _, conn := range p.fillers {
+			_ = conn.Close()
+		}
+		p.mu.Unlock()
+	})
+	p.tasks.Wait()
+}
+
+// accept forwards each connection, while the gate is open.
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if !p.awaitAccepting() {
+			if err == nil {
+				reset(conn)
+			}
+			return
+		}
+		if err != nil {
+			continue
+		}
+		if p.isFiller(conn) {
+			reset(conn)
+			continue
+		}
+		p.noteAccepted()
+		p.tasks.Go(func() { p.serve(conn) })
+	}
+}
+
+// isFiller tells whether a connection only filled the backlog, and forgets it.
+func (p *Proxy) isFiller(conn *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	address := conn.RemoteAddr().String()
+	_, is := p.fillers[address]
+	delete(p.fillers, address)
+	return is
+}
+
+// noteAccepted tells Accepted of a connection, unless nobody received the ones before.
+func (p *Proxy) noteAccepted() {
+	select {
+	case p.accepted <- struct{}{}:
+	default:
+	}
+}
+
+// awaitAccepting waits until connections are accepted, and notes that it waits. It returns false once the proxy ends.
+func (p *Proxy) awaitAccepting() bool {
+	p.accepts.mu.Lock()
+	isOpen := p.accepts.isOpen()
+	p.accepts.mu.Unlock()
+	if !isOpen {
+		select {
+		case p.parked <- struct{}{}:
+		default:
+		}
+	}
+	return p.accepts.wait(p.done)
+}
+
+// serve forwards one connection until either side ends it.
+func (p *Proxy) serve(near *net.TCPConn) {
+	defer p.forget(near)
+	if !p.track(near) {
+		return
+	}
+	conn, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	far := conn.(*net.TCPConn)
+	defer p.forget(far)
+	if !p.track(far) {
+		return
+	}
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(far, near, p.forward) })
+	both.Go(func() { p.copy(near, far, p.backward) })
+	both.Wait()
+}
+
+// track notes a connection. It returns false once the proxy ends.
+func (p *Proxy) track(conn *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.done:
+		return false
+	default:
+	}
+	p.connections[conn] = true
+	return true
+}
+
+// forget resets a connection, unless it has ended regularly.
+func (p *Proxy) forget(conn *net.TCPConn) {
+	p.mu.Lock()
+	delete(p.connections, conn)
+	p.mu.Unlock()
+	reset(conn)
+}
+
+// copy forwards one direction of a connection. When the source ends, the destination's writing side is closed after
+// all was forwarded; any failure resets both.
+func (p *Proxy) copy(to, from *net.TCPConn, direction *gate) {
+	buffer := make([]byte, bufferSize)
+	for {
+		n, readErr := from.Read(buffer)
+		if !direction.wait(p.done) {
+			break
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				break
+			}
+		}
+		if readErr != nil {
+			if isEOF(readErr) {
+				_ = to.CloseWrite()
+				return
+			}
+			break
+		}
+	}
+	reset(to)
+	reset(from)
+}
--- /dev/null
+++ b/lab/faultproxy/proxy_test.go
@@ -0,0 +1,121 @@
+package faultproxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// startEcho starts a server that sends back what it receives, and a proxy before it.
+func startEcho(t *testing.T) *Proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-ended
+	})
+	proxy, err := Start(listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	return proxy
+}
+
+func dial(t *testing.T, proxy *Proxy) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", proxy.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// echo sends a byte and reads it back.
+func echo(t *testing.T, conn net.Conn) {
+	t.Helper()
+	if _, err := conn.Write([]byte{1}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestHoldConnects_NewConnection_ComesUpAfterRelease(t *testing.T) {
+	proxy := startEcho(t)
+	before := dial(t, proxy)
+	echo(t, before)
+	for range 2 {
+		if err := proxy.HoldConnects(); err != nil {
+			t.Fatal(err)
+		}
+		if conn, err := net.DialTimeout("tcp", proxy.Address(), 50*time.Millisecond); !isTimeout(err) {
+			t.Fatalf("a connection that is held back: %v, %v", conn, err)
+		}
+		echo(t, before)
+		if err := proxy.ReleaseConnects(); err != nil {
+			t.Fatal(err)
+		}
+		echo(t, dial(t, proxy))
+	}
+}
+
+func TestStall_EitherDirection_DeliversAfterResume(t *testing.T) {
+	proxy := startEcho(t)
+	for name, direction := range map[string][2]func(){
+		"forward":  {proxy.StallForward, proxy.ResumeForward},
+		"backward": {proxy.StallBackward, proxy.ResumeBackward},
+	} {
+		conn := dial(t, proxy)
+		echo(t, conn)
+		direction[0]()
+		if _, err := conn.Write([]byte{1}); err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		if _, err := conn.Read(make([]byte, 1)); !isTimeout(err) {
+			t.Errorf("%s: stalled, and read ends with %v", name, err)
+		}
+		direction[1]()
+		_ = conn.SetReadDeadline(time.Time{})
+		if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil {
+			t.Errorf("%s: after the stall: %v", name, err)
+		}
+	}
+}
+
+func TestResetConnections_OpenConnection_IsReset(t *testing.T) {
+	proxy := startEcho(t)
+	conn := dial(t, proxy)
+	echo(t, conn)
+	proxy.ResetConnections()
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read ends with %v, want a reset", err)
+	}
+}
