--- /dev/null
+++ b/internal/decide/execution/record_test.go
@@ -0,0 +1,200 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"havencart/scheduler"
+)
+
+const ms = time.Millisecond
+
+var (
+	here      = Location{Zone: "z1", Cell: "c1"}
+	sameZone  = Location{Zone: "z1", Cell: "c2"}
+	elsewhere = Location{Zone: "z2", Cell: "c3"}
+)
+
+func keyed(scope scheduler.KeyScope) scheduler.Class {
+	return scheduler.Class{Idempotency: scheduler.IdempotentByKey, KeyScope: scope, KeyRetention: time.Second}
+}
+
+// executedAt returns a record whose first attempt, sent at a time to here, may have executed.
+func executedAt(t *testing.T, class *scheduler.Class, sentAt time.Duration) Record {
+	t.Helper()
+	record := NewRecord(class)
+	if _, violation := record.Start(sentAt, time.Hour, here); violation != NoViolation {
+		t.Fatalf("first attempt: %v", violation)
+	}
+	record.End(scheduler.Timeout)
+	return record
+}
+
+func TestStart_RetryOfPossibleExecution_IsBoundToClassScopeAndKey(t *testing.T) {
+	const sentAt, deadline = 100 * ms, 5 * time.Second
+	cases := map[string]struct {
+		class    scheduler.Class
+		now      time.Duration
+		worker   Location
+		want     Violation
+		notAfter time.Duration
+	}{
+		"idempotent, anywhere and any time": {scheduler.Class{}, 4 * time.Second, elsewhere, NoViolation, deadline},
+		"non-idempotent":                    {scheduler.Class{Idempotency: scheduler.NonIdempotent}, 200 * ms, here, RetryOfNonIdempotent, 0},
+		"all workers know the key":          {keyed(scheduler.ScopeAll), 200 * ms, elsewhere, NoViolation, sentAt + time.Second},
+		"the zone knows the key":            {keyed(scheduler.ScopeZone), 200 * ms, sameZone, NoViolation, sentAt + time.Second},
+		"another zone":                      {keyed(scheduler.ScopeZone), 200 * ms, elsewhere, RetryOutsideKeyScope, 0},
+		"the cell knows the key":            {keyed(scheduler.ScopeCell), 200 * ms, here, NoViolation, sentAt + time.Second},
+		"another cell":                      {keyed(scheduler.ScopeCell), 200 * ms, sameZone, RetryOutsideKeyScope, 0},
+		"last moment of the key":            {keyed(scheduler.ScopeCell), sentAt + time.Second - 1, here, NoViolation, sentAt + time.Second},
+		"key expired":                       {keyed(scheduler.ScopeCell), sentAt + time.Second, here, RetryAfterKeyExpired, 0},
+	}
+	for name, c := range cases {
+		record := executedAt(t, &c.class, sentAt)
+		permit, violation := record.Start(c.now, deadline, c.worker)
+		if violation != c.want || permit.NotAfter != c.notAfter {
+			t.Errorf("%s: %v until %v, want %v until %v", name, violation, permit.NotAfter, c.want, c.notAfter)
+		}
+	}
+}
+
+// The key's retention counts from the first attempt that may have executed, whatever came before and after it.
+func TestStart_SeveralRetries_KeyCountsFromFirstPossibleExecution(t *testing.T) {
+	class := keyed(scheduler.ScopeCell)
+	record := NewRecord(&class)
+	for _, step := range []struct {
+		now    time.Duration
+		status scheduler.Status
+		want   time.Duration
+	}{
+		{0, scheduler.ConnectFailed, time.Hour},
+		{300 * ms, scheduler.NotLoaded, time.Hour},
+		{500 * ms, scheduler.Error, time.Hour},
+		{700 * ms, scheduler.ConnectFailed, 1500 * ms},
+		{900 * ms, scheduler.Reset, 1500 * ms},
+	} {
+		permit, violation := record.Start(step.now, time.Hour, here)
+		if violation != NoViolation || permit.NotAfter != step.want {
+			t.Errorf("at %v: %v until %v, want until %v", step.now, violation, permit.NotAfter, step.want)
+		}
+		record.End(step.status)
+	}
+	if _, violation := record.Start(1500*ms, time.Hour, here); violation != RetryAfterKeyExpired {
+		t.Errorf("after the retention: %v", violation)
+	}
+	if age := record.ExecutionAge(1500 * ms); age != time.Second {
+		t.Errorf("age of the first possible execution %v", age)
+	}
+}
+
+func TestMayReject_PromisesOnlyWhatIsHarmless(t *testing.T) {
+	nonIdempotent := scheduler.Class{Idempotency: scheduler.NonIdempotent}
+	cases := map[string]struct {
+		class scheduler.Class
+		now   time.Duration
+		want  Violation
+	}{
+		"idempotent":                 {scheduler.Class{}, 0, NoViolation},
+		"non-idempotent":             {nonIdempotent, 0, RejectionAfterExecution},
+		"key known everywhere":       {keyed(scheduler.ScopeAll), 999 * ms, NoViolation},
+		"key forgotten everywhere":   {keyed(scheduler.ScopeAll), time.Second, RejectionAfterExecution},
+		"key known in one cell only": {keyed(scheduler.ScopeCell), 0, RejectionAfterExecution},
+	}
+	for name, c := range cases {
+		record := executedAt(t, &c.class, 0)
+		if violation := record.MayReject(c.now); violation != c.want {
+			t.Errorf("%s: %v, want %v", name, violation, c.want)
+		}
+	}
+	record := NewRecord(&nonIdempotent)
+	record.Start(0, time.Hour, here)
+	if violation := record.MayReject(0); violation != RejectionWithAttemptInFlight {
+		t.Errorf("with an attempt in flight: %v", violation)
+	}
+	record.End(scheduler.NotSent)
+	if violation := record.MayReject(0); violation != NoViolation {
+		t.Errorf("never sent: %v", violation)
+	}
+}
+
+// Whatever is asked in whatever order, what is permitted executes no request twice and answers none twice.
+func TestRecord_RandomHistory_KeepsRules(t *testing.T) {
+	statuses := []scheduler.Status{
+		scheduler.Error, scheduler.Overloaded, scheduler.Timeout, scheduler.ConnectFailed, scheduler.Reset,
+		scheduler.Cancelled, scheduler.NotSent, scheduler.NotLoaded,
+	}
+	workers := []Location{here, sameZone, elsewhere}
+	rapid.Check(t, func(t *rapid.T) {
+		class := scheduler.Class{
+			Idempotency:  rapid.SampledFrom([]scheduler.Idempotency{scheduler.Idempotent, scheduler.IdempotentByKey, scheduler.NonIdempotent}).Draw(t, "idempotency"),
+			KeyScope:     rapid.SampledFrom([]scheduler.KeyScope{scheduler.ScopeAll, scheduler.ScopeZone, scheduler.ScopeCell}).Draw(t, "scope"),
+			KeyRetention: time.Duration(rapid.IntRange(0, 3000).Draw(t, "retention")) * ms,
+		}
+		record, now := NewRecord(&class), time.Duration(0)
+		var executions []attempt
+		inFlight, responses := false, 0
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 800).Draw(t, "wait")) * ms
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				worker := rapid.SampledFrom(workers).Draw(t, "worker")
+				permit, violation := record.Start(now, time.Hour, worker)
+				if violation != NoViolation {
+					continue
+				}
+				switch {
+				case inFlight || responses > 0:
+					t.Fatalf("permitted with an attempt in flight %t, %d final responses", inFlight, responses)
+				case len(executions) > 0 && class.Idempotency == scheduler.NonIdempotent:
+					t.Fatal("a non-idempotent request was permitted again")
+				case len(executions) > 0 && class.Idempotency == scheduler.IdempotentByKey:
+					first := executions[0]
+					if permit.NotAfter > first.sentAt+class.KeyRetention || now >= permit.NotAfter {
+						t.Fatalf("permitted at %v until %v, first sent at %v, retention %v", now, permit.NotAfter, first.sentAt, class.KeyRetention)
+					}
+					outside := class.KeyScope == scheduler.ScopeZone && worker.Zone != first.worker.Zone ||
+						class.KeyScope == scheduler.ScopeCell && worker.Cell != first.worker.Cell
+					if outside {
+						t.Fatal("permitted outside the scope of its key")
+					}
+				}
+				inFlight = true
+			case 1:
+				status := rapid.SampledFrom(statuses).Draw(t, "status")
+				if inFlight && status.MayHaveExecuted() {
+					executions = append(executions, record.attempt)
+				}
+				record.End(status)
+				inFlight = false
+			case 2:
+				if record.MayReject(now) != NoViolation {
+					continue
+				}
+				record.Close()
+				if class.Idempotency == scheduler.NonIdempotent && (inFlight || len(executions) > 0) {
+					t.Fatal("a rejection promises too much")
+				}
+				responses++
+			case 3:
+				record.Close()
+				responses++
+				if violation := record.MayReject(now); violation != SecondFinalResponse {
+					t.Fatalf("a second final response: %v", violation)
+				}
+			}
+		}
+	})
+}
+
+func TestViolation_EachHasAName(t *testing.T) {
+	seen := map[string]bool{}
+	for violation := NoViolation; violation < violationSentinel; violation++ {
+		name := violation.String()
+		if name == "" || seen[name] {
+			t.Errorf("violation %d has the name %q", violation, name)
+		}
+		seen[name] = true
+	}
+}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"havencart/internal/decide/execution"
 	"havencart/internal/decide/tenancy"
 	"havencart/internal/native/muxframe"
 	"havencart/scheduler"
@@ -72,6 +73,7 @@
 	}
 	request.id = f.nextRequestID()
 	request.function = fn
+	request.record = execution.NewRecord(&f.settings.Scheduler.Classes[request.Class])
 	request.enter(requestInFlight)
 	f.fillNames(request)
 	f.requests[request.id] = request
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"havencart/internal/decide/execution"
 	"havencart/internal/native/muxframe"
 	"havencart/internal/workerconn"
 	"havencart/scheduler"
@@ -52,6 +53,7 @@
 		until = request.deadline
 	}
 	attempt := f.newAttempt(request, f.workers[to], until)
+	permitted := f.permit(attempt)
 	request.attempts++
 	request.current = attempt
 	f.counts.Attempts++
@@ -59,20 +61,43 @@
 		f.counts.Retries++
 		f.trace.retried(f.now, attempt)
 	}
-	if !f.sendable(attempt) {
+	if !permitted || !f.sendable(attempt) {
 		f.deferred = append(f.deferred, func() {
 			f.endAttempt(attempt, workerconn.Result{Status: scheduler.NotSent, QueueDepth: unknownQueueDepth})
 		})
 		return
 	}
 	f.attempts[&attempt.Attempt] = attempt
-	attempt.timer = timer{kind: attemptTimer, due: until, attempt: attempt}
+	attempt.timer = timer{kind: attemptTimer, due: min(until, attempt.NotAfter), attempt: attempt}
 	f.timers.add(&attempt.timer)
 	if result := attempt.worker.client.Send(&attempt.Attempt); result != nil {
 		f.deferred = append(f.deferred, func() { f.endAttempt(attempt, *result) })
 	}
 }
 
+// permit has the guard permit an attempt, and reports whether it did. What it forbids is a fault of the scheduler's
+// decision: it is counted and not sent.
+func (f *FrontEnd) permit(attempt *requestAttempt) bool {
+	request := attempt.request
+	if attempt.worker == nil || attempt.worker.state != scheduler.Ready {
+		f.violated(execution.StartAtDrainingWorker, request)
+		return false
+	}
+	permit, violation := request.record.Start(f.now, attempt.Deadline, attempt.worker.location())
+	if violation != execution.NoViolation {
+		f.violated(violation, request)
+		return false
+	}
+	attempt.NotAfter = permit.NotAfter
+	return true
+}
+
+// violated counts and logs a violation that was prevented.
+func (f *FrontEnd) violated(violation execution.Violation, request *Request) {
+	f.guard.Count(violation)
+	f.trace.violated(f.now, violation, request)
+}
+
 // newAttempt returns a request's next attempt.
 func (f *FrontEnd) newAttempt(request *Request, target *worker, until time.Duration) *requestAttempt {
 	return &requestAttempt{
@@ -192,7 +217,7 @@
 	request.current = nil
 	request.lastStatus = result.Status
 	request.lastReason = result.Reason
-	request.recordStatus(result.Status, attempt.sentAt)
+	request.record.End(result.Status)
 	f.learnCost(attempt, result)
 	if result.Status == scheduler.OK && request.state == requestInFlight {
 		f.respond(request, FinalResponse{Kind: Served, Response: result.Response, Worker: attempt.worker.Name})
--- a/internal/gateway/counts.go
+++ b/internal/gateway/counts.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "havencart/internal/shadow"
+import (
+	"encoding/json"
+
+	"havencart/internal/decide/execution"
+	"havencart/internal/shadow"
+)
 
 // Counts are the totals of a FrontEnd since its start. All but ShadowDifferences count requests, attempts or orders.
 type Counts struct {
@@ -17,10 +22,35 @@
 	LateResponses uint64
 	// PastDeadline counts final responses given by the FrontEnd because the scheduler did not decide in time.
 	PastDeadline uint64
+	// Violations are rules that were about to be broken, or were.
+	Violations ViolationCounts
 	// ShadowDifferences are decisions in which the shadow settings diverge.
 	ShadowDifferences shadow.Counts
 }
 
+// ViolationCounts is how often each rule was about to be broken or was, by execution.Violation. All are 0 unless the
+// program has a fault.
+type ViolationCounts [execution.Violations]uint64
+
+// Total is how many there were.
+func (v ViolationCounts) Total() (total uint64) {
+	for _, count := range v {
+		total += count
+	}
+	return total
+}
+
+// MarshalJSON writes the counts by name, without those that are 0.
+func (v ViolationCounts) MarshalJSON() ([]byte, error) {
+	named := map[string]uint64{}
+	for violation, count := range v {
+		if count > 0 {
+			named[execution.Violation(violation).String()] = count
+		}
+	}
+	return json.Marshal(named)
+}
+
 // Add adds the totals of another FrontEnd.
 func (c *Counts) Add(other Counts) {
 	c.Admitted += other.Admitted
@@ -38,6 +68,9 @@
 	c.AttemptsUnanswered += other.AttemptsUnanswered
 	c.LateResponses += other.LateResponses
 	c.PastDeadline += other.PastDeadline
+	for violation, count := range other.Violations {
+		c.Violations[violation] += count
+	}
 	c.ShadowDifferences.Add(other.ShadowDifferences)
 }
 
@@ -46,7 +79,9 @@
 	if f.shadow != nil {
 		f.counts.ShadowDifferences = f.shadow.Counts()
 	}
-	return f.counts
+	counts := f.counts
+	counts.Violations = f.guard.Violations()
+	return counts
 }
 
 // InFlight returns the number of requests that are owed a final response.
--- a/internal/gateway/deadlines.go
+++ b/internal/gateway/deadlines.go
@@ -64,9 +64,7 @@
 		f.sweep()
 		f.timers.add(&timer{kind: sweepTimer, due: f.now + sweepInterval})
 	case attemptTimer:
-		if t.attempt.state == attemptPending {
-			f.abandonAttempt(t.attempt, scheduler.Timeout, attemptTimedOut)
-		}
+		f.attemptDue(t.attempt)
 	case loadOrderTimer:
 		if !t.loadOrder.ended {
 			t.loadOrder.worker.client.AbandonLoad(&t.loadOrder.LoadOrder)
@@ -79,6 +77,20 @@
 	}
 }
 
+// attemptDue ends an attempt that is out of time, or one that is still unsent when its permit ends.
+func (f *FrontEnd) attemptDue(attempt *requestAttempt) {
+	switch {
+	case attempt.state != attemptPending:
+	case f.now >= attempt.Deadline:
+		f.abandonAttempt(attempt, scheduler.Timeout, attemptTimedOut)
+	case attempt.worker.cancelUnsent(attempt):
+		f.endAttempt(attempt, abandonedResult(scheduler.NotSent, attemptNotSentInTime))
+	default: // it was sent in time, and its response is waited for
+		attempt.timer.due = attempt.Deadline
+		f.timers.add(&attempt.timer)
+	}
+}
+
 // answerPastDeadline gives the final response that the scheduler has not given, as it counts on more time than an
 // event loop that lags has left. One that does not lag never needs it.
 func (f *FrontEnd) answerPastDeadline(request *Request) {
@@ -98,10 +110,10 @@
 	status := scheduler.NotSent
 	if attempt != nil && attempt.worker.abandon(attempt) {
 		status = scheduler.Cancelled
-		request.recordStatus(status, attempt.sentAt)
 	}
+	request.record.End(status)
 	kind := Rejected
-	if request.mayHaveExecuted {
+	if request.record.MayHaveExecuted() {
 		kind = Failed
 	}
 	f.respond(request, FinalResponse{
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -7,8 +7,10 @@
 
 	"github.com/rs/zerolog"
 
+	"havencart/internal/decide/looplag"
 	"havencart/internal/discovery"
 	"havencart/internal/native/muxclient"
+	"havencart/internal/workerconn"
 	"havencart/scheduler"
 )
 
@@ -23,8 +25,15 @@
 	ShutdownTimeout time.Duration // how long a shutdown waits for what is in flight
 }
 
-// Dial starts a client of a worker; what happens on it is reported to events.
-type Dial func(id scheduler.WorkerID, w discovery.Worker, now func() time.Duration, events muxclient.Events) ClosableWorkerClient
+// Dial starts a client of a worker, which lives in the runtime of an event loop.
+type Dial func(id scheduler.WorkerID, w discovery.Worker, runtime ClientRuntime) ClosableWorkerClient
+
+// ClientRuntime is what an event loop provides to a worker client.
+type ClientRuntime struct {
+	Now    func() time.Duration // the loop's clock
+	Events muxclient.Events     // where the client reports what happens
+	Guard  *workerconn.Guard
+}
 
 // ClosableWorkerClient is a WorkerClient with goroutines to wait for.
 type ClosableWorkerClient interface {
@@ -46,6 +55,8 @@
 	kill          chan struct{}                 // closed by Kill
 	done          chan struct{}                 // closed when the loop has ended
 	gate          queueGate
+	guard         *workerconn.Guard // shared with the worker clients
+	lease         looplag.Lease     // of the guard; the loop's goroutine only
 }
 
 // NewEventLoop returns an EventLoop that starts with Run.
@@ -57,7 +68,9 @@
 		events:   make(chan func(time.Duration), cfg.EventQueue),
 		kill:     make(chan struct{}),
 		done:     make(chan struct{}),
+		guard:    &workerconn.Guard{},
 	}
+	l.cfg.Guard = l.guard
 	l.gate.setLimit(math.MaxInt)
 	return l
 }
@@ -167,11 +180,12 @@
 	for {
 		l.drainEvents()
 		now := l.Now()
+		l.renewLease(now)
 		l.prepare(now)
 		if shutdown == nil && l.idle() {
 			return true
 		}
-		timer.Reset(max(0, l.frontEnd.NextTimer()-now))
+		timer.Reset(max(0, l.nextPass(now)-now))
 		select {
 		case request := <-l.requests:
 			l.frontEnd.RequestReceived(l.Now(), request)
@@ -190,6 +204,22 @@
 	}
 }
 
+// renewLease lets worker clients send new work for another while, if the loop is up to date.
+func (l *EventLoop) renewLease(now time.Duration) {
+	if l.lease.MayRenew(now) {
+		l.guard.Renew(now)
+	}
+}
+
+// nextPass is when the loop is due again without an event: at the next timer, or when the lease may be renewed.
+func (l *EventLoop) nextPass(now time.Duration) time.Duration {
+	next := l.frontEnd.NextTimer()
+	if renewal := l.lease.NextRenewal(); renewal > now {
+		next = min(next, renewal)
+	}
+	return next
+}
+
 // prepare hands the observed lag to the FrontEnd, fires its timers and sets the queue's limit.
 func (l *EventLoop) prepare(now time.Duration) {
 	if lag := l.gate.swapLag(); lag > 0 {
@@ -246,13 +276,14 @@
 // newWorkerClient starts a client in the protocol of the configuration.
 func (l *EventLoop) newWorkerClient(id scheduler.WorkerID, w discovery.Worker) ClosableWorkerClient {
 	if l.cfg.Dial != nil {
-		return l.cfg.Dial(id, w, l.Now, workerEvents{l, id})
+		return l.cfg.Dial(id, w, ClientRuntime{Now: l.Now, Events: workerEvents{l, id}, Guard: l.guard})
 	}
 	cfg := l.cfg.WorkerClient
 	cfg.Worker = w.Name
 	cfg.Address = w.Address
 	cfg.Now = l.Now
 	cfg.FrontEnd = l.cfg.Name
+	cfg.Guard = l.guard
 	cfg.Seed = l.cfg.Scheduler.Seed ^ uint64(id)
 	return muxclient.New(cfg, workerEvents{l, id})
 }
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -27,6 +28,8 @@
 	DeadlineMargin time.Duration // the final response is due this long before the client gives up
 	MaxInFlight    int           // requests in flight; more are rejected at once
 	ClockStart     time.Time     // wall time at 0 of the clock
+	// Guard is shared with the worker clients; nil: the FrontEnd has one of its own.
+	Guard *workerconn.Guard
 
 	// NewScheduler makes the scheduler; nil stands for scheduler.New.
 	NewScheduler func(now time.Duration, set scheduler.Settings, a scheduler.Actions) Scheduler
@@ -99,6 +102,7 @@
 	dependencies Dependencies
 	log          zerolog.Logger
 	trace        *trace
+	guard        *workerconn.Guard
 	scheduler    Scheduler
 	shadow       *shadow.Scheduler // the scheduler, where shadow settings are evaluated; else nil
 	incarnations *incarnation.Tracker
@@ -140,6 +144,7 @@
 		settings:     settings,
 		dependencies: dependencies,
 		log:          log,
+		guard:        cmp.Or(settings.Guard, &workerconn.Guard{}),
 		trace:        newTrace(log, settings.Classes),
 		incarnations: incarnation.New(),
 		tenancy:      tenancy.New(settings.Tenancy),
--- /dev/null
+++ b/internal/gateway/guard_test.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"havencart/internal/decide/execution"
+	"havencart/scheduler"
+)
+
+// The second attempt of a request that may have executed waits for a connection. The key is remembered for a second.
+func TestRetry_UnsentWhenKeyExpires_FailsAtOnce(t *testing.T) {
+	harness := newHarness(t, 4, nil)
+	request := harness.submit(keyedClass)
+	harness.advance(100 * ms)
+	for _, worker := range harness.clients {
+		worker.holdsWrites = true
+	}
+	harness.endWith(request, scheduler.Error)
+	worker, attempt := harness.sentAttempt(request)
+	if want := harness.clock - 100*ms + time.Second; attempt.NotAfter != want {
+		t.Errorf("the retry may be written until %v, want %v", attempt.NotAfter, want)
+	}
+	harness.advance(850 * ms)
+	if len(worker.queued) != 1 {
+		t.Fatal("given up before the key expired")
+	}
+	harness.advance(50 * ms)
+	if len(worker.queued)+len(worker.sent) != 0 {
+		t.Error("the retry still waits after the key has expired")
+	}
+	harness.wantResponse(request, Failed)
+}
+
+// An attempt that was written in time is not ended by the expiry: its response counts until the deadline.
+func TestRetry_SentBeforeKeyExpires_ResponseCountsAfterwards(t *testing.T) {
+	harness := newHarness(t, 4, nil)
+	request := harness.submit(keyedClass)
+	harness.advance(100 * ms)
+	harness.endWith(request, scheduler.Error)
+	harness.advance(1100 * ms)
+	harness.endWith(request, scheduler.OK)
+	harness.wantResponse(request, Served)
+	if total := harness.Counts().Violations.Total(); total != 0 {
+		t.Errorf("%d violations", total)
+	}
+}
+
+// recklessScheduler asks for whatever a test says, in whatever state the request is.
+type recklessScheduler struct {
+	Scheduler
+	actions scheduler.Actions
+	request scheduler.Request
+}
+
+func (s *recklessScheduler) RequestReceived(_ time.Duration, r scheduler.Request) { s.request = r }
+
+func (s *recklessScheduler) AttemptEnded(time.Duration, scheduler.Outcome) {}
+
+func (s *recklessScheduler) LoadEnded(time.Duration, scheduler.LoadResult) {}
+
+func newRecklessHarness(t *testing.T) (*testHarness, *recklessScheduler) {
+	reckless := &recklessScheduler{}
+	harness := newHarness(t, 4, func(set *Settings) {
+		set.NewScheduler = func(now time.Duration, settings scheduler.Settings, actions scheduler.Actions) Scheduler {
+			reckless.Scheduler = scheduler.New(now, settings, actions)
+			reckless.actions = actions
+			return reckless
+		}
+	})
+	return harness, reckless
+}
+
+// do calls an action of the scheduler within an event.
+func (s *recklessScheduler) do(harness *testHarness, action func()) {
+	action()
+	harness.runDeferred()
+}
+
+func (s *recklessScheduler) send(harness *testHarness, worker string) {
+	s.do(harness, func() { s.actions.Send(s.request.ID, WorkerID(worker), 0) })
+}
+
+// wantViolation checks that just this was counted, and how many attempts the worker clients have.
+func wantViolation(t *testing.T, harness *testHarness, want execution.Violation, attempts int) {
+	t.Helper()
+	counts := harness.Counts().Violations
+	if counts[want] != 1 || counts.Total() != 1 {
+		t.Errorf("counted %v, want %v once", counts, want)
+	}
+	sent := 0
+	for _, worker := range harness.clients {
+		sent += len(worker.sent)
+	}
+	if sent != attempts {
+		t.Errorf("%d attempts are in flight, want %d", sent, attempts)
+	}
+}
+
+// Workers w0 and w2 are of one cell, w1 and w3 of another one.
+func TestGuard_ForbiddenSend_IsCountedAndNotSent(t *testing.T) {
+	cases := map[string]struct {
+		class   int
+		prepare func(harness *testHarness, reckless *recklessScheduler, request *Request)
+		worker  string
+		want    execution.Violation
+		sent    int
+	}{
+		"retry of a non-idempotent request": {nonIdempotentClass, func(harness *testHarness, reckless *recklessScheduler, request *Request) {
+			reckless.send(harness, "w0")
+			harness.endWith(request, scheduler.Reset)
+		}, "w2", execution.RetryOfNonIdempotent, 0},
+		"retry in another cell": {keyedClass, func(harness *testHarness, reckless *recklessScheduler, request *Request) {
+			reckless.send(harness, "w0")
+			harness.endWith(request, scheduler.Error)
+		}, "w1", execution.RetryOutsideKeyScope, 0},
+		"retry after the key expired": {keyedClass, func(harness *testHarness, reckless *recklessScheduler, request *Request) {
+			reckless.send(harness, "w0")
+			harness.endWith(request, scheduler.Error)
+			harness.clock += time.Second
+			harness.FireTimers(harness.clock)
+		}, "w2", execution.RetryAfterKeyExpired, 0},
+		"second attempt in flight": {idempotentClass, func(harness *testHarness, reckless *recklessScheduler, _ *Request) {
+			reckless.send(harness, "w0")
+		}, "w1", execution.SecondAttemptInFlight, 1},
+		"draining worker": {idempotentClass, func(harness *testHarness, _ *recklessScheduler, _ *Request) {
+			harness.listWorkers(4, map[string]scheduler.WorkerState{"w0": scheduler.Draining})
+		}, "w0", execution.StartAtDrainingWorker, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness, reckless := newRecklessHarness(t)
+			request := harness.submit(c.class)
+			c.prepare(harness, reckless, request)
+			reckless.send(harness, c.worker)
+			wantViolation(t, harness, c.want, c.sent)
+		})
+	}
+}
+
+func TestGuard_RejectionAfterExecution_BecomesFailure(t *testing.T) {
+	harness, reckless := newRecklessHarness(t)
+	request := harness.submit(nonIdempotentClass)
+	reckless.send(harness, "w0")
+	harness.endWith(request, scheduler.Reset)
+	reckless.do(harness, func() { reckless.actions.Reject(reckless.request.ID, 0, scheduler.DeadlineTooClose) })
+	harness.wantResponse(request, Failed)
+	wantViolation(t, harness, execution.RejectionAfterExecution, 0)
+}
+
+func TestGuard_OrderToLoadAtDrainingWorker_IsCountedAndNotSent(t *testing.T) {
+	harness, reckless := newRecklessHarness(t)
+	harness.submit(idempotentClass)
+	harness.listWorkers(4, map[string]scheduler.WorkerState{"w0": scheduler.Draining})
+	reckless.do(harness, func() { reckless.actions.Load(WorkerID("w0"), FunctionID("f"), 1) })
+	if orders := len(harness.clients["w0"].orders); orders != 0 {
+		t.Errorf("%d orders were sent", orders)
+	}
+	wantViolation(t, harness, execution.StartAtDrainingWorker, 0)
+}
--- a/internal/gateway/load_orders.go
+++ b/internal/gateway/load_orders.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"havencart/internal/decide/execution"
 	"havencart/internal/native/muxframe"
 	"havencart/internal/workerconn"
 	"havencart/scheduler"
@@ -27,6 +28,14 @@
 		})
 		return
 	}
+	if replicas > 0 && worker.state != scheduler.Ready {
+		f.guard.Count(execution.StartAtDrainingWorker)
+		worker.named(f.log.Error()).Stringer("violation", execution.StartAtDrainingWorker).Msg("rule violation prevented")
+		f.deferred = append(f.deferred, func() {
+			f.scheduler.LoadEnded(f.now, scheduler.LoadResult{Worker: to, Function: id, Status: scheduler.Overloaded})
+		})
+		return
+	}
 	if replicas > 0 {
 		f.counts.LoadOrders++
 	} else {
--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -15,7 +15,6 @@
 	"havencart/internal/config/platformconfig"
 	"havencart/internal/decide/connadmission"
 	"havencart/internal/discovery"
-	"havencart/internal/native/muxclient"
 	"havencart/internal/native/muxframe"
 	"havencart/internal/platform/rpcserver"
 	"havencart/internal/platform/workerclient"
@@ -128,7 +127,7 @@
 }
 
 // newWorkerClient starts a client of a worker in the platform's protocol. It is a Dial.
-func (p *PlatformServer) newWorkerClient(id scheduler.WorkerID, w discovery.Worker, now func() time.Duration, events muxclient.Events) ClosableWorkerClient {
+func (p *PlatformServer) newWorkerClient(id scheduler.WorkerID, w discovery.Worker, runtime ClientRuntime) ClosableWorkerClient {
 	site := p.config.Settings
 	return workerclient.New(workerclient.Config{
 		Worker:               w.Name,
@@ -141,8 +140,9 @@
 		LoadReportFields:     site.Scheduler.LoadReportFields,
 		Budget:               p.budget,
 		Seed:                 site.Scheduler.Seed ^ uint64(id),
-		Now:                  now,
-	}, events)
+		Now:                  runtime.Now,
+		Guard:                runtime.Guard,
+	}, runtime.Events)
 }
 
 // Address returns where clients connect.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"havencart/internal/decide/execution"
 	"havencart/internal/native/muxframe"
 	"havencart/scheduler"
 )
@@ -20,22 +21,21 @@
 	Timeout        time.Duration // until the client gives up, counted from StartedAt
 	StartedAt      time.Duration // when the client began, on the event loop's clock
 
-	queuedAt         time.Duration // when it entered the event loop's queue; 0: it waited in none
-	response         chan FinalResponse
-	deliver          func(FinalResponse)
-	state            requestState
-	id               scheduler.RequestID
-	deadline         time.Duration   // when the final response is due
-	attempts         int             // sent so far
-	current          *requestAttempt // the attempt in flight, or nil
-	timer            timer           // for a final response past the deadline
-	mayHaveExecuted  bool            // by the outcomes of its attempts
-	firstExecutionAt time.Duration   // when the first attempt was sent that may have executed
-	function         *function
-	runTime          time.Duration // execution time, where the worker reported it
-	lastStatus       scheduler.Status
-	finishCause      scheduler.FinishCause // why the scheduler answered it; 0: it did not
-	lastReason       string
+	queuedAt    time.Duration // when it entered the event loop's queue; 0: it waited in none
+	response    chan FinalResponse
+	deliver     func(FinalResponse)
+	state       requestState
+	id          scheduler.RequestID
+	deadline    time.Duration    // when the final response is due
+	attempts    int              // sent so far
+	current     *requestAttempt  // the attempt in flight, or nil
+	timer       timer            // for a final response past the deadline
+	record      execution.Record // what was done for it; set when it is admitted
+	function    *function
+	runTime     time.Duration // execution time, where the worker reported it
+	lastStatus  scheduler.Status
+	finishCause scheduler.FinishCause // why the scheduler answered it; 0: it did not
+	lastReason  string
 }
 
 // requestState is where a request stands in its life. See Request.enter for the transitions.
@@ -58,6 +58,9 @@
 		return false
 	}
 	r.state = next
+	if next.isFinal() {
+		r.record.Close()
+	}
 	return true
 }
 
@@ -84,11 +87,3 @@
 	r.deliver(response)
 	return true
 }
-
-// recordStatus notes from how an attempt ended, which was sent at a time, whether the request may have executed.
-func (r *Request) recordStatus(status scheduler.Status, sentAt time.Duration) {
-	if status.MayHaveExecuted() && !r.mayHaveExecuted {
-		r.mayHaveExecuted = true
-		r.firstExecutionAt = sentAt
-	}
-}
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"havencart/internal/decide/execution"
 	"havencart/internal/decide/tenancy"
 	"havencart/scheduler"
 )
@@ -14,7 +15,15 @@
 	if request == nil {
 		return
 	}
+	if request.state == requestDisconnected {
+		return
+	}
 	request.finishCause = cause
+	if violation := request.record.MayReject(f.now); violation != execution.NoViolation {
+		f.violated(violation, request)
+		f.Fail(id, cause) // promises nothing
+		return
+	}
 	reason := NoWorkerInTime.String()
 	if request.lastReason != "" {
 		reason += "; last: " + request.lastReason
@@ -25,6 +34,10 @@
 // Fail implements scheduler.Actions: it gives the final response that promises nothing.
 func (f *FrontEnd) Fail(id scheduler.RequestID, cause scheduler.FinishCause) {
 	if request := f.requests[id]; request != nil {
+		if request.state == requestCompleted {
+			f.violated(execution.SecondFinalResponse, request)
+			return
+		}
 		request.finishCause = cause
 		f.respond(request, FinalResponse{Kind: Failed, Reason: request.lastReason, TimedOut: timedOut(request.lastStatus)})
 	}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"havencart/internal/decide/execution"
 	"havencart/internal/discovery"
 	"havencart/internal/workerconn"
 	"havencart/scheduler"
@@ -36,10 +37,10 @@
 		return
 	}
 	request := attempt.request
-	t.named(line, request).Int("attempt", attempt.number).Bool("may-have-executed", request.mayHaveExecuted).
+	t.named(line, request).Int("attempt", attempt.number).Bool("may-have-executed", request.record.MayHaveExecuted()).
 		Stringer("after", request.lastStatus).Dur("age", now-request.StartedAt)
-	if request.mayHaveExecuted {
-		line.Dur("first-execution-age", now-request.firstExecutionAt)
+	if request.record.MayHaveExecuted() {
+		line.Dur("first-execution-age", request.record.ExecutionAge(now)).Dur("permitted-for", attempt.NotAfter-now)
 	}
 	if attempt.worker != nil {
 		line.Str("worker", attempt.worker.Name).Str("cell", attempt.worker.Cell)
@@ -47,6 +48,12 @@
 	line.Msg("request retried")
 }
 
+// violated logs a rule that was about to be broken.
+func (t *trace) violated(now time.Duration, violation execution.Violation, request *Request) {
+	t.named(t.workers.Error(), request).Stringer("violation", violation).Int("attempts", request.attempts).
+		Dur("age", now-request.StartedAt).Msg("rule violation prevented")
+}
+
 // attemptEnded logs an attempt that ended otherwise than by the worker's response to the request.
 func (t *trace) attemptEnded(now time.Duration, attempt *requestAttempt, result workerconn.Result) {
 	if result.Status == scheduler.OK {
@@ -84,7 +91,7 @@
 		line.Stringer("cause", request.finishCause)
 	}
 	t.named(line, request).Int("attempts", request.attempts).Str("reason", response.Reason).
-		Bool("may-have-executed", request.mayHaveExecuted).Dur("age", now-request.StartedAt).
+		Bool("may-have-executed", request.record.MayHaveExecuted()).Dur("age", now-request.StartedAt).
 		Dur("left", request.deadline-now).Msg(message)
 }
 
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"havencart/internal/decide/execution"
 	"havencart/internal/discovery"
 	"havencart/internal/native/muxframe"
 	"havencart/scheduler"
@@ -23,6 +24,9 @@
 	disconnected    bool            // reported since it was last connected
 }
 
+// location is where the worker stands, as the scope of an idempotency key has it.
+func (w *worker) location() execution.Location { return execution.Location{Zone: w.Zone, Cell: w.Cell} }
+
 // named adds the worker to a line of the log, by its name and by the identifier that the scheduler's lines have.
 func (w *worker) named(line *zerolog.Event) *zerolog.Event {
 	return line.Str("worker", w.Name).Str("worker-id", strconv.FormatUint(uint64(w.id), 16))
--- a/internal/native/muxclient/config.go
+++ b/internal/native/muxclient/config.go
@@ -44,4 +44,5 @@
 	MaxQueue       int                  // frames that may wait to be written before attempts and load orders are rejected
 	Seed           uint64               // of the random spread of the reconnect backoff
 	Now            func() time.Duration // monotonic clock
+	Guard          *workerconn.Guard    // shared with the event loop; nil: nothing is held back
 }
--- a/internal/native/muxclient/connection_write.go
+++ b/internal/native/muxclient/connection_write.go
@@ -21,7 +21,7 @@
 	var batch writeBatch
 	for {
 		c.nextBatch(&batch)
-		workerconn.NotifyEnded(c.events, batch.Unencodable, scheduler.NotSent, scheduler.Error, "its frame cannot be encoded")
+		batch.Unsent(c.events)
 		if len(batch.Bytes) > 0 {
 			if err := c.sendBatch(conn, &batch); err != nil {
 				return err
@@ -35,7 +35,11 @@
 		case reconnect.Ping:
 			continue // the ping is in the next batch
 		}
-		timer := time.NewTimer(nextCheck - c.cfg.Now())
+		wait := nextCheck - c.cfg.Now()
+		if batch.HeldBack {
+			wait = min(wait, workerconn.HeldBackInterval)
+		}
+		timer := time.NewTimer(wait)
 		select {
 		case <-readDone:
 			timer.Stop()
@@ -63,9 +67,10 @@
 func (c *Client) nextBatch(batch *writeBatch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.queue.NextBatch(c.cfg.Now(), batch, c.encode)
+	now := c.cfg.Now()
+	c.queue.NextBatch(c.cfg.Guard, now, batch, c.encode)
 	if len(batch.Bytes) > 0 {
-		c.setWriteTimeout(reconnect.WriteTimeout())
+		c.setWriteTimeout(batch.Timeout(now, reconnect.WriteTimeout()))
 	}
 }
 
@@ -73,7 +78,7 @@
 func (c *Client) sendBatch(conn net.Conn, batch *writeBatch) error {
 	written, err := conn.Write(batch.Bytes)
 	c.mu.Lock()
-	unsent := c.queue.BatchWritten(batch, written)
+	unsent := c.queue.BatchWritten(c.cfg.Guard, c.cfg.Now(), batch, written)
 	for _, item := range unsent {
 		delete(c.started, item.Attempt)
 	}
--- a/internal/platform/workerclient/client.go
+++ b/internal/platform/workerclient/client.go
@@ -25,7 +25,7 @@
 // randomStream is the second word of the seed of a client's random numbers.
 const randomStream = 0x65786563
 
-// Config is the configuration of a Client. All fields are required.
+// Config is the configuration of a Client. All fields but Guard are required.
 type Config struct {
 	Worker               string // name in the list of workers
 	Address              string // host:port
@@ -36,6 +36,7 @@
 	MaxResponse          int                  // bytes of a response's body; a longer one breaks its connection
 	LoadReportFields     []string             // names of the values of a load report
 	Budget               *ConnectionBudget    // shared by the clients of all workers
+	Guard                *workerconn.Guard    // shared with the event loop; nil: nothing is held back
 	Seed                 uint64               // of the numbers of load orders and health checks
 	Now                  func() time.Duration // monotonic clock
 }
--- a/internal/platform/workerclient/connection_write.go
+++ b/internal/platform/workerclient/connection_write.go
@@ -28,7 +28,7 @@
 			return fmt.Errorf("write to %s: %w", c.client.cfg.Worker, err)
 		}
 		idleTime, unneeded := c.nextBatch(netConn, &batch)
-		workerconn.NotifyEnded(c.client.events, batch.Unencodable, scheduler.NotSent, scheduler.Error, "its frame cannot be encoded")
+		batch.Unsent(c.client.events)
 		if len(batch.Bytes) > 0 {
 			if err := c.sendBatch(netConn, &batch); err != nil {
 				return err
@@ -55,7 +55,7 @@
 func (c *connection) sendBatch(netConn net.Conn, batch *writeBatch) error {
 	written, err := netConn.Write(batch.Bytes)
 	c.client.mu.Lock()
-	unsent := c.queue.BatchWritten(batch, written)
+	unsent := c.queue.BatchWritten(c.client.cfg.Guard, c.client.cfg.Now(), batch, written)
 	c.client.removeFinished(unsent)
 	c.client.mu.Unlock()
 	if len(unsent) > 0 {
@@ -106,11 +106,16 @@
 func (c *connection) nextBatch(netConn net.Conn, batch *writeBatch) (idleTime time.Duration, unneeded bool) {
 	c.client.mu.Lock()
 	defer c.client.mu.Unlock()
-	c.queue.NextBatch(c.client.cfg.Now(), batch, c.encode)
+	now := c.client.cfg.Now()
+	c.queue.NextBatch(c.client.cfg.Guard, now, batch, c.encode)
 	if len(batch.Bytes) > 0 {
-		setWriteTimeout(netConn, connpool.WriteTimeout())
+		setWriteTimeout(netConn, batch.Timeout(now, connpool.WriteTimeout()))
 	}
 	c.client.removeFinished(batch.Unencodable)
+	c.client.removeFinished(batch.Expired)
+	if batch.HeldBack {
+		return workerconn.HeldBackInterval, false
+	}
 	if c.queue.Unfinished() > 0 || len(c.healthChecks) > 0 {
 		return maxWriterSleep, false
 	}
--- a/internal/platform/workerclient/connection_write_test.go
+++ b/internal/platform/workerclient/connection_write_test.go
@@ -69,7 +69,7 @@
 	}
 	client.mu.Lock()
 	defer client.mu.Unlock()
-	if unsent := conn.queue.BatchWritten(&batch, n); len(unsent) != 1 || unsent[0].Attempt != other {
+	if unsent := conn.queue.BatchWritten(nil, 0, &batch, n); len(unsent) != 1 || unsent[0].Attempt != other {
 		t.Errorf("%d of the others were not sent", len(unsent))
 	}
 }
--- a/internal/workerconn/attempt.go
+++ b/internal/workerconn/attempt.go
@@ -13,10 +13,19 @@
 	Request  muxframe.Request
 	Body     []byte
 	Deadline time.Duration // nobody waits for the response after this; on the client's monotonic clock
+	NotAfter time.Duration // its write may neither begin nor go on after this; 0: Deadline alone bounds it
 
 	delivery delivery
 }
 
+// writeDeadline is the time after which the attempt may not be written, 0 if there is none.
+func (a *Attempt) writeDeadline() time.Duration {
+	if a.NotAfter > 0 && a.Deadline > 0 {
+		return min(a.NotAfter, a.Deadline)
+	}
+	return max(a.NotAfter, a.Deadline)
+}
+
 // Number is the number under which the attempt was queued. It identifies the attempt on its connection.
 func (a *Attempt) Number() uint64 { return a.delivery.number }
 
--- /dev/null
+++ b/internal/workerconn/guard.go
@@ -0,0 +1,46 @@
+package workerconn
+
+import (
+	"sync/atomic"
+	"time"
+
+	"havencart/internal/decide/execution"
+	"havencart/internal/decide/looplag"
+)
+
+// HeldBackInterval is after how long a client looks again for the lease while new work is held back.
+const HeldBackInterval = 5 * time.Millisecond
+
+// Guard is what an event loop and its worker clients share so that nothing is written that the loop would no longer allow:
+// a lease on writing new work, and the violations that were counted. New work is attempts and orders to load.
+//
+// The lease guards against a process that stood still: its writers run again before the loop has received which workers
+// drain and which clients left meanwhile. The loop renews the lease when it has; without one, new work stays queued.
+// A nil Guard holds nothing back and counts nothing. Its methods may be called from any goroutine.
+type Guard struct {
+	renewedAt  atomic.Int64 // on the clock of the loop and its clients
+	violations [execution.Violations]atomic.Uint64
+}
+
+// Renew extends the lease from now.
+func (g *Guard) Renew(now time.Duration) { g.renewedAt.Store(int64(now)) }
+
+// mayWriteNewWork reports whether the lease holds at now.
+func (g *Guard) mayWriteNewWork(now time.Duration) bool {
+	return g == nil || now-time.Duration(g.renewedAt.Load()) <= looplag.SendLease()
+}
+
+// Count counts a violation.
+func (g *Guard) Count(violation execution.Violation) {
+	if g != nil {
+		g.violations[violation].Add(1)
+	}
+}
+
+// Violations returns how often each violation was counted, by Violation.
+func (g *Guard) Violations() (counts [execution.Violations]uint64) {
+	for violation := range counts {
+		counts[violation] = g.violations[violation].Load()
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/workerconn/guard_test.go
@@ -0,0 +1,106 @@
+package workerconn
+
+import (
+	"testing"
+	"time"
+
+	"havencart/internal/decide/execution"
+	"havencart/internal/decide/looplag"
+)
+
+func TestNextBatch_WriteDeadline_AttemptIsSentOnlyBefore(t *testing.T) {
+	cases := map[string]struct {
+		deadline, notAfter time.Duration
+		isSent             bool
+	}{
+		"no deadline":             {0, 0, true},
+		"before its deadline":     {testNow + 1, 0, true},
+		"at its deadline":         {testNow, 0, false},
+		"before its permit ends":  {time.Hour, testNow + 1, true},
+		"when its permit ends":    {time.Hour, testNow, false},
+		"after its permit ended":  {time.Hour, testNow - 1, false},
+		"permit without deadline": {0, testNow - 1, false},
+	}
+	for name, c := range cases {
+		queue, batch := NewSendQueue[testFrame](), WriteBatch[testFrame]{}
+		attempt := &Attempt{Deadline: c.deadline, NotAfter: c.notAfter}
+		queue.PushAttempt(1, attempt)
+		queue.NextBatch(nil, testNow, &batch, encodeByNumber)
+		if isSent := len(batch.Bytes) > 0; isSent != c.isSent {
+			t.Errorf("%s: sent %t, want %t", name, isSent, c.isSent)
+		}
+		if isExpired := len(batch.Expired) > 0; isExpired == c.isSent {
+			t.Errorf("%s: expired %t", name, isExpired)
+		}
+		if _, mayHaveBeenSent := queue.Abandon(attempt); mayHaveBeenSent != c.isSent {
+			t.Errorf("%s: may have been sent %t", name, mayHaveBeenSent)
+		}
+	}
+}
+
+// A write ends when the first permit of its attempts does, and lasts no longer than a write may.
+func TestWriteBatch_Timeout_IsThatOfTheFirstPermit(t *testing.T) {
+	queue, batch := NewSendQueue[testFrame](), WriteBatch[testFrame]{}
+	if timeout := batch.Timeout(testNow, time.Second); timeout != time.Second {
+		t.Errorf("without attempts %v", timeout)
+	}
+	queue.PushAttempt(1, &Attempt{Deadline: testNow + time.Hour})
+	queue.PushAttempt(2, &Attempt{Deadline: testNow + time.Hour, NotAfter: testNow + 100*time.Millisecond})
+	queue.PushAttempt(3, &Attempt{Deadline: testNow + 200*time.Millisecond})
+	queue.NextBatch(nil, testNow, &batch, encodeByNumber)
+	if timeout := batch.Timeout(testNow, time.Second); timeout != 100*time.Millisecond {
+		t.Errorf("timeout %v, want that of the shortest permit", timeout)
+	}
+	if timeout := batch.Timeout(testNow, time.Millisecond); timeout != time.Millisecond {
+		t.Errorf("timeout %v, want the longest of any write", timeout)
+	}
+}
+
+func TestNextBatch_LeaseNotRenewed_HoldsBackNewWorkOnly(t *testing.T) {
+	var guard Guard
+	queue, batch := NewSendQueue[testFrame](), WriteBatch[testFrame]{}
+	attempt, order, query := &Attempt{}, newLoadOrder(1), newLoadOrder(0)
+	queue.PushAttempt(1, attempt)
+	queue.Push("control")
+	queue.PushLoad(2, order)
+	queue.PushLoad(3, query)
+	guard.Renew(testNow - looplag.SendLease() - 1)
+	queue.NextBatch(&guard, testNow, &batch, encodeByNumber)
+	if !batch.HeldBack || len(batch.Bytes) != 20 || queue.Queued() != 2 {
+		t.Errorf("held back %t, %d bytes, %d queued; want the control frame and the query sent", batch.HeldBack, len(batch.Bytes), queue.Queued())
+	}
+	queue.BatchWritten(&guard, testNow, &batch, 20)
+	if !queue.CancelUnsent(attempt) {
+		t.Error("what is held back cannot be cancelled")
+	}
+	guard.Renew(testNow)
+	queue.NextBatch(&guard, testNow+looplag.SendLease(), &batch, encodeByNumber)
+	if batch.HeldBack || len(batch.Bytes) != 10 || queue.Queued() != 0 {
+		t.Errorf("held back %t, %d bytes, %d queued; want the order sent", batch.HeldBack, len(batch.Bytes), queue.Queued())
+	}
+}
+
+func TestBatchWritten_AfterPermitEnded_CountsLateWrite(t *testing.T) {
+	const permitEnds = testNow + time.Second
+	for name, c := range map[string]struct {
+		endedAt time.Duration
+		written int
+		want    uint64
+	}{
+		"in time":           {permitEnds, 10, 0},
+		"within tolerance":  {permitEnds + lateWriteTolerance, 10, 0},
+		"late":              {permitEnds + lateWriteTolerance + 1, 10, 1},
+		"late and in part":  {permitEnds + time.Minute, 9, 0},
+		"late and not once": {permitEnds + time.Minute, 0, 0},
+	} {
+		var guard Guard
+		guard.Renew(testNow)
+		queue, batch := NewSendQueue[testFrame](), WriteBatch[testFrame]{}
+		queue.PushAttempt(1, &Attempt{Deadline: time.Hour, NotAfter: permitEnds})
+		queue.NextBatch(&guard, testNow, &batch, encodeByNumber)
+		queue.BatchWritten(&guard, c.endedAt, &batch, c.written)
+		if got := guard.Violations()[execution.LateWrite]; got != c.want {
+			t.Errorf("%s: %d late writes, want %d", name, got, c.want)
+		}
+	}
+}
--- a/internal/workerconn/send_queue.go
+++ b/internal/workerconn/send_queue.go
@@ -1,5 +1,7 @@
 package workerconn
 
+import "time"
+
 // SendQueue holds what waits to be written to one connection, and the attempts and load orders that were written to it
 // and have no response yet. It knows of each whether the worker may have seen it. Frame is the type of the protocol's
 // other frames, such as cancellations and health checks.
@@ -40,6 +42,26 @@
 	return 0
 }
 
+// writeDeadline is the time after which the item may not be written, 0 if there is none.
+func (i QueueItem[Frame]) writeDeadline() time.Duration {
+	if i.Attempt == nil {
+		return 0
+	}
+	return i.Attempt.writeDeadline()
+}
+
+// isExpired tells whether the item may not be written any longer at now.
+func (i QueueItem[Frame]) isExpired(now time.Duration) bool {
+	deadline := i.writeDeadline()
+	return deadline > 0 && now >= deadline
+}
+
+// isOverdue tells whether a write of the item that has ended by now ended too late.
+func (i QueueItem[Frame]) isOverdue(now time.Duration) bool {
+	deadline := i.writeDeadline()
+	return deadline > 0 && now > deadline+lateWriteTolerance
+}
+
 // isNewWork tells whether the item makes the worker execute or load something.
 func (i QueueItem[Frame]) isNewWork() bool {
 	return i.Attempt != nil || i.Load != nil && i.Load.isNewWork()
--- a/internal/workerconn/send_queue_test.go
+++ b/internal/workerconn/send_queue_test.go
@@ -39,35 +39,35 @@
 	},
 	"being written": {
 		prepare: func(queue *SendQueue[testFrame], batch *WriteBatch[testFrame], _ *Attempt) {
-			queue.NextBatch(testNow, batch, encodeByNumber)
+			queue.NextBatch(nil, testNow, batch, encodeByNumber)
 		},
 		wasInFlight: true, mayHaveBeenSent: true,
 	},
 	"written whole": {
 		prepare: func(queue *SendQueue[testFrame], batch *WriteBatch[testFrame], _ *Attempt) {
-			queue.NextBatch(testNow, batch, encodeByNumber)
-			queue.BatchWritten(batch, 10)
+			queue.NextBatch(nil, testNow, batch, encodeByNumber)
+			queue.BatchWritten(nil, testNow, batch, 10)
 		},
 		wasInFlight: true, mayHaveBeenSent: true,
 	},
 	"written in part": {
 		prepare: func(queue *SendQueue[testFrame], batch *WriteBatch[testFrame], _ *Attempt) {
-			queue.NextBatch(testNow, batch, encodeByNumber)
-			queue.BatchWritten(batch, 9)
+			queue.NextBatch(nil, testNow, batch, encodeByNumber)
+			queue.BatchWritten(nil, testNow, batch, 9)
 		},
 	},
 	"finished": {
 		prepare: func(queue *SendQueue[testFrame], batch *WriteBatch[testFrame], _ *Attempt) {
-			queue.NextBatch(testNow, batch, encodeByNumber)
-			queue.BatchWritten(batch, 10)
+			queue.NextBatch(nil, testNow, batch, encodeByNumber)
+			queue.BatchWritten(nil, testNow, batch, 10)
 			queue.FinishAttempt(1)
 		},
 		mayHaveBeenSent: true,
 	},
 	"lost with its connection": {
 		prepare: func(queue *SendQueue[testFrame], batch *WriteBatch[testFrame], _ *Attempt) {
-			queue.NextBatch(testNow, batch, encodeByNumber)
-			queue.BatchWritten(batch, 10)
+			queue.NextBatch(nil, testNow, batch, encodeByNumber)
+			queue.BatchWritten(nil, testNow, batch, 10)
 			queue.RemoveInFlight()
 		},
 		mayHaveBeenSent: true,
@@ -108,11 +108,11 @@
 	queue.PushAttempt(2, second)
 	queue.PushLoad(3, order)
 	var batch WriteBatch[testFrame]
-	queue.NextBatch(testNow, &batch, encodeByNumber)
+	queue.NextBatch(nil, testNow, &batch, encodeByNumber)
 	if len(batch.Bytes) != 40 || queue.Queued() != 0 || queue.Unfinished() != 3 || !queue.IsWritingNewWork() || !queue.IsSending(second) {
 		t.Fatalf("%d bytes, %d queued, %d unfinished", len(batch.Bytes), queue.Queued(), queue.Unfinished())
 	}
-	unsent := queue.BatchWritten(&batch, 29) // one byte of the second attempt is missing
+	unsent := queue.BatchWritten(nil, testNow, &batch, 29) // one byte of the second attempt is missing
 	if len(unsent) != 2 || unsent[0].Attempt != second || unsent[1].Load != order {
 		t.Errorf("unsent: %+v", unsent)
 	}
@@ -127,7 +127,7 @@
 	queue.PushAttempt(99, attempt)
 	queue.PushAttempt(1, &Attempt{})
 	var batch WriteBatch[testFrame]
-	queue.NextBatch(testNow, &batch, encodeByNumber)
+	queue.NextBatch(nil, testNow, &batch, encodeByNumber)
 	if len(batch.Unencodable) != 1 || batch.Unencodable[0].Attempt != attempt || attempt.MayHaveBeenSent() || len(batch.Bytes) != 10 {
 		t.Errorf("unencodable %+v, %d bytes", batch.Unencodable, len(batch.Bytes))
 	}
@@ -142,7 +142,7 @@
 	queue.PushAttempt(1, &Attempt{})
 	queue.PushAttempt(2, last)
 	var batch WriteBatch[testFrame]
-	queue.NextBatch(testNow, &batch, func(buffer []byte, _ QueueItem[testFrame]) ([]byte, error) {
+	queue.NextBatch(nil, testNow, &batch, func(buffer []byte, _ QueueItem[testFrame]) ([]byte, error) {
 		return append(buffer, make([]byte, maxBatchBytes)...), nil
 	})
 	if len(batch.Bytes) != maxBatchBytes || queue.Queued() != 1 || !queue.CancelUnsent(last) {
@@ -171,8 +171,8 @@
 	queuedOrder, sentOrder := newLoadOrder(1), newLoadOrder(1)
 	queue.PushLoad(1, sentOrder)
 	var batch WriteBatch[testFrame]
-	queue.NextBatch(testNow, &batch, encodeByNumber)
-	queue.BatchWritten(&batch, len(batch.Bytes))
+	queue.NextBatch(nil, testNow, &batch, encodeByNumber)
+	queue.BatchWritten(nil, testNow, &batch, len(batch.Bytes))
 	queue.PushLoad(2, queuedOrder)
 	queue.AbandonLoad(sentOrder)
 	queue.AbandonLoad(queuedOrder)
--- a/lab/experiment/stored.go
+++ b/lab/experiment/stored.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"havencart/internal/decide/execution"
 	"havencart/internal/gateway"
 	"havencart/internal/shadow"
 	"havencart/lab/invariant"
@@ -85,8 +86,17 @@
 	LateResponses     uint64       `json:"Late"`
 	PastDeadline      uint64       `json:"Overdue"`
 	ShadowDifferences storedShadow `json:"Otherwise"`
+
+	// Of later builds; absent where they are 0.
+	Retries            uint64           `json:"Retries,omitempty"`
+	AttemptsNotSent    uint64           `json:"AttemptsNotSent,omitempty"`
+	AttemptsUnanswered uint64           `json:"AttemptsUnanswered,omitempty"`
+	Violations         storedViolations `json:"Violations,omitzero"`
 }
 
+// storedViolations are by execution.Violation, whose order stays.
+type storedViolations [execution.Violations]uint64
+
 type storedShadow struct {
 	Compared       uint64 `json:"Looked"`
 	OtherWorker    uint64 `json:"Worker"`
@@ -233,18 +243,22 @@
 
 func countsOf(counts gateway.Counts) storedCounts {
 	return storedCounts{
-		Admitted:         counts.Admitted,
-		Served:           counts.Served,
-		Rejected:         counts.Rejected,
-		Failed:           counts.Failed,
-		Disconnected:     counts.Disconnected,
-		Shed:             counts.Shed,
-		Attempts:         counts.Attempts,
-		LoadOrders:       counts.LoadOrders,
-		ResidencyQueries: counts.ResidencyQueries,
-		HealthChecks:     counts.HealthChecks,
-		LateResponses:    counts.LateResponses,
-		PastDeadline:     counts.PastDeadline,
+		Admitted:           counts.Admitted,
+		Served:             counts.Served,
+		Rejected:           counts.Rejected,
+		Failed:             counts.Failed,
+		Disconnected:       counts.Disconnected,
+		Shed:               counts.Shed,
+		Attempts:           counts.Attempts,
+		LoadOrders:         counts.LoadOrders,
+		ResidencyQueries:   counts.ResidencyQueries,
+		HealthChecks:       counts.HealthChecks,
+		LateResponses:      counts.LateResponses,
+		PastDeadline:       counts.PastDeadline,
+		Retries:            counts.Retries,
+		AttemptsNotSent:    counts.AttemptsNotSent,
+		AttemptsUnanswered: counts.AttemptsUnanswered,
+		Violations:         storedViolations(counts.Violations),
 		ShadowDifferences: storedShadow{
 			Compared:       counts.ShadowDifferences.Compared,
 			OtherWorker:    counts.ShadowDifferences.OtherWorker,
@@ -259,18 +273,22 @@
 
 func (s storedCounts) counts() gateway.Counts {
 	return gateway.Counts{
-		Admitted:         s.Admitted,
-		Served:           s.Served,
-		Rejected:         s.Rejected,
-		Failed:           s.Failed,
-		Disconnected:     s.Disconnected,
-		Shed:             s.Shed,
-		Attempts:         s.Attempts,
-		LoadOrders:       s.LoadOrders,
-		ResidencyQueries: s.ResidencyQueries,
-		HealthChecks:     s.HealthChecks,
-		LateResponses:    s.LateResponses,
-		PastDeadline:     s.PastDeadline,
+		Admitted:           s.Admitted,
+		Served:             s.Served,
+		Rejected:           s.Rejected,
+		Failed:             s.Failed,
+		Disconnected:       s.Disconnected,
+		Shed:               s.Shed,
+		Attempts:           s.Attempts,
+		LoadOrders:         s.LoadOrders,
+		ResidencyQueries:   s.ResidencyQueries,
+		HealthChecks:       s.HealthChecks,
+		LateResponses:      s.LateResponses,
+		PastDeadline:       s.PastDeadline,
+		Retries:            s.Retries,
+		AttemptsNotSent:    s.AttemptsNotSent,
+		AttemptsUnanswered: s.AttemptsUnanswered,
+		Violations:         gateway.ViolationCounts(s.Violations),
 		ShadowDifferences: shadow.Counts{
 			Compared:       s.ShadowDifferences.Compared,
 			OtherWorker:    s.ShadowDifferences.OtherWorker,
--- a/lab/experiment/stored_test.go
+++ b/lab/experiment/stored_test.go
@@ -76,9 +76,14 @@
 // field left at zero, and the renamed counters have the values that their old names had.
 func TestCell_LineOfAnEarlierBuild_FillsEveryField(t *testing.T) {
 	c := readLine(t, storedLines(t)[2])
+	if path := zeroField(reflect.ValueOf(c), "Cell"); path != "Cell.Result.Counts.Retries" {
+		t.Errorf("%s is zero, want none but those of later builds", path)
+	}
+	setLaterFields(&c)
 	if path := zeroField(reflect.ValueOf(c), "Cell"); path != "" {
 		t.Errorf("%s is zero", path)
 	}
+	c = readLine(t, storedLines(t)[2])
 	want := gateway.Counts{
 		Admitted: 90, Served: 91, Rejected: 92, Failed: 93, Disconnected: 94, Shed: 95, Attempts: 96, LoadOrders: 97,
 		ResidencyQueries: 98, HealthChecks: 99, LateResponses: 100, PastDeadline: 101,
@@ -92,6 +97,28 @@
 	}
 }
 
+// setLaterFields gives the fields that the earlier build lacked values of their own.
+func setLaterFields(c *Cell) {
+	counts := &c.Result.Counts
+	counts.Retries, counts.AttemptsNotSent, counts.AttemptsUnanswered = 201, 202, 203
+	for violation := range counts.Violations {
+		counts.Violations[violation] = uint64(300 + violation)
+	}
+}
+
+// TestCell_FieldsOfLaterBuilds_AreStored: what a later build added is read as it was written.
+func TestCell_FieldsOfLaterBuilds_AreStored(t *testing.T) {
+	c := readLine(t, storedLines(t)[2])
+	setLaterFields(&c)
+	written, err := json.Marshal(&c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if read := readLine(t, string(written)); read.Result.Counts != c.Result.Counts {
+		t.Errorf("read %+v, stored %+v", read.Result.Counts, c.Result.Counts)
+	}
+}
+
 // zeroField returns the path of the first field of v that is zero, empty if there is none.
 func zeroField(value reflect.Value, path string) string {
 	switch value.Kind() {
