Slow start: the budget of a cold worker counts all that served, not only the healthy

At fault: slowStartAllows shares what was completed in the last ten seconds among the workers that are ready and not ejected now (warmCapacity). Connects that time out eject nearly all; workers that drain or are gone drop out too. Change: servingCapacity counts the workers that responded within the time of the completions as well, whatever became of them since. No constant changed. TestSlowStart_ServingWorkersLeave_BudgetDoesNotGrow: 112 before, at most 17 after.

--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -173,16 +173,25 @@
 	return least + (1-least)*age/float64(s.settings.SlowStartDuration)
 }
 
-// warmCapacity is to how many warm workers those amount that are ready and not ejected for a class.
-func (s *Scheduler) warmCapacity(class int) (sum float64) {
+// servingCapacity is to how many warm workers those amount that served, or may have served, what was completed within a
+// time before now: those that are ready and not ejected for a class, and those that responded meanwhile.
+func (s *Scheduler) servingCapacity(class int, within time.Duration) (sum float64) {
 	for _, worker := range s.endpoints.list {
-		if worker.State == Ready && !worker.isEjected(class) {
+		isServing := worker.State == Ready && !worker.isEjected(class)
+		if isServing || worker.respondedSince(s.now-within) {
 			sum += s.capacityFraction(worker)
 		}
 	}
 	return sum
 }
 
+// respondedSince is whether the worker responded to a request of any class since a time.
+func (w *workerRecord) respondedSince(from time.Duration) bool {
+	return slices.ContainsFunc(w.healthByClass, func(health workerHealth) bool {
+		return health.lastResponseAt > 0 && health.lastResponseAt >= from
+	})
+}
+
 // acceptsLoads is whether a function may be loaded at a worker now, which then has memory for it as far as is known.
 func (s *Scheduler) acceptsLoads(worker *workerRecord) bool {
 	return worker.State == Ready && s.now >= worker.noLoadsUntil
@@ -219,8 +228,8 @@
 	previous := &worker.slowStart
 	if window != previous.window {
 		if previous.sent > 0 {
-			s.actions.Log(fmt.Sprintf("worker %x in slow start: window %d, sent %d, budget %.2f, warm capacity %.1f",
-				worker.ID, previous.window, previous.sent, previous.budget, s.warmCapacity(0)))
+			s.actions.Log(fmt.Sprintf("worker %x in slow start: window %d, sent %d, budget %.2f",
+				worker.ID, previous.window, previous.sent, previous.budget))
 		}
 		*previous = slowStartWindow{window: window}
 	}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -29,6 +29,8 @@
 	served     int
 	loads      int
 	draw       func() FunctionID
+
+	connectFailures float64 // part of the attempts at the other workers that end without a connection
 }
 
 // fleetFront is one front end of a fleet.
@@ -106,6 +108,12 @@
 	if w == frontEnd.coldWorker {
 		frontEnd.sends = append(frontEnd.sends, frontEnd.now)
 	}
+	if w != frontEnd.coldWorker && frontEnd.rng.Float64() < frontEnd.connectFailures {
+		frontEnd.later(connectTimeout, func() {
+			frontEnd.scheduler.AttemptEnded(frontEnd.now, Outcome{Request: r, Attempt: attempt, Worker: w, Status: ConnectFailed, Latency: connectTimeout, QueueDepth: -1})
+		})
+		return
+	}
 	if _, isLoaded := frontEnd.replicas[key]; !isLoaded {
 		frontEnd.replicas[key] = frontEnd.now + frontEnd.load
 		frontEnd.loads++
@@ -155,6 +163,7 @@
 const (
 	fleetLoad         = 0.6 // of what warm workers can serve, that is requested, as on the platform's large scenarios at most
 	requestsPerWorker = 20  // requests a second that a warm worker can serve
+	connectTimeout    = 250 * ms
 )
 
 // newFleet starts a fleet whose front ends have unequal traffic: a tenth of them has four times what the others have.
@@ -268,6 +277,37 @@
 	}
 }
 
+// TestFleet_ColdWorkerWhileOthersFail_IsNotOverloaded holds the same while connects to the other workers time out, so that
+// most of them are ejected at most front ends most of the time, and while half of them drain.
+func TestFleet_ColdWorkerWhileOthersFail_IsNotOverloaded(t *testing.T) {
+	const workers = 16
+	for _, fronts := range []int{1, 3, 6, 30} {
+		for _, half := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d front ends, half drain %t", fronts, half), func(t *testing.T) {
+				for seed := range uint64(5) {
+					fleetRun := newFleet(seed, fronts, workers, 200, testSettings())
+					fleetRun.advanceTo(fleetRun.now + 4*time.Second)
+					began := fleetRun.now
+					fleetRun.connectFailures = 0.4
+					fleetRun.list[workers-1].State, fleetRun.list[workers-1].Started = Ready, began
+					for i := range workers / 2 {
+						if half {
+							fleetRun.list[i].State = Draining
+						}
+					}
+					for _, frontEnd := range fleetRun.fronts {
+						frontEnd.scheduler.WorkersChanged(fleetRun.now, fleetRun.list, true)
+					}
+					fleetRun.advanceTo(began + 8*time.Second)
+					if over, text := fleetRun.worstOverload(began); over > 0 {
+						t.Errorf("seed %d: %s", seed, text)
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestFleet_NewVersions_BringNoStormOfLoads: four in ten of the loaded replicas become stale at once, as their
 // functions come in a new version. Each is loaded again where it is requested; hundreds of front ends that see
 // requests take longer there do not load it at other workers as well.
--- a/scheduler/slow_start.go
+++ b/scheduler/slow_start.go
@@ -15,12 +15,13 @@
 )
 
 // slowStartAllows is whether a worker that just started may be sent one more request: fewer than would
-// overload it if every front end sent as many. What it could serve warm is estimated from what warm workers
-// complete for this front end. Where this front end's budget is below one request, it is a chance, drawn anew
-// in each window: the higher, the fewer front ends have a request for that worker then: as many as this one's
-// own demand for the function tells, at most slowStartSkew times as many as for a worker in the mean. It
-// would harm where more had one that each sees seldom: functions are placed so that none needs a third of one
-// worker.
+// overload it if every front end sent as many. What it could serve warm is estimated from what workers
+// completed for this front end, shared among all that did: those that were ejected or drain since count too,
+// else a worker that just started would seem to take what all of them did. Where this front end's budget is
+// below one request, it is a chance, drawn anew in each window: the higher, the fewer front ends have a
+// request for that worker then: as many as this one's own demand for the function tells, at most
+// slowStartSkew times as many as for a worker in the mean. It would harm where more had one that each sees
+// seldom: functions are placed so that none needs a third of one worker.
 func (s *Scheduler) slowStartAllows(worker *workerRecord, request *requestRecord) bool {
 	age := s.now - worker.Started
 	if s.isWarmedUp(worker) || s.settings.OverloadWindow <= 0 {
@@ -30,7 +31,7 @@
 	function, uptime := request.function, s.now-s.startedAt+freshnessWindow
 	fraction, window := s.capacityFraction(worker), s.settings.OverloadWindow.Seconds()
 	completed := s.demand.completions.RatePerSecond(s.now, completionMemory, uptime)
-	perWorker := completed / max(fraction, s.warmCapacity(function.class))
+	perWorker := completed / max(fraction, s.servingCapacity(function.class, completionMemory))
 	capacity := perWorker * s.relativeCapacity(worker) * window
 	requested := function.requestedRunTime.RatePerSecond(s.now, demandMemory, uptime)
 	demand := requested / float64(s.expectedRunTime(function)) * window
--- a/scheduler/slow_start_test.go
+++ b/scheduler/slow_start_test.go
@@ -93,3 +93,49 @@
 		t.Errorf("a cold worker gets %d requests among eight others that are cold, %d alone", among, alone)
 	}
 }
+
+// TestSlowStart_ServingWorkersLeave_BudgetDoesNotGrow guards against a budget that grows as workers are ejected, drain or
+// are removed: what they completed lately is not what the others can take.
+func TestSlowStart_ServingWorkersLeave_BudgetDoesNotGrow(t *testing.T) {
+	const cold, others = 10, 8
+	leave := map[string]func(script *harness, worker *workerRecord){
+		"stay":    func(*harness, *workerRecord) {},
+		"ejected": func(script *harness, worker *workerRecord) { script.scheduler.connectionLost(worker) },
+		"draining": func(script *harness, worker *workerRecord) {
+			script.changeWorker(WorkerInfo{ID: worker.ID, Started: UnknownStart, State: Draining})
+		},
+		"removed": func(script *harness, worker *workerRecord) {
+			script.changeWorker(WorkerInfo{ID: worker.ID, Started: UnknownStart, State: Removed})
+		},
+		"long gone": func(_ *harness, worker *workerRecord) { worker.healthByClass[0] = workerHealth{ejected: true} },
+	}
+	sent := map[string]int{}
+	for name, leaves := range leave {
+		set := testSettings()
+		set.FrontEndCount = 1
+		script := newHarness(t, set, others)
+		script.changeWorker(WorkerInfo{ID: cold, Scale: 1, Started: script.now, State: Ready})
+		s := script.scheduler
+		s.demand.completions = estimate.NewDecayed(20*completionMemory.Seconds(), s.now)
+		for id := range WorkerID(others) {
+			worker := s.endpoints.byID[id+1]
+			worker.healthByClass[0].lastResponseAt = s.now
+			if id > 0 {
+				leaves(script, worker)
+			}
+		}
+		worker, request := s.endpoints.byID[cold], &requestRecord{function: s.trackFunction(7, 0)}
+		for s.slowStartAllows(worker, request) {
+			worker.sendTimes = append(worker.sendTimes, s.now)
+		}
+		sent[name] = len(worker.sendTimes)
+	}
+	for _, name := range []string{"ejected", "draining", "removed"} {
+		if sent[name] > sent["stay"] {
+			t.Errorf("%s: a cold worker gets %d requests, %d where all stay", name, sent[name], sent["stay"])
+		}
+	}
+	if sent["long gone"] <= sent["stay"] {
+		t.Errorf("a cold worker gets %d requests where the others are long gone, %d where all serve", sent["long gone"], sent["stay"])
+	}
+}
