Related paths: bounds of a write only shorten, closes discard, promises outlive no key

Tests: TestWriteLimit_Shorten_NeverExtends, TestStop_AttemptInFlight_ResetsConnection (50 of 50), TestRetry_KeyKnownEverywhere_RejectsOnlyWhileKeyOutlivesTheRetry. go test ./scheduler ./internal/... and -race of the clients pass.

--- a/internal/native/muxclient/client.go
+++ b/internal/native/muxclient/client.go
@@ -45,6 +45,7 @@
 	keepalive    *reconnect.Keepalive                       // of conn
 	draining     bool                                       // the worker drains: no new work is sent
 	closed       bool                                       // the client was stopped
+	writeLimit   workerconn.WriteLimit
 }
 
 // New returns a Client and starts the goroutine that keeps its connection. The caller ends it by Stop.
@@ -163,7 +164,7 @@
 	defer c.mu.Unlock()
 	c.draining = true
 	if c.queue.IsWritingNewWork() {
-		c.setWriteTimeout(grace)
+		c.writeLimit.Shorten(grace)
 	}
 	return c.queue.RemoveNewWork()
 }
@@ -205,10 +206,3 @@
 		c.writeWake.Notify()
 	}
 }
-
-// setWriteTimeout limits the write under way, or the next one, if there is a connection. The lock is held.
-func (c *Client) setWriteTimeout(timeout time.Duration) {
-	if c.conn != nil {
-		_ = c.conn.SetWriteDeadline(time.Now().Add(timeout)) // fails on a closed connection only, whose writes fail too
-	}
-}
--- a/internal/native/muxclient/connection_write.go
+++ b/internal/native/muxclient/connection_write.go
@@ -70,7 +70,7 @@
 	now := c.cfg.Now()
 	c.queue.NextBatch(c.cfg.Guard, now, batch, c.encode)
 	if len(batch.Bytes) > 0 {
-		c.setWriteTimeout(batch.Timeout(now, reconnect.WriteTimeout()))
+		c.writeLimit.Start(c.conn, batch.Timeout(now, reconnect.WriteTimeout()))
 	}
 }
 
--- a/internal/platform/workerclient/client.go
+++ b/internal/platform/workerclient/client.go
@@ -198,11 +198,11 @@
 	}
 	delete(c.attempts, attempt)
 	if conn.queue.IsSending(attempt) {
-		conn.setWriteTimeout(connpool.CancelledWriteTimeout())
+		conn.writeLimit.Shorten(connpool.CancelledWriteTimeout())
 	}
 	wasInFlight, mayHaveBeenSent := conn.queue.Abandon(attempt)
 	if wasInFlight {
-		conn.requestCancelled = true
+		conn.discardOnClose()
 		conn.drainAfterCancel()
 		conn.queue.Push(workerframe.Frame{Code: workerframe.Cancel, ID: attempt.Number()})
 	}
@@ -288,7 +288,7 @@
 	c.draining = true
 	for _, conn := range c.connections {
 		if conn.queue.IsWritingNewWork() {
-			conn.setWriteTimeout(grace / 2)
+			conn.writeLimit.Shorten(grace / 2)
 		}
 		unsentAttempts, unsentOrders := conn.queue.RemoveNewWork()
 		attempts = append(attempts, unsentAttempts...)
--- a/internal/platform/workerclient/connection.go
+++ b/internal/platform/workerclient/connection.go
@@ -24,14 +24,14 @@
 	silentConnections int // made in a row on which nothing was received; used by run's goroutine only
 
 	// Guarded by client.mu.
-	queue            workerconn.SendQueue[workerframe.Frame]
-	healthChecks     map[uint64]bool // numbers of those without a response; bounded by how often the scheduler checks
-	netConn          net.Conn        // nil while there is none
-	draining         bool            // accepts nothing new; closed once nothing is unfinished on it
-	requestCancelled bool            // a request that was sent on it was cancelled
-	received         bool            // a frame was received on netConn
-	lastUsed         time.Duration
-	recent           recentNumbers
+	queue        workerconn.SendQueue[workerframe.Frame]
+	healthChecks map[uint64]bool // numbers of those without a response; bounded by how often the scheduler checks
+	netConn      net.Conn        // nil while there is none
+	draining     bool            // accepts nothing new; closed once nothing is unfinished on it
+	writeLimit   workerconn.WriteLimit
+	received     bool // a frame was received on netConn
+	lastUsed     time.Duration
+	recent       recentNumbers
 }
 
 // newConnection returns a connection that is not dialled yet. The client's lock is held.
@@ -56,26 +56,22 @@
 	c.wake.Notify()
 }
 
-// setWriteTimeout limits the write under way, or the next one. The client's lock is held.
-func (c *connection) setWriteTimeout(timeout time.Duration) {
+// discardOnClose has the close of the connection, whoever closes it, drop what the operating system still holds of what
+// was given up. The client's lock is held.
+func (c *connection) discardOnClose() {
 	if c.netConn != nil {
-		setWriteTimeout(c.netConn, timeout)
+		workerconn.DiscardOnClose(c.netConn)
 	}
 }
 
-// setWriteTimeout limits the writes to a connection from now on.
-func setWriteTimeout(netConn net.Conn, timeout time.Duration) {
-	_ = netConn.SetWriteDeadline(time.Now().Add(timeout)) // fails on a closed connection only, whose writes fail too
-}
-
 // drainAfterCancel has the connection accept nothing new after something was given up on it, if the policy is so. The
 // client's lock is held.
 func (c *connection) drainAfterCancel() {
 	c.draining = c.draining || connpool.DrainOnCancel()
 }
 
-// errUnneeded is why a connection ended that nothing needed any longer.
-var errUnneeded = errors.New("idle or retired")
+// errStopped is why a connection ended as its client was stopped.
+var errStopped = errors.New("client stopped")
 
 // run makes the connection, serves it, and makes it again while something waits for it. It is the connection's
 // goroutine and ends when the connection is not needed, cannot be made, or the client is stopped.
@@ -125,7 +121,7 @@
 	}
 	c.netConn = nil
 	c.received = false
-	outcome.workerAlive = errors.Is(reason, workerframe.ErrMalformed) || errors.Is(reason, errUnneeded)
+	outcome.workerAlive = errors.Is(reason, workerframe.ErrMalformed) || errors.Is(reason, workerconn.ErrUnneeded)
 	needed := c.queue.Unfinished() > 0 || len(lost) > 0 && !outcome.workerAlive
 	mayRetry := c.client.ctx.Err() == nil && connpool.RetryAfterReset(c.silentConnections)
 	outcome.reconnect = needed && mayRetry
--- a/internal/platform/workerclient/connection_test.go
+++ b/internal/platform/workerclient/connection_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"havencart/internal/platform/workerframe"
+	"havencart/internal/workerconn"
 	"havencart/lab/platformworker"
 	"havencart/scheduler"
 )
@@ -118,7 +119,7 @@
 			conn.wakeUp()
 			client.mu.Unlock()
 		}
-		if err := <-served; !errors.Is(err, errUnneeded) {
+		if err := <-served; !errors.Is(err, workerconn.ErrUnneeded) {
 			t.Errorf("served: %v", err)
 		}
 		if _, err := io.Copy(io.Discard, theirs); errors.Is(err, syscall.ECONNRESET) != cancelled {
@@ -126,3 +127,23 @@
 		}
 	}
 }
+
+// A client that is stopped sends no more of what was in flight, however late the network path works again.
+func TestStop_AttemptInFlight_ResetsConnection(t *testing.T) {
+	ours, theirs := connectedPair(t)
+	client, conn := newUnservedConnection(t, ours)
+	send(t, client, newAttempt(5))
+	served := make(chan error, 1)
+	client.tasks.Go(func() { served <- conn.serve(ours) })
+	r := workerframe.NewReader(theirs, workerframe.FromFrontEnd, workerframe.MaxBody)
+	if f, err := r.Next(); err != nil || f.ID != 5 {
+		t.Fatalf("read %+v, %v", f, err)
+	}
+	client.Stop()
+	if err := <-served; err == nil {
+		t.Error("served without an error")
+	}
+	if _, err := io.Copy(io.Discard, theirs); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the worker saw %v, want a reset", err)
+	}
+}
--- a/internal/platform/workerclient/connection_write.go
+++ b/internal/platform/workerclient/connection_write.go
@@ -36,15 +36,14 @@
 			continue
 		}
 		if unneeded {
-			c.discardUnacknowledged(netConn)
-			return errUnneeded
+			return workerconn.ErrUnneeded
 		}
 		timer.Reset(idleTime)
 		select {
 		case <-readDone:
 			return nil
 		case <-c.client.ctx.Done():
-			return errUnneeded
+			return errStopped
 		case <-c.wake:
 		case <-timer.C:
 		}
@@ -68,18 +67,6 @@
 	return nil
 }
 
-// discardUnacknowledged has the close of a connection on which a request was cancelled drop the data that the operating
-// system still holds for it. It guards against a request that reaches its worker long after its client left, once an
-// interrupted network path works again. A worker that is reachable sees a reset in place of a regular end; in both cases
-// it cancels all requests of the connection.
-func (c *connection) discardUnacknowledged(netConn net.Conn) {
-	c.client.mu.Lock()
-	defer c.client.mu.Unlock()
-	if tcp, ok := netConn.(*net.TCPConn); ok && c.requestCancelled {
-		_ = tcp.SetLinger(0) // fails on a closed connection only
-	}
-}
-
 // checkPeerBeforeWrite returns an error if the worker has closed an idle connection on which something is about to be
 // written. It guards against a request that is written while the end of the connection lies unread in the operating
 // system's buffer: it would never be executed, and nobody could tell. It costs one system call for each use of an idle
@@ -109,7 +96,7 @@
 	now := c.client.cfg.Now()
 	c.queue.NextBatch(c.client.cfg.Guard, now, batch, c.encode)
 	if len(batch.Bytes) > 0 {
-		setWriteTimeout(netConn, batch.Timeout(now, connpool.WriteTimeout()))
+		c.writeLimit.Start(netConn, batch.Timeout(now, connpool.WriteTimeout()))
 	}
 	c.client.removeFinished(batch.Unencodable)
 	c.client.removeFinished(batch.Expired)
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -103,11 +103,6 @@
 	return r.mayHaveExecuted && r.class.Idempotency == IdempotentByKey
 }
 
-// mayRetryAnywhere is whether a repeat at any worker does no harm.
-func (c *Class) mayRetryAnywhere() bool {
-	return c.Idempotency == Idempotent || c.Idempotency == IdempotentByKey && c.KeyScope == ScopeAll
-}
-
 // isResponse is whether the worker itself answered.
 func (s Status) isResponse() bool {
 	return s == OK || s == Overloaded || s == NotLoaded || s == Error
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -52,6 +52,27 @@
 	}
 }
 
+// A client that is rejected may come back when it was told to, and have its try sent at its own timeout: the key must still
+// be known then.
+func TestRetry_KeyKnownEverywhere_RejectsOnlyWhileKeyOutlivesTheRetry(t *testing.T) {
+	set := testSettings()
+	set.MaxAttempts = 1
+	class := &set.Classes[1]
+	class.KeyScope, class.Timeout = ScopeAll, 3*time.Second
+	longest := set.MaxRetryAfter + class.Timeout
+	for retention, want := range map[time.Duration]string{longest + 200*ms: "rejected", longest + 50*ms: "failed", time.Second: "failed"} {
+		class.KeyRetention = retention
+		script := newHarness(t, set, 2)
+		script.warm(7)
+		r := script.request(7, 1)
+		script.advance(100 * ms)
+		script.endAttempt(r, Error, ColdStartUnknown)
+		if script.answers[r] != want {
+			t.Errorf("key remembered for %v: %s, want %s", retention, script.answers[r], want)
+		}
+	}
+}
+
 func TestRetry_OverloadedWorker_GoesElsewhere(t *testing.T) {
 	script := newHarness(t, testSettings(), 4)
 	w := script.warm(7)
