After a stall a request counts from when it may have arrived

At fault: Request.StartedAt is the time at which a request is read. What is read just after a stall may have arrived when it began. Change: looplag.StallTracker (Lease before) remembers the last stall of the event loop; EventLoop.receive counts requests that were read in it, or while what was received is handled, from its begin. It gives up such requests sooner than it need where they did arrive later. TestStallTracker_RequestReadAfterStall_CountsFromItsBegin; go test ./internal/... passes.

--- /dev/null
+++ b/internal/decide/looplag/stall.go
@@ -0,0 +1,50 @@
+package looplag
+
+import "time"
+
+const (
+	// sendLease is how long worker clients write new work after the event loop last renewed their lease. By the
+	// platform's rules an attempt starts at most 0.1 s after its client left; a write takes a part of that. An event loop
+	// that made no pass for longer has stalled.
+	sendLease = 60 * time.Millisecond
+	// settleTime is for how long after a stall the lease is not renewed: until what was received meanwhile is handled.
+	settleTime = 5 * time.Millisecond
+)
+
+// SendLease is how long a lease on sending new work lasts.
+func SendLease() time.Duration { return sendLease }
+
+// StallTracker notices that the event loop, and most likely its process, stood still, by passes of the loop that are far
+// apart. It decides what is still known after that: it belongs to the loop's goroutine.
+type StallTracker struct {
+	lastPass  time.Duration
+	stalledAt time.Duration // when the last stall began
+	settledAt time.Duration // from when on what was received during the last stall is handled
+}
+
+// MayRenewLease takes a pass of the event loop at now, and reports whether the lease on sending new work may be renewed:
+// at each pass, but after a stall only once the goroutines that read connections had time to tell what they received. It
+// guards against work that is sent on what was known before the stall. It would harm where each pass of the loop takes
+// longer than a lease: new work is then sent a little later.
+func (t *StallTracker) MayRenewLease(now time.Duration) bool {
+	if now-t.lastPass > sendLease {
+		t.stalledAt = t.lastPass
+		t.settledAt = now + settleTime
+	}
+	t.lastPass = now
+	return now >= t.settledAt
+}
+
+// NextRenewal is when the lease may be renewed at the earliest.
+func (t *StallTracker) NextRenewal() time.Duration { return t.settledAt }
+
+// EarliestArrival is since when a request may have waited to be read that was read at a time. What is read just after a
+// stall may have arrived when it began: counted from when it was read, its client would get its response too late, and
+// a worker be told more time than the client has left. It would harm requests that did arrive after the stall: they are
+// given up sooner than they need be.
+func (t *StallTracker) EarliestArrival(readAt time.Duration) time.Duration {
+	if readAt > t.stalledAt && readAt <= t.settledAt {
+		return t.stalledAt
+	}
+	return readAt
+}
--- /dev/null
+++ b/internal/decide/looplag/stall_test.go
@@ -0,0 +1,40 @@
+package looplag
+
+import "testing"
+
+func TestStallTracker_AfterStall_LeaseIsRenewedOnceSettled(t *testing.T) {
+	var tracker StallTracker
+	tracker.MayRenewLease(0)
+	if !tracker.MayRenewLease(settleTime) || !tracker.MayRenewLease(settleTime+sendLease) {
+		t.Error("not renewed by a loop that keeps up")
+	}
+	resumed := settleTime + 2*sendLease + ms
+	if tracker.MayRenewLease(resumed) || tracker.MayRenewLease(resumed+settleTime-1) {
+		t.Error("renewed at once after a stall")
+	}
+	if tracker.NextRenewal() != resumed+settleTime || !tracker.MayRenewLease(resumed+settleTime) {
+		t.Errorf("next renewal at %v, want %v", tracker.NextRenewal(), resumed+settleTime)
+	}
+}
+
+func TestStallTracker_RequestReadAfterStall_CountsFromItsBegin(t *testing.T) {
+	var tracker StallTracker
+	const before = 100 * ms
+	for now := 0 * ms; now <= before; now += sendLease / 3 {
+		tracker.MayRenewLease(now)
+	}
+	if got := tracker.EarliestArrival(before - ms); got != before-ms {
+		t.Errorf("without a stall a request read at %v counts from %v", before-ms, got)
+	}
+	resumed := before + 10*sendLease
+	tracker.MayRenewLease(resumed)
+	if got := tracker.EarliestArrival(resumed + settleTime); got != tracker.stalledAt || got > before {
+		t.Errorf("read just after the stall counts from %v, want the last pass before it", got)
+	}
+	if late := resumed + settleTime + ms; tracker.EarliestArrival(late) != late {
+		t.Error("read once settled, and does not count from then")
+	}
+	if early := tracker.stalledAt; tracker.EarliestArrival(early-ms) != early-ms {
+		t.Error("read before the stall, and does not count from then")
+	}
+}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -55,8 +55,8 @@
 	kill          chan struct{}                 // closed by Kill
 	done          chan struct{}                 // closed when the loop has ended
 	gate          queueGate
-	guard         *workerconn.Guard // shared with the worker clients
-	lease         looplag.Lease     // of the guard; the loop's goroutine only
+	guard         *workerconn.Guard    // shared with the worker clients
+	stalls        looplag.StallTracker // the loop's goroutine only
 }
 
 // NewEventLoop returns an EventLoop that starts with Run.
@@ -188,7 +188,7 @@
 		timer.Reset(max(0, l.nextPass(now)-now))
 		select {
 		case request := <-l.requests:
-			l.frontEnd.RequestReceived(l.Now(), request)
+			l.receive(request)
 		case event := <-l.events:
 			event(l.Now())
 		case <-timer.C:
@@ -206,7 +206,7 @@
 
 // renewLease lets worker clients send new work for another while, if the loop is up to date.
 func (l *EventLoop) renewLease(now time.Duration) {
-	if l.lease.MayRenew(now) {
+	if l.stalls.MayRenewLease(now) {
 		l.guard.Renew(now)
 	}
 }
@@ -214,12 +214,18 @@
 // nextPass is when the loop is due again without an event: at the next timer, or when the lease may be renewed.
 func (l *EventLoop) nextPass(now time.Duration) time.Duration {
 	next := l.frontEnd.NextTimer()
-	if renewal := l.lease.NextRenewal(); renewal > now {
+	if renewal := l.stalls.NextRenewal(); renewal > now {
 		next = min(next, renewal)
 	}
 	return next
 }
 
+// receive hands a request to the FrontEnd, which counts from when it may have arrived.
+func (l *EventLoop) receive(request *Request) {
+	request.StartedAt = l.stalls.EarliestArrival(request.StartedAt)
+	l.frontEnd.RequestReceived(l.Now(), request)
+}
+
 // prepare hands the observed lag to the FrontEnd, fires its timers and sets the queue's limit.
 func (l *EventLoop) prepare(now time.Duration) {
 	if lag := l.gate.swapLag(); lag > 0 {
