Soak: front ends as processes under random overlapping faults, judged from sockets

Need: the incident showed only where faults overlap: a worker that breaks off and a connection that comes up late, within one key's retention. havencart soak runs 24 front ends as processes and 10 emulated workers behind fault proxies; from a seed it draws silent, failing, overloaded and breaking workers, connects held back, resets, stalls in either direction, replaced and dying workers, SIGSTOP, SIGKILL, SIGTERM and SIGHUP of front ends, an endpoint stream that breaks off or is silent, and clients that cancel or leave. Judged: one final response in time, nothing executed twice, drains, cancels within 0.1 s, time passed on, clean exits, and the violations that the processes count themselves.

--- a/cmd/havencart/main.go
+++ b/cmd/havencart/main.go
@@ -127,6 +127,7 @@
 		experimentCommand(),
 		cellCommand(),
 		faultSearchCommand(),
+		soakCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/cmd/havencart/soak.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/exec"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"havencart/lab/soak"
+)
+
+// soakOptions are the flags of the soak command.
+type soakOptions struct {
+	firstSeed uint64
+	seeds     int
+	parallel  int
+	frontEnds int
+	workers   int
+	length    time.Duration
+	logs      string
+	verbose   bool
+}
+
+// soakCommand runs front ends as processes under random faults and judges what clients and workers saw.
+func soakCommand() *cobra.Command {
+	options := &soakOptions{}
+	command := &cobra.Command{
+		Use:   "soak",
+		Short: "Run front ends as processes under random faults that overlap, and judge them by the rules",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return runSoak(cmd.Context(), cmd.OutOrStdout(), options) },
+	}
+	flags := command.Flags()
+	flags.Uint64Var(&options.firstSeed, "seed", 1, "first seed")
+	flags.IntVar(&options.seeds, "seeds", 1, "how many seeds, from the first one on")
+	flags.IntVar(&options.parallel, "parallel", 1, "how many runs at a time")
+	flags.IntVar(&options.frontEnds, "front-ends", 24, "processes of a run")
+	flags.IntVar(&options.workers, "workers", 10, "emulated workers of a run")
+	flags.DurationVar(&options.length, "length", 12*time.Second, "length of a run")
+	flags.StringVar(&options.logs, "logs", "", "directory that keeps the front ends' logs")
+	flags.BoolVar(&options.verbose, "verbose", false, "tell each fault as it begins")
+	return command
+}
+
+// soakCells is the number of cells of a run's workers.
+const soakCells = 3
+
+func runSoak(ctx context.Context, out io.Writer, options *soakOptions) error {
+	executable, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	var (
+		mu     sync.Mutex
+		broken int
+		failed error
+		runs   sync.WaitGroup
+	)
+	slots := make(chan struct{}, max(1, options.parallel))
+	for i := range options.seeds {
+		if ctx.Err() != nil {
+			break
+		}
+		slots <- struct{}{}
+		runs.Go(func() {
+			defer func() { <-slots }()
+			config := options.config(options.firstSeed+uint64(i), executable, out)
+			report, err := soak.Run(ctx, config)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed = err
+			}
+			if len(report.Violations) > 0 {
+				broken++
+			}
+			printSoakReport(out, config.Seed, report)
+		})
+	}
+	runs.Wait()
+	fmt.Fprintf(out, "%d of %d seeds broke a rule\n", broken, options.seeds)
+	if failed != nil {
+		return failed
+	}
+	if broken > 0 {
+		return errRule
+	}
+	return nil
+}
+
+// config is the configuration of the run of a seed.
+func (o *soakOptions) config(seed uint64, executable string, out io.Writer) soak.Config {
+	config := soak.Config{
+		Seed:      seed,
+		FrontEnds: o.frontEnds,
+		Workers:   o.workers,
+		Cells:     soakCells,
+		Length:    o.length,
+		Command:   func() *exec.Cmd { return exec.Command(executable, "serve-platform") },
+		LogDir:    o.logs,
+	}
+	if o.verbose {
+		config.Notes = func(text string) { fmt.Fprintf(out, "seed %d: %s\n", seed, text) }
+	}
+	return config
+}
+
+// printSoakReport prints what became of a run, with each violation on a line.
+func printSoakReport(out io.Writer, seed uint64, report soak.Report) {
+	faults := 0
+	for _, name := range slices.Sorted(maps.Keys(report.Faults)) {
+		faults += report.Faults[name]
+	}
+	fmt.Fprintf(out, "seed %d: %d requests, %d served, %d rejected, %d failed, %d given up; %d attempts, %d of them repeats; %d faults; %d violations\n",
+		seed, report.Requests, report.Served, report.Rejected, report.Failed, report.Cancelled, report.Arrivals, report.Repeats,
+		faults, len(report.Violations))
+	for _, violation := range report.Violations {
+		fmt.Fprintf(out, "seed %d: %s\n", seed, violation)
+	}
+}
--- a/lab/faultproxy/proxy.go
+++ b/lab/faultproxy/proxy.go
@@ -4,8 +4,10 @@
 package faultproxy
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -27,6 +29,7 @@
 // Proxy forwards each connection that is made to it to its target. Its methods may be called from any goroutine.
 type Proxy struct {
 	target   string
+	tap      Tap
 	listener *net.TCPListener
 	done     chan struct{}
 	accepts  *gate
@@ -36,20 +39,31 @@
 	accepted chan struct{}
 	tasks    sync.WaitGroup
 
+	holding sync.Mutex // held while connections begin or end to be held back
+	holds   int
+
 	mu          sync.Mutex
 	connections map[*net.TCPConn]bool // both sides
 	fillers     map[string]net.Conn   // fill the backlog while connections are held back, by their local address
 	closeOnce   sync.Once
 }
 
+// Tap returns, for each connection, a writer that is given what who connects sends, as soon as it is read, and is closed at
+// the connection's end. Its errors are ignored.
+type Tap func() io.WriteCloser
+
 // Start starts a proxy to a target (host:port).
-func Start(target string) (*Proxy, error) {
+func Start(target string) (*Proxy, error) { return StartWithTap(target, nil) }
+
+// StartWithTap starts a proxy to a target (host:port) whose connections are tapped; nil taps none.
+func StartWithTap(target string, tap Tap) (*Proxy, error) {
 	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, fmt.Errorf("fault proxy: %w", err)
 	}
 	p := &Proxy{
 		target:      target,
+		tap:         tap,
 		listener:    listener,
 		done:        make(chan struct{}),
 		accepts:     newOpenGate(),
@@ -71,8 +85,15 @@
 func (p *Proxy) Accepted() <-chan struct{} { return p.accepted }
 
 // HoldConnects holds back new connections: their SYNs are dropped, so that they come up when the system sends the SYN
-// again after ReleaseConnects, or time out. Connections that exist go on.
+// again after ReleaseConnects, or time out. Connections that exist go on. Several holds may overlap: each is to be
+// released.
 func (p *Proxy) HoldConnects() error {
+	p.holding.Lock()
+	defer p.holding.Unlock()
+	p.holds++
+	if p.holds > 1 {
+		return nil
+	}
 	p.accepts.close()
 	if err := p.setBacklog(0); err != nil {
 		return err
@@ -106,6 +127,12 @@
 
 // ReleaseConnects ends HoldConnects.
 func (p *Proxy) ReleaseConnects() error {
+	p.holding.Lock()
+	defer p.holding.Unlock()
+	p.holds--
+	if p.holds > 0 {
+		return nil
+	}
 	p.mu.Lock()
 	for _, conn := range p.fillers {
 		_ = conn.Close()
@@ -238,8 +265,8 @@
 		return
 	}
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(far, near, p.forward) })
-	both.Go(func() { p.copy(near, far, p.backward) })
+	both.Go(func() { p.copyForward(far, near) })
+	both.Go(func() { p.copy(near, far, p.backward, nil) })
 	both.Wait()
 }
 
@@ -264,28 +291,67 @@
 	reset(conn)
 }
 
-// copy forwards one direction of a connection. When the source ends, the destination's writing side is closed after
-// all was forwarded; any failure resets both.
-func (p *Proxy) copy(to, from *net.TCPConn, direction *gate) {
-	buffer := make([]byte, bufferSize)
-	for {
-		n, readErr := from.Read(buffer)
+// copyForward forwards what who connects sends, and gives it to the tap.
+func (p *Proxy) copyForward(far, near *net.TCPConn) {
+	var tap io.Writer
+	if p.tap != nil {
+		tapped := p.tap()
+		defer func() { _ = tapped.Close() }()
+		tap = tapped
+	}
+	p.copy(far, near, p.forward, tap)
+}
+
+// maxHeldChunks bounds what is read from one side and not forwarded yet; beyond, it is not read.
+const maxHeldChunks = 256
+
+// copy forwards one direction of a connection. What is held back by a stall is read nevertheless, as by a network that has
+// it under way. When the source ends, the destination's writing side is closed after all was forwarded; any failure
+// resets both.
+func (p *Proxy) copy(to, from *net.TCPConn, direction *gate, tap io.Writer) {
+	chunks := make(chan []byte, maxHeldChunks)
+	var reading sync.WaitGroup
+	var readErr error // valid once chunks is closed
+	reading.Go(func() {
+		defer close(chunks)
+		readErr = readChunks(from, tap, chunks, p.done)
+	})
+	defer reading.Wait()
+	for chunk := range chunks {
 		if !direction.wait(p.done) {
 			break
 		}
-		if n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
-				break
-			}
-		}
-		if readErr != nil {
-			if isEOF(readErr) {
-				_ = to.CloseWrite()
-				return
-			}
+		if _, err := to.Write(chunk); err != nil {
 			break
 		}
 	}
+	if _, open := <-chunks; !open && isEOF(readErr) && direction.wait(p.done) {
+		_ = to.CloseWrite()
+		return
+	}
 	reset(to)
 	reset(from)
+	for range chunks { // releases the reading goroutine
+	}
+}
+
+// readChunks reads until the source ends, and returns why it did.
+func readChunks(from *net.TCPConn, tap io.Writer, chunks chan<- []byte, done <-chan struct{}) error {
+	buffer := make([]byte, bufferSize)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if tap != nil {
+				_, _ = tap.Write(buffer[:n])
+			}
+			select {
+			case chunks <- bytes.Clone(buffer[:n]):
+			case <-done:
+				return net.ErrClosed
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
 }
--- a/lab/faultproxy/proxy_test.go
+++ b/lab/faultproxy/proxy_test.go
@@ -86,6 +86,25 @@
 	}
 }
 
+func TestHoldConnects_Overlapping_EndsWithTheLastRelease(t *testing.T) {
+	proxy := startEcho(t)
+	for range 2 {
+		if err := proxy.HoldConnects(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := proxy.ReleaseConnects(); err != nil {
+		t.Fatal(err)
+	}
+	if conn, err := net.DialTimeout("tcp", proxy.Address(), 50*time.Millisecond); !isTimeout(err) {
+		t.Fatalf("a connection that is still held back: %v, %v", conn, err)
+	}
+	if err := proxy.ReleaseConnects(); err != nil {
+		t.Fatal(err)
+	}
+	echo(t, dial(t, proxy))
+}
+
 func TestStall_EitherDirection_DeliversAfterResume(t *testing.T) {
 	proxy := startEcho(t)
 	for name, direction := range map[string][2]func(){
--- a/lab/platformdiscovery/server.go
+++ b/lab/platformdiscovery/server.go
@@ -33,7 +33,8 @@
 // Address is where the server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Resumed delivers, for each connection, the number of the last event that the front end has.
+// Resumed delivers, for each connection, the number of the last event that the front end has. Where nobody receives them,
+// the first ones are kept.
 func (s *Server) Resumed() <-chan uint64 { return s.resumed }
 
 func (s *Server) accept() {
@@ -60,7 +61,10 @@
 			write(c, endpointstream.AppendEvent(nil, e))
 		}
 	}
-	s.resumed <- last
+	select {
+	case s.resumed <- last:
+	default: // nobody receives them
+	}
 }
 
 // write writes; a connection that broke is noticed by its other side.
--- /dev/null
+++ b/lab/soak/faults.go
@@ -0,0 +1,186 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"havencart/internal/platform/endpointstream"
+)
+
+// meanFaultGap is the mean time between the beginnings of two faults; each lasts up to maxFault, so that several overlap.
+const (
+	meanFaultGap = 150 * time.Millisecond
+	maxFault     = 1500 * time.Millisecond
+	maxStop      = 1200 * time.Millisecond
+)
+
+// fault does harm for a time and then undoes it. It returns early when ctx ends, with the harm undone.
+type fault struct {
+	name   string
+	weight int
+	play   func(r *run, ctx context.Context, draw *draw)
+}
+
+// draw is what one fault draws at random, before it begins.
+type draw struct {
+	rng    *rand.Rand
+	length time.Duration
+}
+
+// faults are all kinds, with how often each is drawn.
+var faults = []fault{
+	{"worker silent", 3, withBehavior(isSilent)},
+	{"worker fails", 2, withBehavior(fails)},
+	{"worker overloaded", 1, withBehavior(overloaded)},
+	{"worker breaks off", 2, withBehavior(breaksOff)},
+	{"connects held back", 5, holdConnects},
+	{"connections reset", 3, resetConnections},
+	{"requests stall", 2, stallForward},
+	{"responses stall", 3, stallBackward},
+	{"worker replaced", 3, replaceWorker},
+	{"front end stopped", 5, stopFrontEnd},
+	{"front end killed", 1, killFrontEnd},
+	{"front end restarted", 1, restartFrontEnd},
+	{"front end reloads", 1, reloadFrontEnd},
+	{"endpoint stream breaks off", 1, breakStream},
+	{"endpoint stream silent", 1, silenceStream},
+}
+
+// pickFault draws a kind of fault.
+func pickFault(rng *rand.Rand) fault {
+	total := 0
+	for _, f := range faults {
+		total += f.weight
+	}
+	n := rng.IntN(total)
+	for _, f := range faults {
+		if n -= f.weight; n < 0 {
+			return f
+		}
+	}
+	return faults[0]
+}
+
+func withBehavior(b behavior) func(*run, context.Context, *draw) {
+	return func(r *run, ctx context.Context, draw *draw) {
+		w := r.pickWorker(draw.rng)
+		w.set(b)
+		sleep(ctx, draw.length)
+		w.set(serves)
+	}
+}
+
+func holdConnects(r *run, ctx context.Context, draw *draw) {
+	w := r.pickWorker(draw.rng)
+	if w.proxy.HoldConnects() != nil {
+		_ = w.proxy.ReleaseConnects() // it was replaced meanwhile
+		return
+	}
+	if draw.rng.IntN(2) == 0 {
+		w.proxy.ResetConnections() // so that new ones are needed
+	}
+	sleep(ctx, draw.length)
+	_ = w.proxy.ReleaseConnects() // as above
+}
+
+func resetConnections(r *run, _ context.Context, draw *draw) {
+	r.pickWorker(draw.rng).proxy.ResetConnections()
+}
+
+func stallForward(r *run, ctx context.Context, draw *draw) {
+	w := r.pickWorker(draw.rng)
+	w.proxy.StallForward()
+	sleep(ctx, draw.length)
+	w.proxy.ResumeForward()
+}
+
+func stallBackward(r *run, ctx context.Context, draw *draw) {
+	w := r.pickWorker(draw.rng)
+	w.proxy.StallBackward()
+	sleep(ctx, draw.length)
+	w.proxy.ResumeBackward()
+}
+
+// replaceWorker has a worker drain, removes it, and starts another one in its cell; on some draws the worker dies before
+// the stream tells so, or its successor comes first.
+func replaceWorker(r *run, ctx context.Context, draw *draw) {
+	old := r.takeWorker(draw.rng)
+	if old == nil {
+		return // another replacement is under way
+	}
+	startedAt := time.Now().UnixMilli()
+	dies := draw.rng.IntN(3) == 0
+	if !dies {
+		entry := old.entry
+		entry.State = endpointstream.Draining
+		r.endpoints.publish(entry)
+		sleep(ctx, draw.length)
+	}
+	if successor := r.addWorker(old.entry.Cell, startedAt, draw.rng); successor != nil {
+		r.endpoints.publish(successor.entry)
+	}
+	if dies {
+		old.proxy.Close()
+		sleep(ctx, draw.length)
+	}
+	entry := old.entry
+	entry.State = endpointstream.Removed
+	r.endpoints.publish(entry)
+	sleep(ctx, 2*drainGrace)
+	old.close()
+}
+
+func stopFrontEnd(r *run, ctx context.Context, draw *draw) {
+	f := r.takeFrontEnd(draw.rng)
+	if f == nil {
+		return
+	}
+	defer r.giveBack(f)
+	resumed := r.history.Paused(f.index, false)
+	r.tell("front end %d stopped", f.index)
+	f.signal(syscall.SIGSTOP)
+	sleep(ctx, min(draw.length, maxStop))
+	f.signal(syscall.SIGCONT)
+	r.tell("front end %d goes on", f.index)
+	resumed()
+}
+
+func killFrontEnd(r *run, _ context.Context, draw *draw) {
+	if f := r.takeFrontEnd(draw.rng); f != nil {
+		resumed := r.history.Paused(f.index, true)
+		r.tell("front end %d killed", f.index)
+		f.kill()
+		r.restart(f, resumed)
+	}
+}
+
+func restartFrontEnd(r *run, _ context.Context, draw *draw) {
+	if f := r.takeFrontEnd(draw.rng); f != nil {
+		f.terminate()
+		resumed := r.history.Paused(f.index, false)
+		r.restart(f, resumed)
+	}
+}
+
+func reloadFrontEnd(r *run, _ context.Context, draw *draw) {
+	f := r.takeFrontEnd(draw.rng)
+	if f == nil {
+		return
+	}
+	defer r.giveBack(f)
+	if err := f.writeConfig(); err != nil {
+		r.history.Fault(err.Error())
+		return
+	}
+	f.signal(syscall.SIGHUP)
+}
+
+func breakStream(r *run, _ context.Context, _ *draw) { r.endpoints.breakOff() }
+
+func silenceStream(r *run, ctx context.Context, draw *draw) {
+	r.endpoints.setSilent(true)
+	sleep(ctx, 2*draw.length)
+	r.endpoints.setSilent(false)
+}
--- /dev/null
+++ b/lab/soak/settings.go
@@ -0,0 +1,83 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Names of the only zone and kind of worker.
+const (
+	zoneName = "room"
+	kindName = "std"
+)
+
+// Limits of a front end's process.
+const (
+	memoryMB    = 192
+	descriptors = 512
+)
+
+// frontEndConfig is the platform's configuration of one front end.
+func frontEndConfig(index, count int, listen, discovery string, seed uint64, connectTimeout time.Duration, known knownEndpoints) ([]byte, error) {
+	var classList []map[string]any
+	for _, name := range classNames {
+		class := classes[name]
+		settings := map[string]any{
+			"name": name, "deadline": millis(class.deadline), "onTime": millis(class.deadline / 2), "repeat": class.platform, "worth": 2.0,
+		}
+		if class.repeat == repeatByKey {
+			settings["keyScope"] = "cell"
+			settings["memorySpan"] = millis(keyRetention)
+		}
+		classList = append(classList, settings)
+	}
+	return json.Marshal(map[string]any{
+		"name": fmt.Sprintf("n%d", index), "listen": listen, "seed": fmt.Sprintf("%016x", seed),
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": descriptors},
+		"bulletin": discovery,
+		"known":    known,
+		"settings": map[string]any{
+			"balancers": count, "ordinal": index, "zone": 0, "registryMode": "push", "resolution": 2.0,
+			"azs": []string{zoneName}, "skus": []string{kindName},
+			"limits": map[string]any{
+				"streamsPerConn": 32, "connectTimeout": millis(connectTimeout), "connIdle": 2000.0, "maxAttempts": maxAttempts,
+				"mayCancel": true, "retryAfter": true, "maxRetryAfter": 300.0,
+			},
+			"rules":      map[string]any{"stopSendingWithin": millis(drainGrace), "cold": 3000.0, "coldFrom": 0.3, "fall": 1000.0, "tipMultiple": 4.0},
+			"familyInfo": map[string]any{"keep": 4000.0, "mayLoad": true, "loadWait": 2000.0, "whenAbsent": "load"},
+			"classes":    classList,
+		},
+	})
+}
+
+// millis is a time as the platform writes it.
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// knownEndpoints are the endpoints that a front end is told at its start, as one event with the whole list.
+type knownEndpoints struct {
+	LastNumber uint64       `json:"no"`
+	Events     []knownEvent `json:"items"`
+}
+
+type knownEvent struct {
+	Number uint64      `json:"no"`
+	Roster knownRoster `json:"roster"`
+}
+
+type knownRoster struct {
+	Sequence int         `json:"seq"`
+	Whole    bool        `json:"whole"`
+	Hosts    []knownHost `json:"hosts"`
+}
+
+type knownHost struct {
+	Name    string  `json:"host"`
+	Address string  `json:"dial"`
+	Zone    string  `json:"site"`
+	Kind    string  `json:"class"`
+	Cell    int     `json:"block"`
+	State   string  `json:"health"`
+	Weight  float64 `json:"share"`
+	Started int64   `json:"born_ms"`
+}
--- /dev/null
+++ b/lab/soak/worker.go
@@ -0,0 +1,173 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"havencart/internal/platform/endpointstream"
+	"havencart/internal/platform/workerframe"
+	"havencart/lab/faultproxy"
+	"havencart/lab/platformworker"
+)
+
+// The times of an emulated worker.
+const (
+	meanRunTime = 40 * time.Millisecond
+	loadTime    = 150 * time.Millisecond
+)
+
+// behavior is how a worker answers.
+type behavior int32
+
+const (
+	serves     behavior = iota
+	isSilent            // takes requests and answers none
+	fails               // answers each with an error: it may have run
+	overloaded          // answers each that it is overloaded: it did not run
+	breaksOff           // closes the connection in place of an answer
+)
+
+// worker is an emulated worker behind a proxy. Arrivals are noted where a front end's bytes reach the proxy, as the
+// network between is part of what is emulated.
+type worker struct {
+	entry    endpointstream.Entry
+	history  *History
+	server   *platformworker.Server
+	proxy    *faultproxy.Proxy
+	behavior atomic.Int32
+	tasks    sync.WaitGroup // answers that are to come, and connections whose frames are noted
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// startWorker starts a worker of a cell. started is in Unix milliseconds, 0 if it is not announced.
+func startWorker(history *History, id uint32, cell int, started int64, rng *rand.Rand) (*worker, error) {
+	w := &worker{history: history, rng: rng}
+	var err error
+	if w.server, err = platformworker.Start(w.handle); err != nil {
+		return nil, err
+	}
+	if w.proxy, err = faultproxy.StartWithTap(w.server.Address(), w.tap); err != nil {
+		w.server.Close()
+		return nil, err
+	}
+	address, err := parseAddress(w.proxy.Address())
+	if err != nil {
+		w.close()
+		return nil, err
+	}
+	w.entry = endpointstream.Entry{ID: id, Address: address, Cell: cell, Weight: 1, StartedUnixMilli: started}
+	return w, nil
+}
+
+// close ends the worker as the end of its machine does.
+func (w *worker) close() {
+	w.proxy.Close()
+	w.server.Close()
+	w.tasks.Wait()
+}
+
+// set changes how the worker answers.
+func (w *worker) set(b behavior) { w.behavior.Store(int32(b)) }
+
+// tap notes what front ends send on a connection.
+func (w *worker) tap() io.WriteCloser {
+	source, sink := io.Pipe()
+	w.tasks.Go(func() { w.note(source) }) // ends when the proxy closes the sink
+	return sink
+}
+
+// note notes the frames that a connection brings, until it ends.
+func (w *worker) note(source *io.PipeReader) {
+	reader := workerframe.NewReader(source, workerframe.FromFrontEnd, workerframe.MaxBody)
+	for {
+		frame, err := reader.Next()
+		if err != nil {
+			_, _ = io.Copy(io.Discard, source) // a frame that was cut off
+			return
+		}
+		switch frame.Code {
+		case workerframe.Request:
+			ttl, _ := workerframe.Count(frame.Fields, "ttl", 0)
+			w.history.Arrived(Arrival{
+				RequestID: requestID(frame.ID),
+				Worker:    w.entry.Name(),
+				Cell:      w.entry.Cell,
+				TTL:       time.Duration(ttl) * time.Millisecond,
+			})
+		case workerframe.Load:
+			if replicas, _ := workerframe.Count(frame.Fields, "replicas", 0); replicas > 0 {
+				w.history.OrderedToLoad(w.entry.Name())
+			}
+		}
+	}
+}
+
+// requestID is a request's identifier as clients write it.
+func requestID(number uint64) string { return fmt.Sprintf("%016x", number) }
+
+// handle answers one frame. It is a platformworker.Script.
+func (w *worker) handle(c *platformworker.Conn, frame workerframe.Frame) {
+	switch frame.Code {
+	case workerframe.Request:
+		w.handleRequest(c, frame)
+	case workerframe.Load:
+		w.handleLoad(c, frame)
+	case workerframe.HealthCheck, workerframe.LoadReport:
+		c.Respond(workerframe.Frame{Code: workerframe.Healthy, ID: frame.ID})
+	}
+}
+
+func (w *worker) handleRequest(c *platformworker.Conn, frame workerframe.Frame) {
+	switch behavior(w.behavior.Load()) {
+	case isSilent:
+	case fails:
+		c.Respond(workerframe.Frame{Code: workerframe.Error, ID: frame.ID})
+	case overloaded:
+		w.history.NotRun(requestID(frame.ID), w.entry.Name())
+		c.Respond(workerframe.Frame{Code: workerframe.Overloaded, ID: frame.ID})
+	case breaksOff:
+		c.Reset()
+	default:
+		w.later(w.runTime(), func() {
+			c.Respond(workerframe.Frame{Code: workerframe.OK, ID: frame.ID, Body: echo(requestID(frame.ID))})
+		})
+	}
+}
+
+func (w *worker) handleLoad(c *platformworker.Conn, frame workerframe.Frame) {
+	if behavior(w.behavior.Load()) == isSilent {
+		return
+	}
+	replicas, _ := workerframe.Count(frame.Fields, "replicas", 0)
+	answer := workerframe.Frame{Code: workerframe.OK, ID: frame.ID, Fields: "replicas=" + strconv.Itoa(replicas)}
+	if replicas == 0 {
+		c.Respond(answer)
+		return
+	}
+	w.later(loadTime, func() { c.Respond(answer) })
+}
+
+// later does something after a time; close waits for it.
+func (w *worker) later(d time.Duration, do func()) {
+	w.tasks.Go(func() {
+		time.Sleep(d)
+		do()
+	})
+}
+
+// runTime draws the time of one execution.
+func (w *worker) runTime() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(w.rng.ExpFloat64() * float64(meanRunTime))
+}
+
+// echo is the body that a worker makes for a request.
+func echo(id string) []byte { return []byte("ran " + id) }
