A request that the loop sees first after a stall counts from the stall's begin too

The loop's stall is noticed at the top of a pass only; its select took the request first. Change: EventLoop.receive notes a pass before it counts. TestReceive_FirstAfterStall_CountsFromItsBegin.

--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -220,8 +220,10 @@
 	return next
 }
 
-// receive hands a request to the FrontEnd, which counts from when it may have arrived.
+// receive hands a request to the FrontEnd, which counts from when it may have arrived. After a stall a request may be
+// what the loop sees first.
 func (l *EventLoop) receive(request *Request) {
+	l.renewLease(l.Now())
 	request.StartedAt = l.stalls.EarliestArrival(request.StartedAt)
 	l.frontEnd.RequestReceived(l.Now(), request)
 }
--- a/internal/gateway/event_loop_test.go
+++ b/internal/gateway/event_loop_test.go
@@ -54,3 +54,16 @@
 		t.Errorf("%+v", c)
 	}
 }
+
+// The loop stalls while a request waits to be read, and the request is the first that it sees afterwards.
+func TestReceive_FirstAfterStall_CountsFromItsBegin(t *testing.T) {
+	loop := NewEventLoop(EventLoopConfig{Settings: Settings{ClockStart: time.Now().Add(-time.Hour)}}, zerolog.Nop())
+	loop.frontEnd = NewFrontEnd(loop.Now(), Settings{Scheduler: testScheduler(), Classes: []string{"safe", "keyed", "unsafe"}, MaxInFlight: 1}, loop, zerolog.Nop())
+	loop.renewLease(loop.Now() - time.Second)
+	request := NewRequest()
+	request.StartedAt, request.Timeout = loop.Now(), 100*time.Millisecond
+	loop.receive(request)
+	if response := <-request.Response(); response.Kind != Rejected || response.Reason != DeadlineExceeded.String() {
+		t.Errorf("%+v; want a rejection, as no time may be left", response)
+	}
+}
