--- a/lab/faultproxy/gate.go
+++ b/lab/faultproxy/gate.go
@@ -42,15 +42,19 @@
 	}
 }
 
+// whenOpen returns a channel that is closed while the gate is open, or once it is opened next.
+func (g *gate) whenOpen() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.opened
+}
+
 // wait blocks until the gate is open. It returns false if done is closed first.
 func (g *gate) wait(done <-chan struct{}) bool {
-	g.mu.Lock()
-	opened := g.opened
-	g.mu.Unlock()
 	select {
 	case <-done:
 		return false
-	case <-opened:
+	case <-g.whenOpen():
 		return true
 	}
 }
--- a/lab/faultproxy/proxy.go
+++ b/lab/faultproxy/proxy.go
@@ -23,6 +23,9 @@
 // maxNotedAccepts bounds the connections that Accepted has not told yet.
 const maxNotedAccepts = 64
 
+// maxHoldTries is how often it is tried to fill the backlog.
+const maxHoldTries = 10
+
 // listenBacklog is the backlog of the listener while connections are not held back.
 const listenBacklog = 512
 
@@ -36,6 +39,7 @@
 	forward  *gate // from who connects to the target
 	backward *gate
 	parked   chan struct{} // receives when the accepting goroutine waits at the closed gate
+	more     chan struct{} // releases it from the gate while that stays closed
 	accepted chan struct{}
 	tasks    sync.WaitGroup
 
@@ -70,6 +74,7 @@
 		forward:     newOpenGate(),
 		backward:    newOpenGate(),
 		parked:      make(chan struct{}, 1),
+		more:        make(chan struct{}),
 		accepted:    make(chan struct{}, maxNotedAccepts),
 		fillers:     map[string]net.Conn{},
 		connections: map[*net.TCPConn]bool{},
@@ -98,31 +103,49 @@
 	if err := p.setBacklog(0); err != nil {
 		return err
 	}
-	if err := p.fill(); err != nil { // releases the accepting goroutine from its accept
-		return err
+	for range maxHoldTries {
+		if _, err := p.fill(); err != nil { // releases the accepting goroutine from its accept
+			return err
+		}
+		select {
+		case <-p.parked:
+		case <-p.done:
+			return net.ErrClosed
+		}
+		isFull, err := p.fill() // and this one fills the backlog
+		if err != nil || isFull {
+			return err
+		}
+		p.acceptMore() // a connection that came up before has the place: it is served
 	}
+	return errCannotHold
+}
+
+// errCannotHold is returned if connections come up faster than the backlog can be filled.
+var errCannotHold = errors.New("fault proxy: the backlog cannot be filled")
+
+// acceptMore releases the accepting goroutine from the gate until it has accepted a connection that fills the backlog.
+func (p *Proxy) acceptMore() {
 	select {
-	case <-p.parked:
+	case p.more <- struct{}{}:
 	case <-p.done:
-		return net.ErrClosed
 	}
-	return p.fill() // and this one fills the backlog
 }
 
-// fill makes a connection that only takes a place in the backlog. That it cannot be made in time means that the backlog
-// is full already.
-func (p *Proxy) fill() error {
+// fill makes a connection that only takes a place in the backlog. It returns false if there is none: a connection that
+// came up before has it.
+func (p *Proxy) fill() (filled bool, err error) {
 	conn, err := net.DialTimeout("tcp", p.Address(), fillTimeout)
 	if isTimeout(err) {
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return fmt.Errorf("fault proxy: fill the backlog: %w", err)
+		return false, fmt.Errorf("fault proxy: fill the backlog: %w", err)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fillers[conn.LocalAddr().String()] = conn
-	return nil
+	return true, nil
 }
 
 // ReleaseConnects ends HoldConnects.
@@ -192,28 +215,47 @@
 	p.tasks.Wait()
 }
 
-// accept forwards each connection, while the gate is open.
+// accept forwards each connection. While connections are held back, it waits at the gate once it has accepted one that
+// fills the backlog: those that came up before are served.
 func (p *Proxy) accept() {
 	for {
 		conn, err := p.listener.AcceptTCP()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if !p.awaitAccepting() {
-			if err == nil {
-				reset(conn)
-			}
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
-		}
-		if err != nil {
+		case err != nil:
 			continue
-		}
-		if p.isFiller(conn) {
+		case !p.isFiller(conn):
+			p.noteAccepted()
+			p.tasks.Go(func() { p.serve(conn) })
+		case !p.awaitGate():
+			reset(conn)
+			return
+		default:
 			reset(conn)
-			continue
 		}
-		p.noteAccepted()
-		p.tasks.Go(func() { p.serve(conn) })
+	}
+}
+
+// awaitGate waits until connections are accepted, and notes that it waits. It returns false once the proxy ends.
+func (p *Proxy) awaitGate() bool {
+	opened := p.accepts.whenOpen()
+	select {
+	case <-opened:
+		return true
+	default:
+	}
+	select {
+	case p.parked <- struct{}{}:
+	default:
+	}
+	select {
+	case <-opened:
+		return true
+	case <-p.more:
+		return true
+	case <-p.done:
+		return false
 	}
 }
 
@@ -235,20 +277,6 @@
 	}
 }
 
-// awaitAccepting waits until connections are accepted, and notes that it waits. It returns false once the proxy ends.
-func (p *Proxy) awaitAccepting() bool {
-	p.accepts.mu.Lock()
-	isOpen := p.accepts.isOpen()
-	p.accepts.mu.Unlock()
-	if !isOpen {
-		select {
-		case p.parked <- struct{}{}:
-		default:
-		}
-	}
-	return p.accepts.wait(p.done)
-}
-
 // serve forwards one connection until either side ends it.
 func (p *Proxy) serve(near *net.TCPConn) {
 	defer p.forget(near)
