--- a/internal/decide/looplag/stall.go
+++ b/internal/decide/looplag/stall.go
@@ -7,8 +7,12 @@
 	// platform's rules an attempt starts at most 0.1 s after its client left; a write takes a part of that. An event loop
 	// that made no pass for longer has stalled.
 	sendLease = 60 * time.Millisecond
-	// settleTime is for how long after a stall the lease is not renewed: until what was received meanwhile is handled.
+	// settleTime is for how long after a stall the lease is not renewed, until what was received meanwhile is handled: so
+	// long at least, and settlePart of the stall in addition, as more was received in a longer one.
 	settleTime = 5 * time.Millisecond
+	settlePart = 10
+	// maxSettleTime bounds it: after so long most clients' requests are new ones.
+	maxSettleTime = 100 * time.Millisecond
 )
 
 // SendLease is how long a lease on sending new work lasts.
@@ -27,9 +31,9 @@
 // guards against work that is sent on what was known before the stall. It would harm where each pass of the loop takes
 // longer than a lease: new work is then sent a little later.
 func (t *StallTracker) MayRenewLease(now time.Duration) bool {
-	if now-t.lastPass > sendLease {
+	if stall := now - t.lastPass; stall > sendLease {
 		t.stalledAt = t.lastPass
-		t.settledAt = now + settleTime
+		t.settledAt = now + min(maxSettleTime, settleTime+stall/settlePart)
 	}
 	t.lastPass = now
 	return now >= t.settledAt
