--- a/internal/decide/looplag/stall.go
+++ b/internal/decide/looplag/stall.go
@@ -7,12 +7,12 @@
 	// platform's rules an attempt starts at most 0.1 s after its client left; a write takes a part of that. An event loop
 	// that made no pass for longer has stalled.
 	sendLease = 60 * time.Millisecond
-	// settleTime is for how long after a stall the lease is not renewed, until what was received meanwhile is handled: so
-	// long at least, and settlePart of the stall in addition, as more was received in a longer one.
-	settleTime = 5 * time.Millisecond
-	settlePart = 10
-	// maxSettleTime bounds it: after so long most clients' requests are new ones.
-	maxSettleTime = 100 * time.Millisecond
+	// catchUpTime is for how long after a stall the lease is not renewed, until what was received meanwhile is handled: so
+	// long at least, and catchUpPart of the stall in addition, as more was received in a longer one.
+	catchUpTime = 5 * time.Millisecond
+	catchUpPart = 10
+	// maxCatchUpTime bounds it: after so long most clients' requests are new ones.
+	maxCatchUpTime = 100 * time.Millisecond
 )
 
 // SendLease is how long a lease on sending new work lasts.
@@ -21,9 +21,9 @@
 // StallTracker notices that the event loop, and most likely its process, stood still, by passes of the loop that are far
 // apart. It decides what is still known after that: it belongs to the loop's goroutine.
 type StallTracker struct {
-	lastPass  time.Duration
-	stalledAt time.Duration // when the last stall began
-	settledAt time.Duration // from when on what was received during the last stall is handled
+	lastPass   time.Duration
+	stalledAt  time.Duration // when the last stall began
+	caughtUpAt time.Duration // from when on what was received during the last stall is handled
 }
 
 // MayRenewLease takes a pass of the event loop at now, and reports whether the lease on sending new work may be renewed:
@@ -33,21 +33,21 @@
 func (t *StallTracker) MayRenewLease(now time.Duration) bool {
 	if stall := now - t.lastPass; stall > sendLease {
 		t.stalledAt = t.lastPass
-		t.settledAt = now + min(maxSettleTime, settleTime+stall/settlePart)
+		t.caughtUpAt = now + min(maxCatchUpTime, catchUpTime+stall/catchUpPart)
 	}
 	t.lastPass = now
-	return now >= t.settledAt
+	return now >= t.caughtUpAt
 }
 
 // NextRenewal is when the lease may be renewed at the earliest.
-func (t *StallTracker) NextRenewal() time.Duration { return t.settledAt }
+func (t *StallTracker) NextRenewal() time.Duration { return t.caughtUpAt }
 
 // EarliestArrival is since when a request may have waited to be read that was read at a time. What is read just after a
 // stall may have arrived when it began: counted from when it was read, its client would get its response too late, and
 // a worker be told more time than the client has left. It would harm requests that did arrive after the stall: they are
 // given up sooner than they need be.
 func (t *StallTracker) EarliestArrival(readAt time.Duration) time.Duration {
-	if readAt > t.stalledAt && readAt <= t.settledAt {
+	if readAt > t.stalledAt && readAt <= t.caughtUpAt {
 		return t.stalledAt
 	}
 	return readAt
--- a/internal/decide/looplag/stall_test.go
+++ b/internal/decide/looplag/stall_test.go
@@ -2,20 +2,20 @@
 
 import "testing"
 
-func TestStallTracker_AfterStall_LeaseIsRenewedOnceSettled(t *testing.T) {
+func TestStallTracker_AfterStall_LeaseIsRenewedOnceCaughtUp(t *testing.T) {
 	var tracker StallTracker
 	tracker.MayRenewLease(0)
-	if !tracker.MayRenewLease(settleTime) || !tracker.MayRenewLease(settleTime+sendLease) {
+	if !tracker.MayRenewLease(catchUpTime) || !tracker.MayRenewLease(catchUpTime+sendLease) {
 		t.Error("not renewed by a loop that keeps up")
 	}
-	resumed := settleTime + 2*sendLease + ms
+	resumed := catchUpTime + 2*sendLease + ms
 	const stall = sendLease + ms
-	settled := resumed + settleTime + stall/settlePart
-	if tracker.MayRenewLease(resumed) || tracker.MayRenewLease(settled-1) {
+	caughtUp := resumed + catchUpTime + stall/catchUpPart
+	if tracker.MayRenewLease(resumed) || tracker.MayRenewLease(caughtUp-1) {
 		t.Error("renewed at once after a stall")
 	}
-	if tracker.NextRenewal() != settled || !tracker.MayRenewLease(settled) {
-		t.Errorf("next renewal at %v, want %v", tracker.NextRenewal(), settled)
+	if tracker.NextRenewal() != caughtUp || !tracker.MayRenewLease(caughtUp) {
+		t.Errorf("next renewal at %v, want %v", tracker.NextRenewal(), caughtUp)
 	}
 }
 
@@ -30,11 +30,11 @@
 	}
 	resumed := before + 10*sendLease
 	tracker.MayRenewLease(resumed)
-	if got := tracker.EarliestArrival(resumed + settleTime + sendLease/2); got != tracker.stalledAt || got > before {
+	if got := tracker.EarliestArrival(resumed + catchUpTime + sendLease/2); got != tracker.stalledAt || got > before {
 		t.Errorf("read just after the stall counts from %v, want the last pass before it", got)
 	}
-	if late := resumed + maxSettleTime + ms; tracker.EarliestArrival(late) != late {
-		t.Error("read once settled, and does not count from then")
+	if late := resumed + maxCatchUpTime + ms; tracker.EarliestArrival(late) != late {
+		t.Error("read once caughtUp, and does not count from then")
 	}
 	if early := tracker.stalledAt; tracker.EarliestArrival(early-ms) != early-ms {
 		t.Error("read before the stall, and does not count from then")
--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -16,6 +16,7 @@
 	"havencart/internal/decide/connadmission"
 	"havencart/internal/discovery"
 	"havencart/internal/native/muxframe"
+	"havencart/internal/periodic"
 	"havencart/internal/platform/rpcserver"
 	"havencart/internal/platform/workerclient"
 	"havencart/scheduler"
@@ -295,16 +296,7 @@
 
 // logTotals logs the totals at regular intervals until ctx ends.
 func (p *PlatformServer) logTotals(ctx context.Context) {
-	ticker := time.NewTicker(platformLogInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.logTotalsOnce()
-		}
-	}
+	periodic.Run(ctx, platformLogInterval, p.logTotalsOnce)
 }
 
 // logTotalsOnce logs the totals and what the process uses.
--- a/internal/native/muxclient/connection_write.go
+++ b/internal/native/muxclient/connection_write.go
@@ -36,8 +36,8 @@
 			continue // the ping is in the next batch
 		}
 		wait := nextCheck - c.cfg.Now()
-		if batch.HeldBack {
-			wait = min(wait, workerconn.HeldBackInterval)
+		if batch.DeferredNewWork {
+			wait = min(wait, workerconn.LeaseRetryInterval)
 		}
 		timer := time.NewTimer(wait)
 		select {
--- /dev/null
+++ b/internal/periodic/periodic.go
@@ -0,0 +1,21 @@
+// Package periodic repeats something at regular intervals.
+package periodic
+
+import (
+	"context"
+	"time"
+)
+
+// Run calls do after each interval until ctx ends. It returns then.
+func Run(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
--- a/internal/platform/rpcserver/server.go
+++ b/internal/platform/rpcserver/server.go
@@ -17,6 +17,7 @@
 
 	"havencart/internal/clientconn"
 	"havencart/internal/decide/connadmission"
+	"havencart/internal/periodic"
 )
 
 // sweepInterval is the time between searches for connections to close.
@@ -135,16 +136,7 @@
 }
 
 func (s *Server) sweepUntilDone(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.sweep()
-		}
-	}
+	periodic.Run(ctx, sweepInterval, s.sweep)
 }
 
 // sweep closes the connections that send no request in time.
--- a/internal/platform/workerclient/connection_write.go
+++ b/internal/platform/workerclient/connection_write.go
@@ -100,8 +100,8 @@
 	}
 	c.client.removeFinished(batch.Unencodable)
 	c.client.removeFinished(batch.Expired)
-	if batch.HeldBack {
-		return workerconn.HeldBackInterval, false
+	if batch.DeferredNewWork {
+		return workerconn.LeaseRetryInterval, false
 	}
 	if c.queue.Unfinished() > 0 || len(c.healthChecks) > 0 {
 		return maxWriterSleep, false
--- a/internal/workerconn/guard.go
+++ b/internal/workerconn/guard.go
@@ -8,8 +8,8 @@
 	"havencart/internal/decide/looplag"
 )
 
-// HeldBackInterval is after how long a client looks again for the lease while new work is held back.
-const HeldBackInterval = 5 * time.Millisecond
+// LeaseRetryInterval is after how long a client looks again for the lease while new work is held back.
+const LeaseRetryInterval = 5 * time.Millisecond
 
 // Guard is what an event loop and its worker clients share so that nothing is written that the loop would no longer allow:
 // a lease on writing new work, and the violations that were counted. New work is attempts and orders to load.
--- a/internal/workerconn/guard_test.go
+++ b/internal/workerconn/guard_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-func TestNextBatch_LeaseNotRenewed_HoldsBackNewWorkOnly(t *testing.T) {
+func TestNextBatch_LeaseNotRenewed_DefersNewWorkOnly(t *testing.T) {
 	var guard Guard
 	queue, batch := NewSendQueue[testFrame](), WriteBatch[testFrame]{}
 	attempt, order, query := &Attempt{}, newLoadOrder(1), newLoadOrder(0)
@@ -66,8 +66,8 @@
 	queue.PushLoad(3, query)
 	guard.Renew(testNow - looplag.SendLease() - 1)
 	queue.NextBatch(&guard, testNow, &batch, encodeByNumber)
-	if !batch.HeldBack || len(batch.Bytes) != 20 || queue.Queued() != 2 {
-		t.Errorf("held back %t, %d bytes, %d queued; want the control frame and the query sent", batch.HeldBack, len(batch.Bytes), queue.Queued())
+	if !batch.DeferredNewWork || len(batch.Bytes) != 20 || queue.Queued() != 2 {
+		t.Errorf("held back %t, %d bytes, %d queued; want the control frame and the query sent", batch.DeferredNewWork, len(batch.Bytes), queue.Queued())
 	}
 	queue.BatchWritten(&guard, testNow, &batch, 20)
 	if !queue.CancelUnsent(attempt) {
@@ -75,8 +75,8 @@
 	}
 	guard.Renew(testNow)
 	queue.NextBatch(&guard, testNow+looplag.SendLease(), &batch, encodeByNumber)
-	if batch.HeldBack || len(batch.Bytes) != 10 || queue.Queued() != 0 {
-		t.Errorf("held back %t, %d bytes, %d queued; want the order sent", batch.HeldBack, len(batch.Bytes), queue.Queued())
+	if batch.DeferredNewWork || len(batch.Bytes) != 10 || queue.Queued() != 0 {
+		t.Errorf("held back %t, %d bytes, %d queued; want the order sent", batch.DeferredNewWork, len(batch.Bytes), queue.Queued())
 	}
 }
 
--- a/internal/workerconn/write_batch.go
+++ b/internal/workerconn/write_batch.go
@@ -16,11 +16,11 @@
 
 // WriteBatch is the frames of one write. Its owner uses the same one for all writes to a connection.
 type WriteBatch[Frame any] struct {
-	Bytes       []byte             // the encoded frames
-	Unencodable []QueueItem[Frame] // items whose frame cannot be encoded: they were never sent
-	Expired     []QueueItem[Frame] // attempts that may not be written any longer: they were never sent
-	HeldBack    bool               // new work stayed in the queue, as the lease does not hold
-	NotAfter    time.Duration      // the write may not go on after this; 0: it holds no attempt
+	Bytes           []byte             // the encoded frames
+	Unencodable     []QueueItem[Frame] // items whose frame cannot be encoded: they were never sent
+	Expired         []QueueItem[Frame] // attempts that may not be written any longer: they were never sent
+	DeferredNewWork bool               // new work stayed in the queue, as the lease does not hold
+	NotAfter        time.Duration      // the write may not go on after this; 0: it holds no attempt
 
 	frames []batchFrame[Frame]
 }
@@ -36,7 +36,7 @@
 	b.Bytes = b.Bytes[:0]
 	b.Unencodable = nil
 	b.Expired = nil
-	b.HeldBack = false
+	b.DeferredNewWork = false
 	b.NotAfter = 0
 	b.frames = b.frames[:0]
 }
@@ -83,7 +83,7 @@
 			item.delivery().cancel()
 			batch.Expired = append(batch.Expired, item)
 		case item.isNewWork() && !mayWriteNewWork:
-			batch.HeldBack = true
+			batch.DeferredNewWork = true
 			kept = append(kept, item)
 		default:
 			q.moveToBatch(now, batch, item, encode)
--- a/lab/experiment/stored.go
+++ b/lab/experiment/stored.go
@@ -3,9 +3,6 @@
 import (
 	"encoding/json"
 
-	"havencart/internal/decide/execution"
-	"havencart/internal/gateway"
-	"havencart/internal/shadow"
 	"havencart/lab/invariant"
 	"havencart/lab/model"
 	"havencart/lab/simulation"
@@ -72,41 +69,6 @@
 	ByTenant map[string]*storedTimeline `json:"ByTenant"`
 }
 
-type storedCounts struct {
-	Admitted          uint64       `json:"Taken"`
-	Served            uint64       `json:"Served"`
-	Rejected          uint64       `json:"Refused"`
-	Failed            uint64       `json:"Failed"`
-	Disconnected      uint64       `json:"Left"`
-	Shed              uint64       `json:"TurnedAway"`
-	Attempts          uint64       `json:"Attempts"`
-	LoadOrders        uint64       `json:"Loads"`
-	ResidencyQueries  uint64       `json:"Asks"`
-	HealthChecks      uint64       `json:"Probes"`
-	LateResponses     uint64       `json:"Late"`
-	PastDeadline      uint64       `json:"Overdue"`
-	ShadowDifferences storedShadow `json:"Otherwise"`
-
-	// Of later builds; absent where they are 0.
-	Retries            uint64           `json:"Retries,omitempty"`
-	AttemptsNotSent    uint64           `json:"AttemptsNotSent,omitempty"`
-	AttemptsUnanswered uint64           `json:"AttemptsUnanswered,omitempty"`
-	Violations         storedViolations `json:"Violations,omitzero"`
-}
-
-// storedViolations are by execution.Violation, whose order stays.
-type storedViolations [execution.Violations]uint64
-
-type storedShadow struct {
-	Compared       uint64 `json:"Looked"`
-	OtherWorker    uint64 `json:"Worker"`
-	OtherQueueing  uint64 `json:"Held"`
-	OtherResponse  uint64 `json:"Answer"`
-	LoadOrder      uint64 `json:"Load"`
-	ResidencyQuery uint64 `json:"Ask"`
-	Cancellation   uint64 `json:"CalledBack"`
-}
-
 type storedStore struct {
 	Fetches  int `json:"Fetches"`
 	Rejected int `json:"Refused"`
@@ -241,66 +203,6 @@
 	return convertValues(table, storedTimeline.timeline)
 }
 
-func countsOf(counts gateway.Counts) storedCounts {
-	return storedCounts{
-		Admitted:           counts.Admitted,
-		Served:             counts.Served,
-		Rejected:           counts.Rejected,
-		Failed:             counts.Failed,
-		Disconnected:       counts.Disconnected,
-		Shed:               counts.Shed,
-		Attempts:           counts.Attempts,
-		LoadOrders:         counts.LoadOrders,
-		ResidencyQueries:   counts.ResidencyQueries,
-		HealthChecks:       counts.HealthChecks,
-		LateResponses:      counts.LateResponses,
-		PastDeadline:       counts.PastDeadline,
-		Retries:            counts.Retries,
-		AttemptsNotSent:    counts.AttemptsNotSent,
-		AttemptsUnanswered: counts.AttemptsUnanswered,
-		Violations:         storedViolations(counts.Violations),
-		ShadowDifferences: storedShadow{
-			Compared:       counts.ShadowDifferences.Compared,
-			OtherWorker:    counts.ShadowDifferences.OtherWorker,
-			OtherQueueing:  counts.ShadowDifferences.OtherQueueing,
-			OtherResponse:  counts.ShadowDifferences.OtherResponse,
-			LoadOrder:      counts.ShadowDifferences.LoadOrder,
-			ResidencyQuery: counts.ShadowDifferences.ResidencyQuery,
-			Cancellation:   counts.ShadowDifferences.Cancellation,
-		},
-	}
-}
-
-func (s storedCounts) counts() gateway.Counts {
-	return gateway.Counts{
-		Admitted:           s.Admitted,
-		Served:             s.Served,
-		Rejected:           s.Rejected,
-		Failed:             s.Failed,
-		Disconnected:       s.Disconnected,
-		Shed:               s.Shed,
-		Attempts:           s.Attempts,
-		LoadOrders:         s.LoadOrders,
-		ResidencyQueries:   s.ResidencyQueries,
-		HealthChecks:       s.HealthChecks,
-		LateResponses:      s.LateResponses,
-		PastDeadline:       s.PastDeadline,
-		Retries:            s.Retries,
-		AttemptsNotSent:    s.AttemptsNotSent,
-		AttemptsUnanswered: s.AttemptsUnanswered,
-		Violations:         gateway.ViolationCounts(s.Violations),
-		ShadowDifferences: shadow.Counts{
-			Compared:       s.ShadowDifferences.Compared,
-			OtherWorker:    s.ShadowDifferences.OtherWorker,
-			OtherQueueing:  s.ShadowDifferences.OtherQueueing,
-			OtherResponse:  s.ShadowDifferences.OtherResponse,
-			LoadOrder:      s.ShadowDifferences.LoadOrder,
-			ResidencyQuery: s.ShadowDifferences.ResidencyQuery,
-			Cancellation:   s.ShadowDifferences.Cancellation,
-		},
-	}
-}
-
 func tallyOf(x invariant.Tally) storedTally {
 	return storedTally{
 		Sent:              x.Sent,
--- a/lab/fleet/demo.go
+++ b/lab/fleet/demo.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"havencart/internal/periodic"
 	"havencart/lab/invariant"
 	"havencart/lab/loadgen"
 	"havencart/lab/model"
@@ -177,14 +178,5 @@
 
 // reportProgress reports the front ends' totals each second.
 func (f *Fleet) reportProgress(ctx context.Context, report func(string)) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			report(f.progress())
-		}
-	}
+	periodic.Run(ctx, time.Second, func() { report(f.progress()) })
 }
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -17,9 +17,9 @@
 	clientsPerFrontEnd = 4
 	meanRequestGap     = 120 * time.Millisecond
 	functionCount      = 12
-	cancelShare        = 0.06 // of the requests, cancelled after up to maxPatience
-	leaveShare         = 0.02 // of the requests, after which the client closes its connection
-	maxPatience        = 700 * time.Millisecond
+	cancelShare        = 0.06 // of the requests, cancelled after up to maxCancelDelay
+	disconnectShare    = 0.02 // of the requests, after which the client closes its connection
+	maxCancelDelay     = 700 * time.Millisecond
 	reconnectPause     = 50 * time.Millisecond
 )
 
@@ -87,11 +87,11 @@
 	conn.send(number, id, []any{0, number, string(name), []any{fields, []byte(id)}})
 	switch draw := c.rng.Float64(); {
 	case draw < cancelShare:
-		sleep(ctx, time.Duration(c.rng.Float64()*float64(maxPatience)))
+		sleep(ctx, time.Duration(c.rng.Float64()*float64(maxCancelDelay)))
 		conn.cancel(number)
-	case draw < cancelShare+leaveShare:
-		sleep(ctx, time.Duration(c.rng.Float64()*float64(maxPatience)))
-		conn.leave()
+	case draw < cancelShare+disconnectShare:
+		sleep(ctx, time.Duration(c.rng.Float64()*float64(maxCancelDelay)))
+		conn.disconnect()
 		return false
 	}
 	return true
@@ -103,10 +103,10 @@
 	history *History
 	ended   chan struct{} // closed when the reading goroutine has ended
 
-	mu         sync.Mutex
-	lastNumber int
-	open       map[int]string // identifiers of the requests without a response, by number
-	left       bool           // the client closed it
+	mu           sync.Mutex
+	lastNumber   int
+	open         map[int]string // identifiers of the requests without a response, by number
+	disconnected bool           // the client closed it
 }
 
 func newClientConn(history *History, dialed net.Conn) *clientConn {
@@ -150,11 +150,11 @@
 	}
 }
 
-// leave closes the connection with whatever is open on it.
-func (c *clientConn) leave() {
+// disconnect closes the connection with whatever is open on it.
+func (c *clientConn) disconnect() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.left = true
+	c.disconnected = true
 	_ = c.Close()
 	for _, id := range c.open {
 		c.history.GivenUp(id)
@@ -192,6 +192,7 @@
 func (c *clientConn) read() {
 	defer close(c.ended)
 	decoder := msgpack.NewDecoder(c.Conn)
+	decoder.UseLooseInterfaceDecoding(true) // all integers as 64 bits
 	for {
 		answer, err := decoder.DecodeSlice()
 		if err != nil {
@@ -237,7 +238,7 @@
 func (c *clientConn) noteEnd(error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.left {
+	if c.disconnected {
 		return
 	}
 	for _, id := range c.open {
@@ -249,18 +250,6 @@
 // asInt returns an integer of a message.
 func asInt(value any) (int, bool) {
 	switch number := value.(type) {
-	case int8:
-		return int(number), true
-	case uint8:
-		return int(number), true
-	case int16:
-		return int(number), true
-	case uint16:
-		return int(number), true
-	case int32:
-		return int(number), true
-	case uint32:
-		return int(number), true
 	case int64:
 		return int(number), true
 	case uint64:
--- a/lab/soak/endpoints.go
+++ b/lab/soak/endpoints.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"havencart/internal/periodic"
 	"havencart/internal/platform/endpointstream"
 	"havencart/lab/platformdiscovery"
 )
@@ -14,8 +15,8 @@
 // heartbeatInterval is the time between two signs of life of the endpoint stream.
 const heartbeatInterval = time.Second
 
-// toldAfterTrouble is by when front ends count as told while the stream is in trouble, by the platform's rules.
-const toldAfterTrouble = 4 * time.Second
+// notifiedAfterOutage is by when front ends count as notified during an outage of the stream, by the platform's rules.
+const notifiedAfterOutage = 4 * time.Second
 
 var stateNames = map[endpointstream.State]string{
 	endpointstream.Ready:    "up",
@@ -28,11 +29,11 @@
 	history *History
 	server  *platformdiscovery.Server
 
-	mu        sync.Mutex
-	number    uint64
-	entries   map[uint32]endpointstream.Entry // but removed ones
-	silent    bool
-	troubleAt time.Duration // when the stream last was in trouble; 0: never
+	mu       sync.Mutex
+	number   uint64
+	entries  map[uint32]endpointstream.Entry // but removed ones
+	silent   bool
+	outageAt time.Duration // when the stream last had an outage; 0: never
 }
 
 func startEndpoints(history *History) (*endpoints, error) {
@@ -45,16 +46,7 @@
 
 // runHeartbeats sends signs of life until ctx ends.
 func (e *endpoints) runHeartbeats(ctx context.Context) {
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.heartbeat()
-		}
-	}
+	periodic.Run(ctx, heartbeatInterval, e.heartbeat)
 }
 
 func (e *endpoints) heartbeat() {
@@ -77,11 +69,11 @@
 		e.entries[entry.ID] = entry
 	}
 	within := time.Duration(0)
-	if e.troubleAt > 0 && e.history.Now()-e.troubleAt < toldAfterTrouble {
-		within = toldAfterTrouble
+	if e.outageAt > 0 && e.history.Now()-e.outageAt < notifiedAfterOutage {
+		within = notifiedAfterOutage
 	}
 	if entry.State != endpointstream.Ready {
-		e.history.Told(entry.Name(), within)
+		e.history.Notified(entry.Name(), within)
 	}
 	e.server.Publish(endpointstream.Event{Number: e.number, Kind: endpointstream.Delta, Entries: []endpointstream.Entry{entry}})
 }
@@ -90,7 +82,7 @@
 func (e *endpoints) breakOff() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.troubleAt = e.history.Now()
+	e.outageAt = e.history.Now()
 	e.server.CloseConnections()
 }
 
@@ -99,16 +91,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.silent = silent
-	e.troubleAt = e.history.Now()
+	e.outageAt = e.history.Now()
 }
 
 // known is the list as a front end is told at its start.
 func (e *endpoints) known() knownEndpoints {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	roster := knownRoster{Sequence: 1, Whole: true, Hosts: []knownHost{}}
+	list := knownList{Sequence: 1, Whole: true, Hosts: []knownHost{}}
 	for _, entry := range e.entries {
-		roster.Hosts = append(roster.Hosts, knownHost{
+		list.Hosts = append(list.Hosts, knownHost{
 			Name:    entry.Name(),
 			Address: entry.Address.String(),
 			Zone:    zoneName,
@@ -119,7 +111,7 @@
 			Started: entry.StartedUnixMilli,
 		})
 	}
-	return knownEndpoints{LastNumber: e.number, Events: []knownEvent{{Number: e.number, Roster: roster}}}
+	return knownEndpoints{LastNumber: e.number, Events: []knownEvent{{Number: e.number, List: list}}}
 }
 
 // parseAddress returns the address of a listener of this process.
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -106,7 +106,7 @@
 // replaceWorker has a worker drain, removes it, and starts another one in its cell; on some draws the worker dies before
 // the stream tells so, or its successor comes first.
 func replaceWorker(r *run, ctx context.Context, draw *draw) {
-	old := r.takeWorker(draw.rng)
+	old := r.removeWorker(draw.rng)
 	if old == nil {
 		return // another replacement is under way
 	}
@@ -133,31 +133,31 @@
 }
 
 func stopFrontEnd(r *run, ctx context.Context, draw *draw) {
-	f := r.takeFrontEnd(draw.rng)
+	f := r.acquireFrontEnd(draw.rng)
 	if f == nil {
 		return
 	}
-	defer r.giveBack(f)
+	defer r.release(f)
 	resumed := r.history.Paused(f.index, false)
-	r.tell("front end %d stopped", f.index)
+	r.notef("front end %d stopped", f.index)
 	f.signal(syscall.SIGSTOP)
 	sleep(ctx, min(draw.length, maxStop))
 	f.signal(syscall.SIGCONT)
-	r.tell("front end %d goes on", f.index)
+	r.notef("front end %d goes on", f.index)
 	resumed()
 }
 
 func killFrontEnd(r *run, _ context.Context, draw *draw) {
-	if f := r.takeFrontEnd(draw.rng); f != nil {
+	if f := r.acquireFrontEnd(draw.rng); f != nil {
 		resumed := r.history.Paused(f.index, true)
-		r.tell("front end %d killed", f.index)
+		r.notef("front end %d killed", f.index)
 		f.kill()
 		r.restart(f, resumed)
 	}
 }
 
 func restartFrontEnd(r *run, _ context.Context, draw *draw) {
-	if f := r.takeFrontEnd(draw.rng); f != nil {
+	if f := r.acquireFrontEnd(draw.rng); f != nil {
 		f.terminate()
 		resumed := r.history.Paused(f.index, false)
 		r.restart(f, resumed)
@@ -165,11 +165,11 @@
 }
 
 func reloadFrontEnd(r *run, _ context.Context, draw *draw) {
-	f := r.takeFrontEnd(draw.rng)
+	f := r.acquireFrontEnd(draw.rng)
 	if f == nil {
 		return
 	}
-	defer r.giveBack(f)
+	defer r.release(f)
 	if err := f.writeConfig(); err != nil {
 		r.history.Fault(err.Error())
 		return
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -58,7 +58,7 @@
 // Notice is that the endpoint stream told that a worker drains or was removed.
 type Notice struct {
 	Worker  string
-	At      time.Duration // by when every front end counts as told
+	At      time.Duration // by when every front end counts as notified
 	Restore time.Duration // when it was told to be ready again; 0: it was not
 }
 
@@ -163,8 +163,8 @@
 	h.orders = append(h.orders, LoadOrder{At: h.Now(), Worker: worker})
 }
 
-// Told notes that front ends are told within a time that a worker drains or was removed.
-func (h *History) Told(worker string, within time.Duration) {
+// Notified notes that front ends are notified within a time that a worker drains or was removed.
+func (h *History) Notified(worker string, within time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.notices[worker] == nil {
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -155,11 +155,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.played[name]++
-	r.tell("%s for %v", name, length.Round(time.Millisecond))
+	r.notef("%s for %v", name, length.Round(time.Millisecond))
 }
 
-// tell tells of something that is done to the installation.
-func (r *run) tell(format string, args ...any) {
+// notef reports something that is done to the installation.
+func (r *run) notef(format string, args ...any) {
 	if r.config.Notes != nil {
 		r.config.Notes(fmt.Sprintf("%v ", r.history.Now().Round(time.Millisecond)) + fmt.Sprintf(format, args...))
 	}
@@ -215,8 +215,8 @@
 	return r.workers[rng.IntN(len(r.workers))]
 }
 
-// takeWorker takes one of the workers out, nil if too many were taken out lately.
-func (r *run) takeWorker(rng *rand.Rand) *worker {
+// removeWorker removes one of the workers out, nil if too many were taken out lately.
+func (r *run) removeWorker(rng *rand.Rand) *worker {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.workers) <= r.config.Workers/2 {
@@ -228,8 +228,8 @@
 	return w
 }
 
-// takeFrontEnd draws a front end to which nothing is done yet, nil if there is none.
-func (r *run) takeFrontEnd(rng *rand.Rand) *frontEnd {
+// acquireFrontEnd draws a front end to which nothing is done yet, nil if there is none.
+func (r *run) acquireFrontEnd(rng *rand.Rand) *frontEnd {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f := r.frontEnds[rng.IntN(len(r.frontEnds))]
@@ -240,8 +240,8 @@
 	return f
 }
 
-// giveBack ends what takeFrontEnd began.
-func (r *run) giveBack(f *frontEnd) {
+// release ends what acquireFrontEnd began.
+func (r *run) release(f *frontEnd) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.busy, f)
@@ -249,7 +249,7 @@
 
 // restart starts a front end that has ended.
 func (r *run) restart(f *frontEnd, resumed func()) {
-	defer r.giveBack(f)
+	defer r.release(f)
 	if err := f.start(); err != nil {
 		r.history.Fault(err.Error())
 	}
--- a/lab/soak/settings.go
+++ b/lab/soak/settings.go
@@ -61,11 +61,11 @@
 }
 
 type knownEvent struct {
-	Number uint64      `json:"no"`
-	Roster knownRoster `json:"roster"`
+	Number uint64    `json:"no"`
+	List   knownList `json:"roster"`
 }
 
-type knownRoster struct {
+type knownList struct {
 	Sequence int         `json:"seq"`
 	Whole    bool        `json:"whole"`
 	Hosts    []knownHost `json:"hosts"`
