Only a retry's permit bounds a write, and leaves it 20 ms

Found by reading the change again: the write of an attempt that is about to pass its deadline got what is left of it as a timeout, down to microseconds. A write that is scheduled late would fail and end its connection, in the multiplexed client with all that other requests have on it.

--- a/internal/workerconn/attempt.go
+++ b/internal/workerconn/attempt.go
@@ -26,6 +26,15 @@
 	return max(a.NotAfter, a.Deadline)
 }
 
+// permitEnd is when a permit that is shorter than the time for a response ends, 0 if there is none: after it, the attempt
+// could execute a request again.
+func (a *Attempt) permitEnd() time.Duration {
+	if a.NotAfter > 0 && (a.Deadline == 0 || a.NotAfter < a.Deadline) {
+		return a.NotAfter
+	}
+	return 0
+}
+
 // Number is the number under which the attempt was queued. It identifies the attempt on its connection.
 func (a *Attempt) Number() uint64 { return a.delivery.number }
 
--- a/internal/workerconn/send_queue.go
+++ b/internal/workerconn/send_queue.go
@@ -56,10 +56,18 @@
 	return deadline > 0 && now >= deadline
 }
 
-// isOverdue tells whether a write of the item that has ended by now ended too late.
+// permitEnd is when the item's permit ends, 0 if it has none that is shorter than the time for a response.
+func (i QueueItem[Frame]) permitEnd() time.Duration {
+	if i.Attempt == nil {
+		return 0
+	}
+	return i.Attempt.permitEnd()
+}
+
+// isOverdue tells whether a write of the item that has ended by now ended after its permit.
 func (i QueueItem[Frame]) isOverdue(now time.Duration) bool {
-	deadline := i.writeDeadline()
-	return deadline > 0 && now > deadline+lateWriteTolerance
+	end := i.permitEnd()
+	return end > 0 && now > end+lateWriteTolerance
 }
 
 // isNewWork tells whether the item makes the worker execute or load something.
--- a/internal/workerconn/write_batch.go
+++ b/internal/workerconn/write_batch.go
@@ -7,6 +7,10 @@
 	"havencart/scheduler"
 )
 
+// minWriteTimeout is the least time for a write, so that one is not failed for having been scheduled late. It is within
+// the 50 ms by which the platform's rules extend every time.
+const minWriteTimeout = 20 * time.Millisecond
+
 // lateWriteTolerance is by how much a write may end after it had to: the time is read once it has returned.
 const lateWriteTolerance = 50 * time.Millisecond
 
@@ -20,7 +24,7 @@
 	Unencodable     []QueueItem[Frame] // items whose frame cannot be encoded: they were never sent
 	Expired         []QueueItem[Frame] // attempts that may not be written any longer: they were never sent
 	DeferredNewWork bool               // new work stayed in the queue, as the lease does not hold
-	NotAfter        time.Duration      // the write may not go on after this; 0: it holds no attempt
+	NotAfter        time.Duration      // the write may not go on after this; 0: no permit limits it
 
 	frames []batchFrame[Frame]
 }
@@ -54,12 +58,13 @@
 	}
 }
 
-// Timeout is how long the write of the batch may take at now, at most longest.
+// Timeout is how long the write of the batch may take at now, at most longest. A permit that is about to end leaves
+// minWriteTimeout: a write that fails ends its connection, with all that other requests have on it.
 func (b *WriteBatch[Frame]) Timeout(now, longest time.Duration) time.Duration {
 	if b.NotAfter == 0 {
 		return longest
 	}
-	return min(longest, b.NotAfter-now)
+	return min(longest, max(minWriteTimeout, b.NotAfter-now))
 }
 
 // NextBatch moves items from the front of the queue into batch at now, replacing what that held. The function encode appends
@@ -108,7 +113,7 @@
 	}
 	batch.Bytes = encoded
 	batch.frames = append(batch.frames, batchFrame[Frame]{item: item, end: len(encoded)})
-	batch.limit(item.writeDeadline())
+	batch.limit(item.permitEnd())
 	q.startSending(now, item)
 }
 
