--- a/cmd/havencart/soak.go
+++ b/cmd/havencart/soak.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"maps"
 	"os"
 	"os/exec"
@@ -35,7 +33,7 @@
 		Use:   "soak",
 		Short: "Run front ends as processes under random faults that overlap, and judge them by the rules",
 		Args:  cobra.NoArgs,
-		RunE:  func(cmd *cobra.Command, _ []string) error { return runSoak(cmd.Context(), cmd.OutOrStdout(), options) },
+		RunE:  func(cmd *cobra.Command, _ []string) error { return runSoak(cmd.Context(), results(cmd), options) },
 	}
 	flags := command.Flags()
 	flags.Uint64Var(&options.firstSeed, "seed", 1, "first seed")
@@ -52,7 +50,7 @@
 // soakCells is the number of cells of a run's workers.
 const soakCells = 3
 
-func runSoak(ctx context.Context, out io.Writer, options *soakOptions) error {
+func runSoak(ctx context.Context, out output, options *soakOptions) error {
 	executable, err := os.Executable()
 	if err != nil {
 		return err
@@ -85,7 +83,7 @@
 		})
 	}
 	runs.Wait()
-	fmt.Fprintf(out, "%d of %d seeds broke a rule\n", broken, options.seeds)
+	out.printf("%d of %d seeds broke a rule\n", broken, options.seeds)
 	if failed != nil {
 		return failed
 	}
@@ -96,7 +94,7 @@
 }
 
 // config is the configuration of the run of a seed.
-func (o *soakOptions) config(seed uint64, executable string, out io.Writer) soak.Config {
+func (o *soakOptions) config(seed uint64, executable string, out output) soak.Config {
 	config := soak.Config{
 		Seed:      seed,
 		FrontEnds: o.frontEnds,
@@ -107,21 +105,21 @@
 		LogDir:    o.logs,
 	}
 	if o.verbose {
-		config.Notes = func(text string) { fmt.Fprintf(out, "seed %d: %s\n", seed, text) }
+		config.Notes = func(text string) { out.printf("seed %d: %s\n", seed, text) }
 	}
 	return config
 }
 
 // printSoakReport prints what became of a run, with each violation on a line.
-func printSoakReport(out io.Writer, seed uint64, report soak.Report) {
+func printSoakReport(out output, seed uint64, report soak.Report) {
 	faults := 0
 	for _, name := range slices.Sorted(maps.Keys(report.Faults)) {
 		faults += report.Faults[name]
 	}
-	fmt.Fprintf(out, "seed %d: %d requests, %d served, %d rejected, %d failed, %d given up; %d attempts, %d of them repeats; %d faults; %d violations\n",
+	out.printf("seed %d: %d requests, %d served, %d rejected, %d failed, %d given up; %d attempts, %d of them repeats; %d faults; %d violations\n",
 		seed, report.Requests, report.Served, report.Rejected, report.Failed, report.Cancelled, report.Arrivals, report.Repeats,
 		faults, len(report.Violations))
 	for _, violation := range report.Violations {
-		fmt.Fprintf(out, "seed %d: %s\n", seed, violation)
+		out.printf("seed %d: %s\n", seed, violation)
 	}
 }
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -20,7 +20,7 @@
 type fault struct {
 	name   string
 	weight int
-	play   func(r *run, ctx context.Context, draw *draw)
+	play   func(ctx context.Context, r *run, draw *draw)
 }
 
 // draw is what one fault draws at random, before it begins.
@@ -63,8 +63,8 @@
 	return faults[0]
 }
 
-func withBehavior(b behavior) func(*run, context.Context, *draw) {
-	return func(r *run, ctx context.Context, draw *draw) {
+func withBehavior(b behavior) func(context.Context, *run, *draw) {
+	return func(ctx context.Context, r *run, draw *draw) {
 		w := r.pickWorker(draw.rng)
 		w.set(b)
 		sleep(ctx, draw.length)
@@ -72,7 +72,7 @@
 	}
 }
 
-func holdConnects(r *run, ctx context.Context, draw *draw) {
+func holdConnects(ctx context.Context, r *run, draw *draw) {
 	w := r.pickWorker(draw.rng)
 	if w.proxy.HoldConnects() != nil {
 		_ = w.proxy.ReleaseConnects() // it was replaced meanwhile
@@ -85,18 +85,18 @@
 	_ = w.proxy.ReleaseConnects() // as above
 }
 
-func resetConnections(r *run, _ context.Context, draw *draw) {
+func resetConnections(_ context.Context, r *run, draw *draw) {
 	r.pickWorker(draw.rng).proxy.ResetConnections()
 }
 
-func stallForward(r *run, ctx context.Context, draw *draw) {
+func stallForward(ctx context.Context, r *run, draw *draw) {
 	w := r.pickWorker(draw.rng)
 	w.proxy.StallForward()
 	sleep(ctx, draw.length)
 	w.proxy.ResumeForward()
 }
 
-func stallBackward(r *run, ctx context.Context, draw *draw) {
+func stallBackward(ctx context.Context, r *run, draw *draw) {
 	w := r.pickWorker(draw.rng)
 	w.proxy.StallBackward()
 	sleep(ctx, draw.length)
@@ -105,7 +105,7 @@
 
 // replaceWorker has a worker drain, removes it, and starts another one in its cell; on some draws the worker dies before
 // the stream tells so, or its successor comes first.
-func replaceWorker(r *run, ctx context.Context, draw *draw) {
+func replaceWorker(ctx context.Context, r *run, draw *draw) {
 	old := r.removeWorker(draw.rng)
 	if old == nil {
 		return // another replacement is under way
@@ -132,7 +132,7 @@
 	old.close()
 }
 
-func stopFrontEnd(r *run, ctx context.Context, draw *draw) {
+func stopFrontEnd(ctx context.Context, r *run, draw *draw) {
 	f := r.acquireFrontEnd(draw.rng)
 	if f == nil {
 		return
@@ -147,7 +147,7 @@
 	resumed()
 }
 
-func killFrontEnd(r *run, _ context.Context, draw *draw) {
+func killFrontEnd(_ context.Context, r *run, draw *draw) {
 	if f := r.acquireFrontEnd(draw.rng); f != nil {
 		resumed := r.history.Paused(f.index, true)
 		r.notef("front end %d killed", f.index)
@@ -156,7 +156,7 @@
 	}
 }
 
-func restartFrontEnd(r *run, _ context.Context, draw *draw) {
+func restartFrontEnd(_ context.Context, r *run, draw *draw) {
 	if f := r.acquireFrontEnd(draw.rng); f != nil {
 		f.terminate()
 		resumed := r.history.Paused(f.index, false)
@@ -164,7 +164,7 @@
 	}
 }
 
-func reloadFrontEnd(r *run, _ context.Context, draw *draw) {
+func reloadFrontEnd(_ context.Context, r *run, draw *draw) {
 	f := r.acquireFrontEnd(draw.rng)
 	if f == nil {
 		return
@@ -177,9 +177,9 @@
 	f.signal(syscall.SIGHUP)
 }
 
-func breakStream(r *run, _ context.Context, _ *draw) { r.endpoints.breakOff() }
+func breakStream(_ context.Context, r *run, _ *draw) { r.endpoints.breakOff() }
 
-func silenceStream(r *run, ctx context.Context, draw *draw) {
+func silenceStream(ctx context.Context, r *run, draw *draw) {
 	r.endpoints.setSilent(true)
 	sleep(ctx, 2*draw.length)
 	r.endpoints.setSilent(false)
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -145,7 +145,7 @@
 		kind := pickFault(rng)
 		drawn := &draw{rng: rand.New(rand.NewPCG(r.config.Seed, 1<<32+n)), length: time.Duration(rng.Float64() * float64(maxFault))}
 		r.note(kind.name, drawn.length)
-		faults.Go(func() { kind.play(r, ctx, drawn) })
+		faults.Go(func() { kind.play(ctx, r, drawn) })
 	}
 	faults.Wait()
 	clients.Wait()
