--- a/cmd/havencart/incident_test.go
+++ b/cmd/havencart/incident_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -65,6 +70,7 @@
 	requests arrivals
 	expired  <-chan time.Time // receives once the key is no longer remembered
 	response chan [2]any      // failure and result of the request
+	retry    map[string]any   // what the front end logged of the retry
 }
 
 // startRetryThatWaits plays an installation up to the moment where the retry waits for its connection.
@@ -101,7 +107,7 @@
 	}})
 	installation.frontEnd.waitForLog(`"state":"removed"`)
 	connection.Reset()
-	installation.frontEnd.waitForLog("request retried")
+	installation.retry = installation.frontEnd.waitForLog("request retried")
 	return installation
 }
 
@@ -130,6 +136,51 @@
 	k.response <- [2]any{failure, result}
 }
 
+// synSent is the state of a connection that waits for its peer's answer, as /proc/net/tcp has it.
+const synSent = "02"
+
+// awaitConnecting waits until the system has a connection to the proxy that is held back: the front end has dialled.
+func (k *keyExpiryInstallation) awaitConnecting() {
+	k.Helper()
+	_, port, err := net.SplitHostPort(k.proxy.Address())
+	if err != nil {
+		k.Fatal(err)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		k.Fatal(err)
+	}
+	remote := fmt.Sprintf(":%04X", number)
+	k.awaitSystem("/proc/net/tcp", func(line []string) bool {
+		return len(line) > 3 && strings.HasSuffix(line[2], remote) && line[3] == synSent
+	})
+}
+
+// awaitStopped waits until the front end's process stands still.
+func (k *keyExpiryInstallation) awaitStopped() {
+	k.Helper()
+	k.awaitSystem(fmt.Sprintf("/proc/%d/status", k.frontEnd.Process.Pid), func(line []string) bool {
+		return len(line) > 1 && line[0] == "State:" && line[1] == "T"
+	})
+}
+
+// awaitSystem waits until a line of a file of the system matches. The system tells of no change, so it is asked again.
+func (k *keyExpiryInstallation) awaitSystem(path string, matches func(fields []string) bool) {
+	k.Helper()
+	for k.Context().Err() == nil {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			k.Fatal(err)
+		}
+		for line := range strings.Lines(string(text)) {
+			if matches(strings.Fields(line)) {
+				return
+			}
+		}
+		runtime.Gosched()
+	}
+}
+
 // verify ends the front end and reports a request that arrived after its key had expired, or got no failure.
 func (k *keyExpiryInstallation) verify() {
 	k.Helper()
@@ -139,6 +190,7 @@
 		k.Errorf("the front end ended with code %d", code)
 	}
 	first, last, count := k.requests.firstAndLast()
+	k.Logf("%d attempts, the last one %v after the first; the retry: %v", count, last.Sub(first), k.retry)
 	if count > 1 && last.Sub(first) > keyRetention+ruleSlack {
 		k.Errorf("the request was sent again %v after its first attempt, its key is remembered for %v", last.Sub(first), keyRetention)
 	}
@@ -160,7 +212,9 @@
 // The process stands still while its connection comes up, and goes on when the key has expired.
 func TestIncident1_ProcessStoppedUntilKeyExpired_RetryIsNotSent(t *testing.T) {
 	installation := startRetryThatWaits(t)
+	installation.awaitConnecting()
 	installation.frontEnd.signal(syscall.SIGSTOP)
+	installation.awaitStopped()
 	if err := installation.proxy.ReleaseConnects(); err != nil {
 		t.Fatal(err)
 	}
