Soak: a frame is noted before it is forwarded

The soak noted the second arrival 57 microseconds before the first, as each connection's frames were noted in a goroutine of its own; the front end broke no rule. Change: the tap parses and notes what it is given before the proxy forwards it, so that an arrival precedes what follows from its answer.

--- a/lab/soak/worker.go
+++ b/lab/soak/worker.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -40,7 +41,7 @@
 	server   *platformworker.Server
 	proxy    *faultproxy.Proxy
 	behavior atomic.Int32
-	tasks    sync.WaitGroup // answers that are to come, and connections whose frames are noted
+	tasks    sync.WaitGroup // answers that are to come
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -77,34 +78,46 @@
 func (w *worker) set(b behavior) { w.behavior.Store(int32(b)) }
 
 // tap notes what front ends send on a connection.
-func (w *worker) tap() io.WriteCloser {
-	source, sink := io.Pipe()
-	w.tasks.Go(func() { w.note(source) }) // ends when the proxy closes the sink
-	return sink
+func (w *worker) tap() io.WriteCloser { return &frameTap{worker: w} }
+
+// frameTap notes the frames of one connection as their last byte is written to it, and so before they are forwarded: the
+// arrival of an attempt is noted before its answer can lead to another one.
+type frameTap struct {
+	worker *worker
+	rest   []byte // the begin of a frame
 }
 
-// note notes the frames that a connection brings, until it ends.
-func (w *worker) note(source *io.PipeReader) {
-	reader := workerframe.NewReader(source, workerframe.FromFrontEnd, workerframe.MaxBody)
+// Write implements io.Writer.
+func (t *frameTap) Write(part []byte) (int, error) {
+	t.rest = append(t.rest, part...)
 	for {
-		frame, err := reader.Next()
+		unread := bytes.NewReader(t.rest)
+		frame, err := workerframe.NewReader(unread, workerframe.FromFrontEnd, workerframe.MaxBody).Next()
 		if err != nil {
-			_, _ = io.Copy(io.Discard, source) // a frame that was cut off
-			return
+			return len(part), nil // not whole yet
 		}
-		switch frame.Code {
-		case workerframe.Request:
-			ttl, _ := workerframe.Count(frame.Fields, "ttl", 0)
-			w.history.Arrived(Arrival{
-				RequestID: requestID(frame.ID),
-				Worker:    w.entry.Name(),
-				Cell:      w.entry.Cell,
-				TTL:       time.Duration(ttl) * time.Millisecond,
-			})
-		case workerframe.Load:
-			if replicas, _ := workerframe.Count(frame.Fields, "replicas", 0); replicas > 0 {
-				w.history.OrderedToLoad(w.entry.Name())
-			}
+		t.rest = t.rest[len(t.rest)-unread.Len():]
+		t.worker.note(frame)
+	}
+}
+
+// Close implements io.Closer.
+func (t *frameTap) Close() error { return nil }
+
+// note notes a frame of a front end.
+func (w *worker) note(frame workerframe.Frame) {
+	switch frame.Code {
+	case workerframe.Request:
+		ttl, _ := workerframe.Count(frame.Fields, "ttl", 0)
+		w.history.Arrived(Arrival{
+			RequestID: requestID(frame.ID),
+			Worker:    w.entry.Name(),
+			Cell:      w.entry.Cell,
+			TTL:       time.Duration(ttl) * time.Millisecond,
+		})
+	case workerframe.Load:
+		if replicas, _ := workerframe.Count(frame.Fields, "replicas", 0); replicas > 0 {
+			w.history.OrderedToLoad(w.entry.Name())
 		}
 	}
 }
