Soak: a second response to one request is noted, as its judge expects

Found by reading the change once more: the soak's client forgot a request with its first response and dropped a second one, while a comment said that it was counted; the rule of one final response could not be seen broken in a run. TestNoteAnswer_SecondResponse_IsNoted.

--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -106,11 +106,12 @@
 	mu           sync.Mutex
 	lastNumber   int
 	open         map[int]string // identifiers of the requests without a response, by number
+	answered     map[int]string // those that had one
 	disconnected bool           // the client closed it
 }
 
 func newClientConn(history *History, dialed net.Conn) *clientConn {
-	c := &clientConn{Conn: dialed, history: history, ended: make(chan struct{}), open: map[int]string{}}
+	c := &clientConn{Conn: dialed, history: history, ended: make(chan struct{}), open: map[int]string{}, answered: map[int]string{}}
 	go c.read() // awaitEnd waits for it
 	return c
 }
@@ -220,14 +221,19 @@
 	}
 	c.mu.Lock()
 	id, isOpen := c.open[number]
-	delete(c.open, number)
+	if isOpen {
+		delete(c.open, number)
+		c.answered[number] = id
+	} else {
+		id = c.answered[number] // a second response; empty: it was cancelled while its response was on its way
+	}
 	isKnown := number <= c.lastNumber
 	c.mu.Unlock()
 	if !isKnown {
 		return errUnknownAnswer
 	}
-	if !isOpen {
-		return nil // cancelled while its response was on its way; a second response is counted by its identifier
+	if id == "" {
+		return nil
 	}
 	outcome, echoed := outcomeOf(answer[2], answer[3], id)
 	c.history.Answered(id, outcome, echoed)
--- a/lab/soak/client_test.go
+++ b/lab/soak/client_test.go
@@ -39,3 +39,21 @@
 		}
 	}
 }
+
+// A second response to one request is noted too, one to a cancelled request is not.
+func TestNoteAnswer_SecondResponse_IsNoted(t *testing.T) {
+	history := NewHistory()
+	history.Sent(Request{ID: "a"})
+	conn := &clientConn{history: history, lastNumber: 2, open: map[int]string{1: "a"}, answered: map[int]string{}}
+	for range 2 {
+		if err := conn.noteAnswer([]any{int64(1), int64(1), nil, []any{string(echo("a"))}}); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := conn.noteAnswer([]any{int64(1), int64(2), nil, []any{}}); err != nil {
+		t.Error(err)
+	}
+	if answers := len(history.requests["a"].Answers); answers != 2 {
+		t.Errorf("%d responses are noted, 2 were received", answers)
+	}
+}
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -57,9 +57,8 @@
 
 // Notice is that the endpoint stream told that a worker drains or was removed.
 type Notice struct {
-	Worker  string
-	At      time.Duration // by when every front end counts as notified
-	Restore time.Duration // when it was told to be ready again; 0: it was not
+	Worker string
+	At     time.Duration // by when every front end counts as notified
 }
 
 // Pause is a time in which a front end's process was stopped, or did not run.
