Event loop: slow steps are logged, totals tell time by step, processor time and collector

The logs could not tell which work kept the loop from its requests: now each step's kind and time is counted, a step over 25 ms is logged with the sizes that its cost may depend on, and the totals have processor time, the collector's part of it, workers, functions and the longest wait of a request for the loop.

--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -49,7 +49,7 @@
 	log           zerolog.Logger
 	frontEnd      *FrontEnd
 	requests      chan *Request                 // bounded by RequestQueue; a request that finds it full is rejected
-	events        chan func(now time.Duration)  // bounded by EventQueue; who posts to a full queue waits
+	events        chan loopEvent                // bounded by EventQueue; who posts to a full queue waits
 	workerClients []ClosableWorkerClient        // started and not known to have ended; the loop's goroutine only
 	newTestClient func(*EventLoop) WorkerClient // in place of a worker client, where the loop is tested alone; else nil
 	kill          chan struct{}                 // closed by Kill
@@ -57,6 +57,13 @@
 	gate          queueGate
 	guard         *workerconn.Guard    // shared with the worker clients
 	stalls        looplag.StallTracker // the loop's goroutine only
+	times         LoopTimes            // the loop's goroutine only
+}
+
+// loopEvent is something for the loop to do, in its goroutine.
+type loopEvent struct {
+	step   loopStep
+	handle func(now time.Duration)
 }
 
 // NewEventLoop returns an EventLoop that starts with Run.
@@ -65,7 +72,7 @@
 		cfg:      cfg,
 		log:      log,
 		requests: make(chan *Request, cfg.RequestQueue),
-		events:   make(chan func(time.Duration), cfg.EventQueue),
+		events:   make(chan loopEvent, cfg.EventQueue),
 		kill:     make(chan struct{}),
 		done:     make(chan struct{}),
 		guard:    &workerconn.Guard{},
@@ -113,18 +120,40 @@
 
 // Disconnect reports that a request's client has disconnected.
 func (l *EventLoop) Disconnect(request *Request) {
-	l.post(func(now time.Duration) { l.frontEnd.ClientDisconnected(now, request) })
+	l.post(stepDisconnect, func(now time.Duration) { l.frontEnd.ClientDisconnected(now, request) })
 }
 
 // Counts returns the FrontEnd's totals, zero once the loop has ended. It waits for the loop.
-func (l *EventLoop) Counts() Counts {
-	reply := make(chan Counts, 1)
-	l.post(func(time.Duration) { reply <- l.counts() })
+func (l *EventLoop) Counts() Counts { return l.Snapshot().Counts }
+
+// LoopSnapshot is what an EventLoop tells of itself at one time.
+type LoopSnapshot struct {
+	Counts    Counts
+	Times     LoopTimes
+	Workers   int // listed, or removed with something in flight
+	Functions int // requested lately
+	InFlight  int // requests that are owed a final response, or have an attempt in flight
+}
+
+// Snapshot returns the loop's state, the zero value once it has ended. It waits for the loop.
+func (l *EventLoop) Snapshot() LoopSnapshot {
+	reply := make(chan LoopSnapshot, 1)
+	l.post(stepOther, func(time.Duration) { reply <- l.snapshot() })
 	select {
-	case counts := <-reply:
-		return counts
+	case snapshot := <-reply:
+		return snapshot
 	case <-l.done:
-		return Counts{}
+		return LoopSnapshot{}
+	}
+}
+
+func (l *EventLoop) snapshot() LoopSnapshot {
+	return LoopSnapshot{
+		Counts:    l.counts(),
+		Times:     l.times,
+		Workers:   len(l.frontEnd.workers),
+		Functions: len(l.frontEnd.functions),
+		InFlight:  len(l.frontEnd.requests),
 	}
 }
 
@@ -139,12 +168,12 @@
 func (l *EventLoop) Kill() { close(l.kill) }
 
 // Stall blocks the loop for d, as a pause of the process does; it is for laboratories.
-func (l *EventLoop) Stall(d time.Duration) { l.post(func(time.Duration) { time.Sleep(d) }) }
+func (l *EventLoop) Stall(d time.Duration) { l.post(stepOther, func(time.Duration) { time.Sleep(d) }) }
 
 // post queues an event. It waits where the queue is full: who posts stops reading meanwhile.
-func (l *EventLoop) post(event func(now time.Duration)) {
+func (l *EventLoop) post(step loopStep, handle func(now time.Duration)) {
 	select {
-	case l.events <- event:
+	case l.events <- loopEvent{step, handle}:
 	case <-l.done:
 	}
 }
@@ -190,7 +219,7 @@
 		case request := <-l.requests:
 			l.receive(request)
 		case event := <-l.events:
-			event(l.Now())
+			l.handle(event)
 		case <-timer.C:
 		case <-shutdown:
 			l.frontEnd.StopAdmitting(l.Now())
@@ -225,7 +254,10 @@
 func (l *EventLoop) receive(request *Request) {
 	l.renewLease(l.Now())
 	request.StartedAt = l.stalls.EarliestArrival(request.StartedAt)
-	l.frontEnd.RequestReceived(l.Now(), request)
+	now := l.Now()
+	l.times.LongestWait = max(l.times.LongestWait, now-request.queuedAt)
+	l.frontEnd.RequestReceived(now, request)
+	l.endStep(stepRequest, now)
 }
 
 // prepare hands the observed lag to the FrontEnd, fires its timers and sets the queue's limit.
@@ -233,7 +265,10 @@
 	if lag := l.gate.swapLag(); lag > 0 {
 		l.frontEnd.ObserveLag(now, lag)
 	}
-	l.frontEnd.FireTimers(now)
+	if l.frontEnd.NextTimer() <= now {
+		l.frontEnd.FireTimers(now)
+		l.endStep(stepTimers, now)
+	}
 	l.gate.setLimit(l.frontEnd.QueueLimit(now, len(l.requests)))
 }
 
@@ -245,11 +280,17 @@
 // admitted before the responses that make room for them only lengthen the scheduler's backlog.
 func (l *EventLoop) drainEvents() {
 	for range len(l.events) {
-		event := <-l.events
-		event(l.Now())
+		l.handle(<-l.events)
 	}
 }
 
+// handle handles an event.
+func (l *EventLoop) handle(event loopEvent) {
+	now := l.Now()
+	event.handle(now)
+	l.endStep(event.step, now)
+}
+
 // rejectQueued answers what was submitted and never received by the FrontEnd, and releases who posts.
 func (l *EventLoop) rejectQueued() {
 	close(l.done)
--- a/internal/gateway/event_loop_test.go
+++ b/internal/gateway/event_loop_test.go
@@ -32,7 +32,7 @@
 	loop, stop := startLoop(1)
 	defer stop()
 	blocked, unblock := make(chan struct{}), make(chan struct{})
-	loop.post(func(time.Duration) { close(blocked); <-unblock }) // the loop handles nothing meanwhile
+	loop.post(stepOther, func(time.Duration) { close(blocked); <-unblock }) // the loop handles nothing meanwhile
 	<-blocked
 	loop.gate.setLimit(1)
 	admitted := NewRequest()
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -14,12 +14,12 @@
 
 // EndpointsChanged implements discovery.Sink.
 func (e discoveryEvents) EndpointsChanged(list []discovery.Worker) {
-	e.loop.post(func(now time.Duration) { e.loop.frontEnd.EndpointsChanged(now, list) })
+	e.loop.post(stepEndpoints, func(now time.Duration) { e.loop.frontEnd.EndpointsChanged(now, list) })
 }
 
 // WatchFailed implements discovery.Sink.
 func (e discoveryEvents) WatchFailed(err error) {
-	e.loop.post(func(now time.Duration) { e.loop.frontEnd.WatchFailed(now, err) })
+	e.loop.post(stepEndpoints, func(now time.Duration) { e.loop.frontEnd.WatchFailed(now, err) })
 }
 
 // workerEvents posts what one worker client reports. It is a muxclient.Events, called from the client's goroutines.
@@ -30,35 +30,35 @@
 
 // ResponseStarted implements muxclient.Events.
 func (e workerEvents) ResponseStarted(attempt *workerconn.Attempt, r workerconn.Result) {
-	e.loop.post(func(now time.Duration) { e.loop.frontEnd.ResponseStarted(now, attempt, r) })
+	e.loop.post(stepWorker, func(now time.Duration) { e.loop.frontEnd.ResponseStarted(now, attempt, r) })
 }
 
 // AttemptEnded implements muxclient.Events.
 func (e workerEvents) AttemptEnded(attempt *workerconn.Attempt, r workerconn.Result) {
-	e.loop.post(func(now time.Duration) { e.loop.frontEnd.AttemptEnded(now, attempt, r) })
+	e.loop.post(stepWorker, func(now time.Duration) { e.loop.frontEnd.AttemptEnded(now, attempt, r) })
 }
 
 // LoadEnded implements muxclient.Events.
 func (e workerEvents) LoadEnded(order *workerconn.LoadOrder, status scheduler.Status, replicas int) {
-	e.loop.post(func(now time.Duration) { e.loop.frontEnd.LoadEnded(now, order, status, replicas) })
+	e.loop.post(stepWorker, func(now time.Duration) { e.loop.frontEnd.LoadEnded(now, order, status, replicas) })
 }
 
 // HealthChecked implements muxclient.Events.
 func (e workerEvents) HealthChecked(status scheduler.Status, loadReport []float64) {
-	e.loop.post(func(now time.Duration) { e.loop.frontEnd.HealthChecked(now, e.worker, status, loadReport) })
+	e.loop.post(stepWorker, func(now time.Duration) { e.loop.frontEnd.HealthChecked(now, e.worker, status, loadReport) })
 }
 
 // Connected implements muxclient.Events.
 func (e workerEvents) Connected(welcome muxframe.Welcome) {
-	e.loop.post(func(now time.Duration) { e.loop.frontEnd.WorkerConnected(now, e.worker, welcome) })
+	e.loop.post(stepWorker, func(now time.Duration) { e.loop.frontEnd.WorkerConnected(now, e.worker, welcome) })
 }
 
 // Disconnected implements muxclient.Events.
 func (e workerEvents) Disconnected(cause error) {
-	e.loop.post(func(now time.Duration) { e.loop.frontEnd.WorkerDisconnected(now, e.worker, cause) })
+	e.loop.post(stepWorker, func(now time.Duration) { e.loop.frontEnd.WorkerDisconnected(now, e.worker, cause) })
 }
 
 // LateResponse implements muxclient.Events.
 func (e workerEvents) LateResponse(uint32) {
-	e.loop.post(func(now time.Duration) { e.loop.frontEnd.LateResponse(now) })
+	e.loop.post(stepWorker, func(now time.Duration) { e.loop.frontEnd.LateResponse(now) })
 }
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -34,7 +34,7 @@
 func (l *instantWorker) respondToAll(loop *EventLoop) {
 	answer := &workerconn.Response{}
 	for attempt := range l.sent {
-		loop.post(func(now time.Duration) {
+		loop.post(stepOther, func(now time.Duration) {
 			loop.frontEnd.AttemptEnded(now, attempt, workerconn.Result{Status: scheduler.OK, ColdStart: scheduler.WarmStart, QueueDepth: -1, Response: answer})
 		})
 	}
--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -303,8 +304,20 @@
 func (p *PlatformServer) logTotalsOnce() {
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
-	p.log.Info().Interface("counts", p.loop.Counts()).Interface("clients", p.clients.Counts()).
+	loop := p.loop.Snapshot()
+	p.log.Info().Interface("counts", loop.Counts).Interface("clients", p.clients.Counts()).
+		Interface("loop", loop.Times).Int("workers", loop.Workers).Int("functions", loop.Functions).Int("in-flight", loop.InFlight).
 		Int("client-connections", p.clients.ConnectionCount()).Int("worker-connections", p.budget.Used()).
+		Dur("processor-time", processorTime()).Uint32("collections", memory.NumGC).Float64("collector-part", memory.GCCPUFraction).
 		Int("goroutines", runtime.NumGoroutine()).Uint64("heap-kb", memory.HeapAlloc>>10).Uint64("sys-kb", memory.Sys>>10).
 		Msg("totals")
 }
+
+// processorTime is what the process has used since its start, 0 if the system does not tell.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
