--- a/cmd/havencart/serveplatform_test.go
+++ b/cmd/havencart/serveplatform_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -258,3 +259,13 @@
 		}
 	}
 }
+
+// collectLog reads the log until the process ends, and returns the lines with one of the texts.
+func (p *process) collectLog(texts ...string) (lines []string) {
+	for p.log.Scan() {
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(p.log.Text(), text) }) {
+			lines = append(lines, p.log.Text())
+		}
+	}
+	return lines
+}
