--- a/internal/decide/incarnation/incarnation.go
+++ b/internal/decide/incarnation/incarnation.go
@@ -51,6 +51,19 @@
 	return effective
 }
 
+// ObserveChanges takes the entries of an endpoint list that changed, as ObserveList takes all of them. listed is how many
+// workers the list names now.
+func (t *Tracker) ObserveChanges(now time.Duration, changed []scheduler.WorkerInfo, listed int) []scheduler.WorkerInfo {
+	effective := make([]scheduler.WorkerInfo, len(changed))
+	for i, info := range changed {
+		effective[i] = t.observeListed(now, info)
+	}
+	if len(t.workers) > listed+maxUnlistedWorkers {
+		maps.DeleteFunc(t.workers, func(_ scheduler.WorkerID, w *worker) bool { return w.info.State == scheduler.Removed })
+	}
+	return effective
+}
+
 // observeListed takes one entry of a list and returns it with the effective start.
 func (t *Tracker) observeListed(now time.Duration, info scheduler.WorkerInfo) scheduler.WorkerInfo {
 	w, known := t.workers[info.ID]
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -34,6 +34,9 @@
 type Sink interface {
 	// EndpointsChanged is called with each whole list. The sink may keep it.
 	EndpointsChanged(list []Worker)
+	// EndpointsUpdated is called, after a whole list, with the workers that were added or changed since the last call, and
+	// with those that were removed, as they were listed last but in state Removed. The sink may keep them.
+	EndpointsUpdated(changed []Worker)
 	// WatchFailed is called each time that no usable list could be had; the list before it stays in force.
 	WatchFailed(err error)
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -29,6 +29,7 @@
 }
 
 func (sink recordingSink) EndpointsChanged(l []discovery.Worker) { sink.lists <- l }
+func (sink recordingSink) EndpointsUpdated([]discovery.Worker)   {} // the sources tested here report whole lists
 func (sink recordingSink) WatchFailed(err error)                 { sink.failures <- err }
 
 func (sink recordingSink) list(t *testing.T) []discovery.Worker {
--- a/internal/discovery/endpointstream.go
+++ b/internal/discovery/endpointstream.go
@@ -59,7 +59,9 @@
 		return nil, fmt.Errorf("known: %w", err) // the configuration's key
 	}
 	for _, event := range events {
-		stream.apply(event)
+		if stream.isNew(event) {
+			stream.apply(event)
+		}
 	}
 	stream.lastEvent = max(stream.lastEvent, last)
 	return stream, nil
@@ -169,35 +171,49 @@
 			return received, fmt.Errorf("read the endpoint stream: %w", err)
 		}
 		received = true
-		if s.apply(event) {
+		switch {
+		case !s.isNew(event):
+		case event.Kind == endpointstream.Snapshot:
+			s.apply(event)
 			sink.EndpointsChanged(s.list())
+		default:
+			sink.EndpointsUpdated(s.apply(event))
 		}
 	}
 }
 
-// apply takes an event over into the list, and reports whether it is a new one. Events up to the last one applied are
-// repeated after a reconnect, and now and then on one connection; they are ignored.
-func (s *EndpointStream) apply(event endpointstream.Event) (changed bool) {
-	if event.Kind == endpointstream.NoChange || event.Number <= s.lastEvent {
-		return false
-	}
+// isNew reports whether an event changes the list. Events up to the last one applied are repeated after a reconnect, and
+// now and then on one connection; they change nothing.
+func (s *EndpointStream) isNew(event endpointstream.Event) bool {
+	return event.Kind != endpointstream.NoChange && event.Number > s.lastEvent
+}
+
+// apply takes a new event over into the list, and returns the workers that it changed.
+func (s *EndpointStream) apply(event endpointstream.Event) (changed []Worker) {
 	s.lastEvent = event.Number
 	if event.Kind == endpointstream.Snapshot {
 		clear(s.workers)
 	}
+	changed = make([]Worker, 0, len(event.Entries))
 	for _, entry := range event.Entries {
-		if entry.State == endpointstream.Removed {
-			delete(s.workers, entry.ID)
-		} else {
+		if entry.State != endpointstream.Removed {
 			s.workers[entry.ID] = entry
+			changed = append(changed, s.worker(entry))
+			continue
+		}
+		if removed, known := s.workers[entry.ID]; known {
+			delete(s.workers, entry.ID)
+			removed.State = endpointstream.Removed
+			changed = append(changed, s.worker(removed))
 		}
 	}
-	return true
+	return changed
 }
 
 var schedulerStates = map[endpointstream.State]scheduler.WorkerState{
 	endpointstream.Ready:    scheduler.Ready,
 	endpointstream.Draining: scheduler.Draining,
+	endpointstream.Removed:  scheduler.Removed,
 }
 
 // list returns the workers in the order of their IDs.
--- a/internal/discovery/endpointstream_reconnect_test.go
+++ b/internal/discovery/endpointstream_reconnect_test.go
@@ -47,10 +47,10 @@
 		return clientSide, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	received, done := make(listSink, 64), make(chan struct{})
+	received, done := newListSink(), make(chan struct{})
 	go func() { defer close(done); stream.Run(ctx, received) }()
 	t.Cleanup(func() { cancel(); <-done })
-	<-received // the initial events are reported whether the server can be reached or not
+	<-received.lists // the initial events are reported whether the server can be reached or not
 	return stream, received, accepted
 }
 
@@ -153,7 +153,7 @@
 				second.send(t, event(5, endpointstream.Delta, entry(3, 9003, 0)))
 				expectList(t, received, "1 2 ")
 				expectList(t, received, "1 2 3 ")
-				if len(received) > 0 {
+				if len(received.lists) > 0 {
 					t.Error("an event was applied twice")
 				}
 			})
--- a/internal/discovery/endpointstream_test.go
+++ b/internal/discovery/endpointstream_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"go.uber.org/goleak"
@@ -12,11 +14,37 @@
 	"havencart/scheduler"
 )
 
-// listSink is a Sink that passes lists to the test and drops failures, whose number is not fixed.
-type listSink chan []Worker
+// listSink is a Sink that passes whole lists to the test, also after updates, and drops failures, whose number is not fixed.
+type listSink struct {
+	lists   chan []Worker
+	current map[string]Worker
+}
+
+func newListSink() listSink { return listSink{make(chan []Worker, 64), map[string]Worker{}} }
+
+func (l listSink) EndpointsChanged(list []Worker) {
+	clear(l.current)
+	for _, worker := range list {
+		l.current[worker.Name] = worker
+	}
+	l.lists <- list
+}
+
+func (l listSink) EndpointsUpdated(changed []Worker) {
+	for _, worker := range changed {
+		l.current[worker.Name] = worker
+		if worker.State == scheduler.Removed {
+			delete(l.current, worker.Name)
+		}
+	}
+	list := make([]Worker, 0, len(l.current))
+	for _, name := range slices.Sorted(maps.Keys(l.current)) {
+		list = append(list, l.current[name])
+	}
+	l.lists <- list
+}
 
-func (l listSink) EndpointsChanged(list []Worker) { l <- list }
-func (listSink) WatchFailed(error)                {}
+func (listSink) WatchFailed(error) {}
 
 func entry(id uint32, port uint16, state endpointstream.State) endpointstream.Entry {
 	return endpointstream.Entry{ID: id, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port), State: state, Weight: 1.5}
@@ -46,7 +74,7 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	received, done := make(listSink, 16), make(chan struct{})
+	received, done := newListSink(), make(chan struct{})
 	go func() { defer close(done); stream.Run(ctx, received) }()
 	t.Cleanup(func() { cancel(); <-done })
 	return stream, received
@@ -66,7 +94,7 @@
 
 func expectList(t *testing.T, received listSink, text string) {
 	t.Helper()
-	if got := summary(<-received); got != text {
+	if got := summary(<-received.lists); got != text {
 		t.Errorf("listed %q, want %q", got, text)
 	}
 }
@@ -75,7 +103,7 @@
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	server := startServer(t)
 	_, received := follow(t, server.Address())
-	first := <-received
+	first := <-received.lists
 	if len(first) != 1 || first[0].Name != "s-00000001" || first[0].Address != "127.0.0.1:9001" || first[0].Scale != 2 ||
 		first[0].Zone != "room" || first[0].Kind != "std" || first[0].Cell != "4" || !first[0].Started.IsZero() {
 		t.Errorf("initial list is %+v", first)
@@ -98,7 +126,7 @@
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	server := startServer(t)
 	_, received := follow(t, server.Address())
-	<-received
+	<-received.lists
 	<-server.Resumed()
 	server.WriteRaw(endpointstream.AppendEvent(nil, event(4, endpointstream.Delta, entry(2, 9002, endpointstream.Ready)))[:20]) // half of it
 	server.CloseConnections()
@@ -117,7 +145,7 @@
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	old, other := startServer(t), startServer(t)
 	stream, received := follow(t, old.Address())
-	<-received
+	<-received.lists
 	<-old.Resumed()
 	old.Publish(event(4, endpointstream.Delta, entry(2, 9002, endpointstream.Ready)))
 	expectList(t, received, "1 2 ")
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -19,25 +19,48 @@
 // sent before the scheduler is notified, so that nothing new can be sent from here on.
 func (f *FrontEnd) EndpointsChanged(now time.Duration, list []discovery.Worker) {
 	f.now = now
-	infos := make([]scheduler.WorkerInfo, 0, len(list))
-	listed := map[scheduler.WorkerID]bool{}
-	for _, entry := range list {
+	infos, listed := f.takeEntries(list)
+	for _, id := range sortedKeys(f.workers) {
+		if !listed[id] {
+			f.setWorkerState(f.workers[id], scheduler.Removed)
+		}
+	}
+	f.scheduler.WorkersChanged(now, f.incarnations.ObserveList(now, infos), true)
+	f.runDeferred()
+}
+
+// EndpointsUpdated takes the workers that changed, as EndpointsChanged takes all of them. It costs nothing for the others.
+func (f *FrontEnd) EndpointsUpdated(now time.Duration, changed []discovery.Worker) {
+	f.now = now
+	infos, _ := f.takeEntries(changed)
+	f.scheduler.WorkersChanged(now, f.incarnations.ObserveChanges(now, infos, len(f.workers)), false)
+	f.runDeferred()
+}
+
+// takeEntries takes entries of the endpoint list, and returns them as the scheduler receives them.
+func (f *FrontEnd) takeEntries(entries []discovery.Worker) (infos []scheduler.WorkerInfo, listed map[scheduler.WorkerID]bool) {
+	infos = make([]scheduler.WorkerInfo, 0, len(entries))
+	listed = make(map[scheduler.WorkerID]bool, len(entries))
+	for _, entry := range entries {
 		id := WorkerID(entry.Name)
-		if listed[id] {
+		if listed[id] || f.isOtherWorker(id, entry.Name) {
 			f.log.Error().Str("worker", entry.Name).Msg("worker ignored: its name has the same identifier as another worker's")
 			continue
 		}
 		listed[id] = true
+		if entry.State == scheduler.Removed && f.workers[id] == nil {
+			continue // nothing is sent there
+		}
 		f.updateWorker(id, entry)
 		infos = append(infos, f.workerInfo(id, entry))
 	}
-	for _, id := range sortedKeys(f.workers) {
-		if !listed[id] {
-			f.setWorkerState(f.workers[id], scheduler.Removed)
-		}
-	}
-	f.scheduler.WorkersChanged(now, f.incarnations.ObserveList(now, infos), true)
-	f.runDeferred()
+	return infos, listed
+}
+
+// isOtherWorker reports whether an identifier is that of a worker with another name, which is listed.
+func (f *FrontEnd) isOtherWorker(id scheduler.WorkerID, name string) bool {
+	w := f.workers[id]
+	return w != nil && w.Name != name && w.state != scheduler.Removed
 }
 
 // workerInfo is an entry of the list as the scheduler receives it.
@@ -65,9 +88,6 @@
 func (f *FrontEnd) updateWorker(id scheduler.WorkerID, entry discovery.Worker) {
 	w := f.workers[id]
 	if w == nil {
-		if entry.State == scheduler.Removed {
-			return // nothing is sent there
-		}
 		w = &worker{id: id}
 		f.workers[id] = w
 	}
@@ -76,6 +96,7 @@
 		if w.client != nil {
 			f.drainClient(w)
 			w.previousClients = append(w.previousClients, w.client)
+			f.retiring[id] = w
 		}
 		w.client = f.dependencies.OpenWorker(id, entry)
 		w.state = scheduler.Ready
@@ -92,6 +113,9 @@
 	w.named(f.log.Info()).Str("state", workerStateName(state)).Msg("worker state changed")
 	previous := w.state
 	w.state = state
+	if state == scheduler.Removed {
+		f.retiring[w.id] = w
+	}
 	switch {
 	case state == scheduler.Ready:
 		w.client.Resume()
@@ -130,13 +154,8 @@
 
 // sweep stops clients that nothing needs any longer and forgets functions without requests.
 func (f *FrontEnd) sweep() {
-	for _, id := range sortedKeys(f.workers) {
-		w := f.workers[id]
-		w.stopIdlePrevious()
-		if w.state == scheduler.Removed && w.idle() {
-			w.client.Stop()
-			delete(f.workers, id)
-		}
+	for _, id := range sortedKeys(f.retiring) {
+		f.sweepWorker(f.retiring[id])
 	}
 	for id, function := range f.functions {
 		if f.now-function.lastUsed > functionRetention {
@@ -145,6 +164,20 @@
 	}
 }
 
+// sweepWorker stops the clients of a worker that is retiring, or that was at another address, once they are idle.
+func (f *FrontEnd) sweepWorker(w *worker) {
+	w.stopIdlePrevious()
+	switch {
+	case len(w.previousClients) > 0:
+	case w.state != scheduler.Removed:
+		delete(f.retiring, w.id)
+	case w.idle():
+		w.client.Stop()
+		delete(f.workers, w.id)
+		delete(f.retiring, w.id)
+	}
+}
+
 // stopIdlePrevious stops the clients of previous addresses once nothing is in flight there.
 func (w *worker) stopIdlePrevious() {
 	busy := w.previousClients[:0]
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,6 +15,9 @@
 	"havencart/scheduler"
 )
 
+// minPrune is the least number of worker clients at which those that have ended are looked for.
+const minPrune = 16
+
 // EventLoopConfig is what an EventLoop needs beside its FrontEnd's settings.
 type EventLoopConfig struct {
 	Settings
@@ -51,6 +55,7 @@
 	requests      chan *Request                 // bounded by RequestQueue; a request that finds it full is rejected
 	events        chan loopEvent                // bounded by EventQueue; who posts to a full queue waits
 	workerClients []ClosableWorkerClient        // started and not known to have ended; the loop's goroutine only
+	nextPrune     int                           // of them, at which those that have ended are forgotten
 	newTestClient func(*EventLoop) WorkerClient // in place of a worker client, where the loop is tested alone; else nil
 	kill          chan struct{}                 // closed by Kill
 	done          chan struct{}                 // closed when the loop has ended
@@ -275,12 +280,18 @@
 // idle reports whether nothing is in flight or queued.
 func (l *EventLoop) idle() bool { return l.frontEnd.Idle() && len(l.requests) == 0 }
 
-// drainEvents handles the events that are queued before timers and requests. It guards against a loop that lags: a
-// response received meanwhile would find its attempt timed out, and its request failed. And in an overload, requests
-// admitted before the responses that make room for them only lengthen the scheduler's backlog.
+// drainEvents handles the events that are queued before timers and requests, those included that are received meanwhile. It
+// guards against a loop that lags, or a process that stands still while an event is handled: a response received meanwhile
+// would find its attempt timed out, and its request failed. And in an overload, requests admitted before the responses
+// that make room for them only lengthen the scheduler's backlog. Timers wait for one queue of events at most.
 func (l *EventLoop) drainEvents() {
-	for range len(l.events) {
-		l.handle(<-l.events)
+	for range cap(l.events) {
+		select {
+		case event := <-l.events:
+			l.handle(event)
+		default:
+			return
+		}
 	}
 }
 
@@ -304,22 +315,31 @@
 	}
 }
 
-// OpenWorker implements Dependencies. It also forgets the clients that have ended.
+// OpenWorker implements Dependencies.
 func (l *EventLoop) OpenWorker(id scheduler.WorkerID, w discovery.Worker) WorkerClient {
 	if l.newTestClient != nil {
 		return l.newTestClient(l)
 	}
+	if len(l.workerClients) >= l.nextPrune {
+		l.pruneWorkerClients()
+	}
 	client := l.newWorkerClient(id, w)
-	running := l.workerClients[:0]
-	for _, old := range l.workerClients {
+	l.workerClients = append(l.workerClients, client)
+	return client
+}
+
+// pruneWorkerClients forgets the clients that have ended. It is due again once there are twice as many, so that it costs
+// little for each client that is opened.
+func (l *EventLoop) pruneWorkerClients() {
+	l.workerClients = slices.DeleteFunc(l.workerClients, func(client ClosableWorkerClient) bool {
 		select {
-		case <-old.Done():
+		case <-client.Done():
+			return true
 		default:
-			running = append(running, old)
+			return false
 		}
-	}
-	l.workerClients = append(running, client)
-	return client
+	})
+	l.nextPrune = max(minPrune, 2*len(l.workerClients))
 }
 
 // newWorkerClient starts a client in the protocol of the configuration.
--- a/internal/gateway/event_loop_test.go
+++ b/internal/gateway/event_loop_test.go
@@ -67,3 +67,39 @@
 		t.Errorf("%+v; want a rejection, as no time may be left", response)
 	}
 }
+
+// newIdleLoop returns an event loop that the test runs by hand.
+func newIdleLoop(events int) *EventLoop {
+	loop := NewEventLoop(EventLoopConfig{Settings: Settings{ClockStart: time.Now()}, EventQueue: events}, zerolog.Nop())
+	loop.frontEnd = NewFrontEnd(loop.Now(), Settings{Scheduler: testScheduler(), Classes: []string{"safe", "keyed", "unsafe"}}, loop, zerolog.Nop())
+	return loop
+}
+
+// A response that is received while the loop handles an event, as one that stalls, comes before timers.
+func TestDrainEvents_EventReceivedMeanwhile_IsHandled(t *testing.T) {
+	loop := newIdleLoop(4)
+	handled := false
+	loop.post(stepOther, func(time.Duration) {
+		loop.post(stepWorker, func(time.Duration) { handled = true })
+	})
+	loop.drainEvents()
+	if !handled {
+		t.Error("an event that was received while another one was handled waits for the timers")
+	}
+}
+
+// Events without end do not keep timers from firing.
+func TestDrainEvents_EventsWithoutEnd_Returns(t *testing.T) {
+	loop := newIdleLoop(4)
+	handled := 0
+	var again func(time.Duration)
+	again = func(time.Duration) {
+		handled++
+		loop.post(stepWorker, again)
+	}
+	loop.post(stepWorker, again)
+	loop.drainEvents()
+	if handled != 4 {
+		t.Errorf("%d events handled before the timers, want one queue of 4", handled)
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -17,6 +17,11 @@
 	e.loop.post(stepEndpoints, func(now time.Duration) { e.loop.frontEnd.EndpointsChanged(now, list) })
 }
 
+// EndpointsUpdated implements discovery.Sink.
+func (e discoveryEvents) EndpointsUpdated(changed []discovery.Worker) {
+	e.loop.post(stepEndpoints, func(now time.Duration) { e.loop.frontEnd.EndpointsUpdated(now, changed) })
+}
+
 // WatchFailed implements discovery.Sink.
 func (e discoveryEvents) WatchFailed(err error) {
 	e.loop.post(stepEndpoints, func(now time.Duration) { e.loop.frontEnd.WatchFailed(now, err) })
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -120,6 +120,7 @@
 	attempts      map[*workerconn.Attempt]*requestAttempt
 	loadOrders    map[*workerconn.LoadOrder]*loadOrder
 	workers       map[scheduler.WorkerID]*worker
+	retiring      map[scheduler.WorkerID]*worker // those with clients that sweep is to stop
 	functions     map[scheduler.FunctionID]*function
 
 	// Numbers of names for the scheduler, in the order in which they were first seen.
@@ -154,6 +155,7 @@
 		attempts:     map[*workerconn.Attempt]*requestAttempt{},
 		loadOrders:   map[*workerconn.LoadOrder]*loadOrder{},
 		workers:      map[scheduler.WorkerID]*worker{},
+		retiring:     map[scheduler.WorkerID]*worker{},
 		functions:    map[scheduler.FunctionID]*function{},
 		zones:        map[string]int{},
 		cells:        map[string]int{},
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -46,7 +46,7 @@
 		return false
 	}
 	replica := s.pickWarmReplica(request, time.Duration(tolerable))
-	return replica == nil || s.now-replica.worker.queueDelay.ObservedAt > s.delay.memory
+	return replica == nil || s.now-replica.worker.queueDelay.observedAt > s.delay.memory
 }
 
 // queueDelayBudget is how long requests of the most urgent class in use can wait and still meet their
--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"havencart/internal/estimate"
 )
 
 func TestAdmission_NoWorkers_RejectsBeforeDeadline(t *testing.T) {
@@ -81,7 +79,7 @@
 		script.warm(7)
 		for i, delay := range delays {
 			worker := script.scheduler.endpoints.byID[WorkerID(i+1)]
-			worker.queueDelay, worker.observedDelay = estimate.NewDecayed(float64(delay), script.now), float64(delay)
+			script.setQueueDelay(worker, delay)
 		}
 		script.advance(tickInterval)
 		for range 100 {
@@ -112,7 +110,7 @@
 		script.warm(FunctionID(7 + i))
 	}
 	for _, worker := range script.scheduler.endpoints.list {
-		worker.queueDelay, worker.observedDelay = estimate.NewDecayed(float64(300*ms), script.now), float64(300*ms)
+		script.setQueueDelay(worker, 300*ms)
 	}
 	script.advance(tickInterval)
 	var rejected [3]int
--- a/scheduler/clone.go
+++ b/scheduler/clone.go
@@ -16,20 +16,40 @@
 	c := newCloner(&clone.settings)
 	clone.endpoints.byID = cloneValues(s.endpoints.byID, c.worker)
 	clone.endpoints.list = cloneElements(s.endpoints.list, c.worker)
-	if settings.ScaleIsCapacity != s.settings.ScaleIsCapacity {
-		clone.endpoints.version++ // rendezvous orders are made anew
+	clone.endpoints.ranking = slices.Clone(s.endpoints.ranking)
+	clone.endpoints.busy = cloneElements(s.endpoints.busy, c.worker)
+	clone.endpoints.cells = make(map[int][]*workerRecord, len(s.endpoints.cells))
+	for cell, workers := range s.endpoints.cells {
+		clone.endpoints.cells[cell] = cloneElements(workers, c.worker)
+	}
+	clone.endpoints.counts.healthy = slices.Clone(s.endpoints.counts.healthy)
+	clone.endpoints.counts.serving = slices.Clone(s.endpoints.counts.serving)
+	clone.endpoints.counts.cold = cloneElements(s.endpoints.counts.cold, c.worker)
+	clone.endpoints.counts.lapsing = cloneElements(s.endpoints.counts.lapsing, c.worker)
+	clone.delay.ordered = cloneElements(s.delay.ordered, c.worker)
+	clone.delay.contacts = slices.Clone(s.delay.contacts)
+	for i := range clone.delay.contacts {
+		clone.delay.contacts[i].worker = c.worker(s.delay.contacts[i].worker)
 	}
 	clone.functions.byID = cloneValues(s.functions.byID, c.function)
 	clone.functions.byPriority = cloneElements(s.functions.byPriority, c.function)
 	clone.requests = cloneValues(s.requests, c.request)
 	clone.loadOrders = maps.Clone(s.loadOrders)
 	clone.latency.runTimeByClass = slices.Clone(s.latency.runTimeByClass)
+	clone.latency.sampledWorkers = slices.Clone(s.latency.sampledWorkers)
+	for class, workers := range s.latency.sampledWorkers {
+		clone.latency.sampledWorkers[class] = cloneElements(workers, c.worker)
+	}
 	clone.latency.unloadedRunTime = slices.Clone(s.latency.unloadedRunTime)
 	clone.latency.unloadedRunTimeAt = slices.Clone(s.latency.unloadedRunTimeAt)
 	clone.loadRate.orderTimes = slices.Clone(s.loadRate.orderTimes)
 	clone.loadRate.requestTimes = slices.Clone(s.loadRate.requestTimes)
 	clone.tenants.usage = slices.Clone(s.tenants.usage)
 	clone.tenants.overage = slices.Clone(s.tenants.overage)
+	if settings.ScaleIsCapacity != s.settings.ScaleIsCapacity {
+		clone.endpoints.version++ // rendezvous orders are made anew
+		clone.rankWorkers()
+	}
 	return &clone
 }
 
@@ -65,7 +85,8 @@
 	return cloneOnce(c.functions, function, func(f *functionRecord) {
 		f.queue = cloneElements(f.queue, c.request)
 		f.replicas = cloneElements(f.replicas, c.replica)
-		f.rendezvous = cloneElements(f.rendezvous, c.worker)
+		f.rendezvous.workers = cloneElements(f.rendezvous.workers, c.worker)
+		f.nearest.workers = cloneElements(f.nearest.workers, c.worker)
 	})
 }
 
--- a/scheduler/dispatch_test.go
+++ b/scheduler/dispatch_test.go
@@ -5,8 +5,6 @@
 	"slices"
 	"testing"
 	"time"
-
-	"havencart/internal/estimate"
 )
 
 func TestDispatch_MoreRequestsThanConcurrency_QueuesTheRest(t *testing.T) {
@@ -84,7 +82,7 @@
 func TestPickWarmReplica_QueueDelayPastObjective_Rejects(t *testing.T) {
 	script := newHarness(t, testSettings(), 1)
 	worker := script.scheduler.endpoints.byID[script.warm(7)]
-	worker.queueDelay = estimate.NewDecayed(float64(900*ms), script.now)
+	script.setQueueDelay(worker, 900*ms)
 	r := script.request(7, 0) // objective 800 ms, timeout 3 s
 	script.advance(2 * tickInterval)
 	if len(script.sentTo[r]) != 0 || script.answers[r] != "rejected" {
@@ -120,7 +118,7 @@
 	}{{3 * time.Second, ""}, {450 * ms, "rejected"}} {
 		script := newHarness(t, testSettings(), 1)
 		worker := script.scheduler.endpoints.byID[script.warm(7)]
-		worker.queueDelay = estimate.NewDecayed(float64(400*ms), script.now)
+		script.setQueueDelay(worker, 400*ms)
 		script.nextID++
 		script.scheduler.RequestReceived(script.now, Request{ID: script.nextID, Function: 7, Timeout: test.timeout, ReplicaConcurrency: 2})
 		script.advance(350 * ms)
--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -16,8 +15,19 @@
 type endpointTable struct {
 	byID      map[WorkerID]*workerRecord
 	list      []*workerRecord // by identifier
-	version   int             // counts changes, to tell stale rendezvous orders
+	version   int             // counts changes of the list, of cells and of scales, to tell what is stale
 	meanScale float64
+	ranking   []rankedWorker // of list, in its order
+
+	counts        servingCounts
+	busy          []*workerRecord         // with attempts in flight, and some that had until the last tick
+	cells         map[int][]*workerRecord // made when it is needed, see cellMembers
+	cellsVersion  int                     // of the list that cells was made from
+	noneIdleUntil time.Duration           // no worker is without contact for idleProbeAfter before
+}
+
+func newEndpointTable(classes int) endpointTable {
+	return endpointTable{byID: map[WorkerID]*workerRecord{}, cells: map[int][]*workerRecord{}, counts: newServingCounts(classes)}
 }
 
 // workerRecord is what is known of a worker. A restart of its process resets all but the attempts in flight.
@@ -30,11 +40,14 @@
 	runTimeByClass   []estimate.MovingAverage // nanoseconds
 	concurrencyLimit float64                  // requests of ours that it may hold
 	limitDecreasedAt time.Duration
-	queueDelay       estimate.Decayed // nanoseconds beyond an unloaded run
-	observedDelay    float64          // the same as it was when last observed, not decayed since
-	noLoadsUntil     time.Duration    // no load may start there before
-	removedAt        time.Duration    // 0: it is listed
+	queueDelay       workerDelay
+	noLoadsUntil     time.Duration // no load may start there before
+	removedAt        time.Duration // 0: it is listed
 	healthByClass    []workerHealth
+
+	cold    bool // it is counted as in slow start
+	lapsing bool // it is in servingCounts.lapsing
+	busy    bool // it is in endpointTable.busy
 }
 
 // slowStartWindow is what a worker in slow start was sent in the current overload window, for the log.
@@ -51,6 +64,9 @@
 	ejected        bool
 	ejectedUntil   time.Duration // when an ejected worker may be tried again
 	backoff        time.Duration // how long it was last ejected
+
+	countedHealthy bool // in servingCounts.healthy
+	countedServing bool // in servingCounts.serving
 }
 
 // ejectionReason says in the log why a worker was ejected.
@@ -69,6 +85,7 @@
 	classes := len(s.settings.Classes)
 	return workerRecord{
 		inFlight:         predecessor.inFlight,
+		busy:             predecessor.busy,
 		sendTimes:        predecessor.sendTimes,
 		lastContact:      s.now,
 		concurrencyLimit: initialLimit,
@@ -78,77 +95,112 @@
 }
 
 // updateEndpoints takes a change of the endpoint list, or the complete list. It returns the workers that hold no
-// replicas for us any more: those whose process is another one than before, and those that are not ready.
+// replicas for us any more: those whose process is another one than before, and those that are no longer ready.
 func (s *Scheduler) updateEndpoints(list []WorkerInfo, complete bool) (changed []*workerRecord) {
-	table, listed := &s.endpoints, map[WorkerID]bool{}
+	table, before := &s.endpoints, s.endpoints.version
+	if complete {
+		list = slices.Concat(list, s.unlisted(list))
+	}
 	for _, info := range list {
-		listed[info.ID] = true
-		worker := table.byID[info.ID]
-		if worker == nil {
-			worker = &workerRecord{}
-			table.byID[info.ID] = worker
-			table.list = append(table.list, worker)
-		}
-		isNew := worker.concurrencyLimit == 0
-		if isNew || info.Started > worker.Started {
+		if worker, lostReplicas := s.updateWorker(info); lostReplicas {
 			changed = append(changed, worker)
-			*worker = s.newWorker(worker)
 		}
-		worker.WorkerInfo = info
 	}
-	for _, worker := range table.list {
-		if complete && !listed[worker.ID] {
-			worker.State = Removed
-		}
-		if worker.State != Ready {
-			changed = append(changed, worker)
-		}
-		if worker.State != Removed {
-			worker.removedAt = 0
-		} else if worker.removedAt == 0 {
-			worker.removedAt = s.now
-		}
+	if known := len(table.list); known > 0 {
+		table.list = slices.DeleteFunc(table.list, s.expireRemoved)
+		table.version += known - len(table.list)
 	}
-	table.list = slices.DeleteFunc(table.list, s.expireRemoved)
-	slices.SortFunc(table.list, func(a, b *workerRecord) int { return cmp.Compare(a.ID, b.ID) })
-	table.meanScale = 0
-	for _, worker := range table.list {
-		table.meanScale += worker.Scale / float64(len(table.list))
+	if table.version != before {
+		s.rankWorkers()
 	}
-	table.version++
 	return changed
 }
 
+// unlisted returns the workers that a complete list lacks, as removed.
+func (s *Scheduler) unlisted(list []WorkerInfo) (missing []WorkerInfo) {
+	listed := make(map[WorkerID]bool, len(list))
+	for _, info := range list {
+		listed[info.ID] = true
+	}
+	for _, worker := range s.endpoints.list {
+		if !listed[worker.ID] {
+			info := worker.WorkerInfo
+			info.State = Removed
+			missing = append(missing, info)
+		}
+	}
+	return missing
+}
+
+// updateWorker takes an entry of the endpoint list. It reports whether the worker lost the replicas that it held.
+func (s *Scheduler) updateWorker(info WorkerInfo) (worker *workerRecord, lostReplicas bool) {
+	table := &s.endpoints
+	worker = table.byID[info.ID]
+	isNew := worker == nil
+	if isNew {
+		worker = &workerRecord{WorkerInfo: info}
+		table.byID[info.ID] = worker
+		i, _ := slices.BinarySearchFunc(table.list, worker, compareWorkerIDs)
+		table.list = slices.Insert(table.list, i, worker)
+	} else {
+		s.uncount(worker)
+		s.delay.unlist(worker)
+	}
+	lostReplicas = worker.State == Ready && info.State != Ready
+	if isNew || worker.Scale != info.Scale || worker.Cell != info.Cell {
+		table.version++
+	}
+	if isNew || info.Started > worker.Started {
+		lostReplicas = true
+		s.forgetRunTimes(worker)
+		*worker = s.newWorker(worker)
+	}
+	worker.WorkerInfo = info
+	switch {
+	case worker.State != Removed:
+		worker.removedAt = 0
+	case worker.removedAt == 0:
+		worker.removedAt = s.now
+	}
+	s.count(worker)
+	s.delay.list(worker)
+	return worker, lostReplicas
+}
+
+func compareWorkerIDs(a, b *workerRecord) int { return cmp.Compare(a.ID, b.ID) }
+
 // expireRemoved forgets a worker that was removed so long ago that another process under its name would be warm.
 func (s *Scheduler) expireRemoved(worker *workerRecord) bool {
 	if worker.State != Removed || len(worker.inFlight) > 0 || s.now-worker.removedAt < s.settings.SlowStartDuration {
 		return false
 	}
 	delete(s.endpoints.byID, worker.ID)
+	s.uncount(worker)
+	s.delay.unlist(worker)
+	s.forgetRunTimes(worker)
 	return true
 }
 
-// rendezvousOrder lists the workers in the order that every front end computes alike for a function.
-func (s *Scheduler) rendezvousOrder(function *functionRecord) []*workerRecord {
-	if function.rendezvousVersion != s.endpoints.version {
-		function.rendezvousVersion = s.endpoints.version
-		function.rendezvous = slices.Clone(s.endpoints.list)
-		slices.SortFunc(function.rendezvous, func(a, b *workerRecord) int {
-			return cmp.Compare(s.rendezvousRank(function, a), s.rendezvousRank(function, b))
-		})
-	}
-	return function.rendezvous
+// busyWorkers lists the workers with attempts in flight, by identifier.
+func (s *Scheduler) busyWorkers() []*workerRecord {
+	table := &s.endpoints
+	table.busy = slices.DeleteFunc(table.busy, func(worker *workerRecord) bool {
+		worker.busy = len(worker.inFlight) > 0
+		return !worker.busy
+	})
+	slices.SortFunc(table.busy, compareWorkerIDs)
+	return table.busy
 }
 
-// rendezvousRank is lower for workers that come sooner in the rendezvous order, by weighted rendezvous hashing: with u
-// a hash of both identifiers in (0, 1), -ln(1-u) / capacity. A worker comes first for as large a part of the functions
-// as it has of the capacity.
-//
-// Thaler, Ravishankar: "Using name-based mappings to increase hit rates", IEEE/ACM Transactions on Networking, 1998;
-// with weights: Schindelhauer, Schomaker: "Weighted distributed hash tables", SPAA 2005.
-func (s *Scheduler) rendezvousRank(function *functionRecord, worker *workerRecord) float64 {
-	draw := estimate.UnitInterval(estimate.Mix(uint64(function.id), uint64(worker.ID))) + 0.5/(1<<53)
-	return -math.Log1p(-draw) / s.relativeCapacity(worker)
+// leastRecentContact is when the ready worker was contacted that was not for the longest time.
+func (s *Scheduler) leastRecentContact() time.Duration {
+	least := s.now
+	for _, worker := range s.endpoints.list {
+		if worker.State == Ready {
+			least = min(least, worker.lastContact)
+		}
+	}
+	return least
 }
 
 // relativeCapacity is a worker's capacity relative to the mean of all, 1 where the endpoint list does not tell.
@@ -173,18 +225,6 @@
 	return least + (1-least)*age/float64(s.settings.SlowStartDuration)
 }
 
-// servingCapacity is to how many warm workers those amount that served, or may have served, what was completed within a
-// time before now: those that are ready and not ejected for a class, and those that responded meanwhile.
-func (s *Scheduler) servingCapacity(class int, within time.Duration) (sum float64) {
-	for _, worker := range s.endpoints.list {
-		isServing := worker.State == Ready && !worker.isEjected(class)
-		if isServing || worker.respondedSince(s.now-within) {
-			sum += s.capacityFraction(worker)
-		}
-	}
-	return sum
-}
-
 // respondedSince is whether the worker responded to a request of any class since a time.
 func (w *workerRecord) respondedSince(from time.Duration) bool {
 	return slices.ContainsFunc(w.healthByClass, func(health workerHealth) bool {
@@ -200,16 +240,6 @@
 // isEjected is whether a worker is ejected as an outlier for a class.
 func (w *workerRecord) isEjected(class int) bool { return w.healthByClass[class].ejected }
 
-// healthyCount counts the workers that are ready and not ejected for a class.
-func (s *Scheduler) healthyCount(class int) (count int) {
-	for _, worker := range s.endpoints.list {
-		if worker.State == Ready && !worker.isEjected(class) {
-			count++
-		}
-	}
-	return count
-}
-
 // crossZone is 1 for a worker in another zone than this front end, else 0.
 func (s *Scheduler) crossZone(worker *workerRecord) int {
 	if worker.Zone != s.settings.Zone {
--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -15,6 +14,7 @@
 // latencyEstimates are of run and load times, in nanoseconds where they are averages.
 type latencyEstimates struct {
 	runTimeByClass    []estimate.MovingAverage
+	sampledWorkers    [][]*workerRecord      // by class, with unloadedMinSamples run times at least
 	unloadedRunTime   []time.Duration        // by class; see Scheduler.unloadedRunTime
 	unloadedRunTimeAt []time.Duration        // when it was last refreshed; 0: never
 	loadTime          estimate.MovingAverage // of all functions
@@ -24,6 +24,7 @@
 func newLatencyEstimates(classes int) latencyEstimates {
 	return latencyEstimates{
 		runTimeByClass:    make([]estimate.MovingAverage, classes),
+		sampledWorkers:    make([][]*workerRecord, classes),
 		unloadedRunTime:   make([]time.Duration, classes),
 		unloadedRunTimeAt: make([]time.Duration, classes),
 	}
@@ -38,13 +39,6 @@
 	completions    estimate.Decayed // requests completed
 }
 
-// queueDelayEstimates are over all workers, as of the last tick.
-type queueDelayEstimates struct {
-	memory          time.Duration // of the queue delay at a worker
-	median          time.Duration // over the ready workers
-	contactedMedian float64       // nanoseconds, over the workers contacted lately; 0: too few
-}
-
 // evictionEstimates tell what a load costs other functions.
 type evictionEstimates struct {
 	lostReplicas estimate.Decayed // replicas that were counted on and found gone
@@ -149,13 +143,32 @@
 // recordRunTime takes the time of a run at a replica that was loaded.
 func (s *Scheduler) recordRunTime(replica *replicaBelief, runTime time.Duration) {
 	worker, function, sample := replica.worker, replica.function, float64(runTime)
-	worker.runTimeByClass[function.class].Add(sample, averageWindow)
+	s.addRunTime(worker, function.class, sample)
 	s.recordQueueDelay(worker, function.class, runTime)
 	replica.runTime.Add(sample, averageWindow)
 	function.runTime.Add(sample, averageWindow)
 	s.latency.runTimeByClass[function.class].Add(sample, averageWindow)
 }
 
+// addRunTime takes a run time of a worker in nanoseconds, and notes when there are enough to tell of it.
+func (s *Scheduler) addRunTime(worker *workerRecord, class int, sample float64) {
+	runTime := &worker.runTimeByClass[class]
+	wasSampled := runTime.Samples >= unloadedMinSamples
+	runTime.Add(sample, averageWindow)
+	if !wasSampled && runTime.Samples >= unloadedMinSamples {
+		s.latency.sampledWorkers[class] = append(s.latency.sampledWorkers[class], worker)
+	}
+}
+
+// forgetRunTimes notes that the run times of a worker tell nothing any more.
+func (s *Scheduler) forgetRunTimes(worker *workerRecord) {
+	for class, runTime := range worker.runTimeByClass {
+		if runTime.Samples >= unloadedMinSamples {
+			s.latency.sampledWorkers[class] = without(s.latency.sampledWorkers[class], worker)
+		}
+	}
+}
+
 // recordLoadTime takes the time of a load that succeeded.
 func (s *Scheduler) recordLoadTime(function *functionRecord, loadTime time.Duration) {
 	s.breaker.recordSuccess(s.now)
@@ -200,12 +213,12 @@
 	return min(s.serviceTime(request.function), request.class.LatencyObjective/2)
 }
 
-// lowQuantileRunTime is the run time of a class that one in divisor of the workers with enough responses stays below,
-// 0 if none has them.
-func (s *Scheduler) lowQuantileRunTime(class, divisor, minSamples int) time.Duration {
+// lowQuantileRunTime is the run time of a class that one in divisor of the ready workers with enough responses stays
+// below, 0 if none has them.
+func (s *Scheduler) lowQuantileRunTime(class, divisor int) time.Duration {
 	var runs []float64
-	for _, worker := range s.endpoints.list {
-		if worker.State == Ready && worker.runTimeByClass[class].Samples >= minSamples {
+	for _, worker := range s.latency.sampledWorkers[class] {
+		if worker.State == Ready {
 			runs = append(runs, worker.runTimeByClass[class].Value)
 		}
 	}
@@ -219,7 +232,7 @@
 	if refreshedAt != 0 && s.now-refreshedAt <= unloadedRefreshInterval {
 		return s.latency.unloadedRunTime[class]
 	}
-	run := s.lowQuantileRunTime(class, unloadedDivisor, unloadedMinSamples)
+	run := s.lowQuantileRunTime(class, unloadedDivisor)
 	if run == 0 {
 		return s.expectedClassRunTime(class)
 	}
@@ -232,12 +245,13 @@
 
 // queueDelay is how long requests at a worker last waited beyond an unloaded run, decayed since.
 func (s *Scheduler) queueDelay(worker *workerRecord) time.Duration {
-	return time.Duration(worker.queueDelay.Read(s.now, s.delay.memory))
+	return time.Duration(s.delay.read(worker, s.now))
 }
 
 // updateQueueDelays sets how long queue delays are remembered, and their medians over the workers.
 func (s *Scheduler) updateQueueDelays() {
-	s.delay.memory = min(maxDelayMemory, max(minDelayMemory, delayMemoryContacts*s.contactInterval()))
+	s.delay.setMemory(s.now, min(maxDelayMemory, max(minDelayMemory, delayMemoryContacts*s.contactInterval())))
+	s.delay.dropDecayed(s.now, s.now-maxDelayMemory, contactsPerWorker*len(s.endpoints.list))
 	s.delay.median, s.delay.contactedMedian = s.medianDelay(), s.contactedDelay()
 }
 
@@ -249,35 +263,21 @@
 
 // medianDelay is the median queue delay over the ready workers.
 func (s *Scheduler) medianDelay() time.Duration {
-	var delays []float64
-	for _, worker := range s.endpoints.list {
-		if worker.State == Ready {
-			delays = append(delays, worker.queueDelay.Read(s.now, s.delay.memory))
-		}
-	}
-	return time.Duration(estimate.UpperBoundOfOneIn(2, delays))
+	return s.delay.medianOf(s.endpoints.counts.ready, s.now)
 }
 
 // contactedDelay is the queue delay, as it was observed, that one in contactedDivisor of the ready workers contacted
 // lately stays below: of the latest contactedLatest within the memory of queue delays, and of all within the freshness
 // window. It is 0 where they are too few.
 func (s *Scheduler) contactedDelay() float64 {
-	var contacted []*workerRecord
-	for _, worker := range s.endpoints.list {
-		if observedAt := worker.queueDelay.ObservedAt; worker.State != Ready || observedAt <= 0 {
-			continue
-		}
-		if s.now-worker.queueDelay.ObservedAt < s.delay.memory {
-			contacted = append(contacted, worker)
-		}
-	}
-	slices.SortStableFunc(contacted, func(a, b *workerRecord) int {
-		return cmp.Compare(b.queueDelay.ObservedAt, a.queueDelay.ObservedAt)
-	})
 	var delays []float64
-	for i, worker := range contacted {
-		if i < contactedLatest || s.now-worker.queueDelay.ObservedAt < freshnessWindow {
-			delays = append(delays, worker.observedDelay)
+	for _, contact := range slices.Backward(s.delay.contacts) {
+		age := s.now - contact.at
+		if age >= s.delay.memory || len(delays) >= contactedLatest && age >= freshnessWindow {
+			break
+		}
+		if contact.isLatest() && contact.worker.State == Ready {
+			delays = append(delays, contact.worker.queueDelay.observed)
 		}
 	}
 	if len(delays) < contactedMinSamples {
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -220,7 +220,7 @@
 func (f *fleet) functionsPlacedOnColdWorker(n int) (out []FunctionID) {
 	s := f.fronts[0].scheduler
 	for id := FunctionID(1 << 20); len(out) < n; id++ {
-		if s.rendezvousOrder(&functionRecord{id: id})[0].ID == f.coldWorker {
+		if s.rendezvousOrder(&functionRecord{id: id}, 1)[0].ID == f.coldWorker {
 			out = append(out, id)
 		}
 	}
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -210,3 +210,14 @@
 		Latency: script.inFlightFor(r), RequestClosed: status == OK, ColdStart: WarmStart, QueueDepth: queueDepth,
 	})
 }
+
+// setQueueDelay sets the queue delay of a worker as if it had just been observed.
+func (script *harness) setQueueDelay(worker *workerRecord, delay time.Duration) {
+	script.scheduler.delay.set(worker, script.now, float64(delay))
+}
+
+// clearQueueDelay sets the queue delay of a worker as if it had never been observed.
+func (script *harness) clearQueueDelay(worker *workerRecord) {
+	script.scheduler.delay.unlist(worker)
+	worker.queueDelay = workerDelay{}
+}
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"time"
-
-	"havencart/internal/estimate"
-)
+import "time"
 
 const (
 	averageWindow     = 20                     // samples that a moving average remembers
@@ -21,6 +17,7 @@
 	silent := health.lastResponseAt < request.sentAt
 	if outcome.Status.isResponse() {
 		health.lastResponseAt = s.now
+		s.recount(worker)
 	}
 	if !request.triggeredLoad && (outcome.Status == NotLoaded || outcome.waitedForLoad()) {
 		s.evictions.lostReplicas.Add(s.now, evictionMemory, 1)
@@ -70,8 +67,7 @@
 	}
 	s.decreaseLimit(worker)
 	delay := 2 * (s.loadCost(function) + s.expectedRunTime(function)) // so that a load is sooner
-	worker.observedDelay = float64(delay)
-	worker.queueDelay = estimate.NewDecayed(worker.observedDelay, s.now)
+	s.delay.set(worker, s.now, float64(delay))
 }
 
 // recordError takes an error response. It counts against the worker only where the function ran somewhere
--- a/scheduler/outlier_ejection.go
+++ b/scheduler/outlier_ejection.go
@@ -37,6 +37,7 @@
 		health.ejectedUntil = s.now
 		if health.failureShare < ejectionThreshold {
 			health.ejected, health.backoff = false, 0
+			s.recount(worker)
 		}
 	}
 }
@@ -55,6 +56,7 @@
 	health.backoff = min(maxEjectionTime, max(minTime, 2*health.backoff))
 	health.ejected, health.ejectedUntil = true, s.now+health.backoff
 	health.failureShare = max(health.failureShare, ejectedFailureShare)
+	s.recount(worker)
 }
 
 // isUsable is whether a worker may be sent requests of a class now; an ejected one whose time is over takes
--- a/scheduler/outlier_ejection_test.go
+++ b/scheduler/outlier_ejection_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"testing"
-
-	"havencart/internal/estimate"
 )
 
 func TestOutlierEjection_SilentWorker_IsEjectedAndSafeRequestsCancelled(t *testing.T) {
@@ -65,7 +63,7 @@
 func TestOutlierEjection_ImpatientClients_SayNothingOfWorker(t *testing.T) {
 	script := newHarness(t, testSettings(), 4)
 	worker := script.scheduler.endpoints.byID[script.warm(7)]
-	worker.queueDelay = estimate.NewDecayed(float64(400*ms), script.now)
+	script.setQueueDelay(worker, 400*ms)
 	for range 6 {
 		script.nextID++
 		script.scheduler.RequestReceived(script.now, Request{ID: script.nextID, Class: 2, Function: 7, Timeout: 700 * ms, ReplicaConcurrency: 2})
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -9,11 +10,11 @@
 )
 
 const (
-	demandMemory          = 10 * time.Second      // memory of a function's part of the requested work
-	demandSmoothing       = 10                    // runs as if of other functions, while few were requested
-	placementSpread       = 3.0                   // times the workers that its part of the work fills
-	residencyQueryTimeout = 30 * time.Millisecond // how long a request waits for answers
-	residencyQueryFanout  = 5                     // workers queried, the first in placement order
+	demandMemory    = 10 * time.Second // memory of a function's part of the requested work
+	demandSmoothing = 10               // runs as if of other functions, while few were requested
+	placementSpread = 3.0              // times the workers that its part of the work fills
+	rendezvousStep  = 32               // places of a rendezvous order that are made at least
+	placementSearch = 256              // workers looked at for one that may load a function
 )
 
 // pickColdWorker picks the worker that loads a function: the first in placement order whose queue delay is
@@ -22,38 +23,95 @@
 func (s *Scheduler) pickColdWorker(
 	function *functionRecord, request *requestRecord, minIdle time.Duration,
 ) *workerRecord {
+	if minIdle > anyIdle && s.now < s.endpoints.noneIdleUntil {
+		return nil
+	}
 	var best *workerRecord
-	healthy, leastDelay := s.healthyCount(function.class), never
-	for _, worker := range s.placementOrder(function) {
-		delay := max(s.delay.median, s.queueDelay(worker))
-		if !s.acceptsLoads(worker) || function.replicaOn(worker) != nil || !s.mayExecuteOn(request, worker) {
-			continue
+	leastDelay, searched := never, 0
+	for worker := range s.coldCandidates(function, request) {
+		if searched++; searched > placementSearch && !request.boundToKeyScope() {
+			break
 		}
-		if !s.hasHeadroom(worker, request) {
+		if s.now-worker.lastContact < minIdle || !s.mayLoad(function, request, worker) {
 			continue
 		}
-		if worker.isEjected(function.class) && healthy > 0 && !request.boundToKeyScope() {
-			continue
-		}
-		if s.now-worker.lastContact >= minIdle && delay < leastDelay {
+		if delay := max(s.delay.median, s.queueDelay(worker)); delay < leastDelay {
 			best, leastDelay = worker, delay
 		}
+		if best != nil && leastDelay == s.delay.median {
+			return best // none has less
+		}
+	}
+	if best == nil && minIdle > anyIdle {
+		s.endpoints.noneIdleUntil = max(s.now+freshnessWindow, s.leastRecentContact()+minIdle)
 	}
 	return best
 }
 
+// coldCandidates are the workers that may load a function, in placement order. A request that is bound to a
+// cell has few, which need not be searched for among all.
+func (s *Scheduler) coldCandidates(function *functionRecord, request *requestRecord) iter.Seq[*workerRecord] {
+	if request.boundToKeyScope() && request.class.KeyScope == ScopeCell {
+		return slices.Values(s.cellMembers(function, request.firstWorker.Cell))
+	}
+	return s.placementOrder(function)
+}
+
+// mayLoad is whether a worker may load a function for a request now.
+func (s *Scheduler) mayLoad(function *functionRecord, request *requestRecord, worker *workerRecord) bool {
+	if !s.acceptsLoads(worker) || function.replicaOn(worker) != nil || !s.mayExecuteOn(request, worker) {
+		return false
+	}
+	if worker.isEjected(function.class) && s.hasHealthy(function.class) && !request.boundToKeyScope() {
+		return false
+	}
+	return s.hasHeadroom(worker, request)
+}
+
 // placementOrder lists the workers in the order in which this front end would load a function: the rendezvous
 // order, begun at this front end's own place among the first targetReplicaCount, its own zone first there.
-func (s *Scheduler) placementOrder(function *functionRecord) []*workerRecord {
-	order := s.rendezvousOrder(function)
+func (s *Scheduler) placementOrder(function *functionRecord) iter.Seq[*workerRecord] {
+	return func(yield func(*workerRecord) bool) {
+		nearest := s.nearestPlaces(function)
+		for _, worker := range nearest {
+			if !yield(worker) {
+				return
+			}
+		}
+		for i := len(nearest); i < len(s.endpoints.list); i++ {
+			if !yield(s.rendezvousOrder(function, i+1)[i]) {
+				return
+			}
+		}
+	}
+}
+
+// nearestPlaces are the first targetReplicaCount workers in placement order, none where that is one.
+func (s *Scheduler) nearestPlaces(function *functionRecord) []*workerRecord {
 	target := s.targetReplicaCount(function)
 	if target < 2 {
-		return order
+		return nil
 	}
+	cache := &function.nearest
+	if cache.version == s.endpoints.version && len(cache.workers) == target {
+		return cache.workers
+	}
+	order := s.rendezvousOrder(function, target)
 	own := int(estimate.Mix(uint64(function.id), uint64(s.settings.FrontEndIndex+1)) % uint64(target))
 	nearest := slices.Concat(order[own:target], order[:own])
 	slices.SortStableFunc(nearest, func(a, b *workerRecord) int { return s.crossZone(a) - s.crossZone(b) })
-	return append(nearest, order[target:]...)
+	cache.version, cache.workers = s.endpoints.version, nearest
+	return nearest
+}
+
+// rendezvousLength is how many places of a rendezvous order are made at once where count are needed of so
+// many workers: most functions need the first few only, and an order that is made anew costs as much again.
+func rendezvousLength(count, workers int) int {
+	length := max(rendezvousStep, 2*count)
+	if 2*length >= workers {
+		return workers
+	}
+	return length
 }
 
 // targetReplicaCount is on how many workers the requests of all front ends for a function should be loaded.
@@ -67,48 +125,3 @@
 	workers := len(s.endpoints.list)
 	return min(workers, int(math.Ceil(max(1, placementSpread*share*float64(workers)))))
 }
-
-// prewarm orders a function loaded at this front end's own place, while its requests go on to loaded
-// replicas.
-func (s *Scheduler) prewarm(function *functionRecord) {
-	target := s.targetReplicaCount(function)
-	if target < 2 || !s.settings.LoadOrdersAllowed {
-		return
-	}
-	for _, worker := range s.placementOrder(function)[:target] {
-		if !s.acceptsLoads(worker) || worker.isEjected(function.class) {
-			continue
-		}
-		if s.queueDelay(worker) > s.delay.median+s.unloadedRunTime(function.class) {
-			continue
-		}
-		if function.replicaOn(worker) == nil {
-			s.startLoad(function, nil, worker, byQueueDelay)
-		}
-		return
-	}
-}
-
-// queryResidency finds replicas that others loaded before a load is started: it acts when no replica is
-// believed warm, or the queue delays at the warm ones call for a load, and costs milliseconds where a load
-// costs hundreds. It queries the first workers in placement order and reports whether to wait for their
-// answers.
-func (s *Scheduler) queryResidency(function *functionRecord) bool {
-	if !s.settings.LoadOrdersAllowed || s.now-function.queriedAt < freshnessWindow {
-		return s.awaitsResidency(function)
-	}
-	function.queriedAt, function.pendingQueries = s.now, 0 // an older query without an answer says nothing
-	order := s.placementOrder(function)
-	for _, worker := range order[:min(residencyQueryFanout, len(order))] {
-		key := replicaKey{worker.ID, function.id}
-		if _, busy := s.loadOrders[key]; busy || worker.State != Ready {
-			continue
-		}
-		if !worker.isEjected(function.class) && function.replicaOn(worker) == nil {
-			function.pendingQueries++
-			s.loadOrders[key] = residencyQuery
-			s.actions.Load(worker.ID, function.id, residencyQuery)
-		}
-	}
-	return function.pendingQueries > 0
-}
--- a/scheduler/placement_test.go
+++ b/scheduler/placement_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"havencart/internal/estimate"
 )
 
 func TestPrewarm_PopularFunction_IsOrderedAtOwnPlace(t *testing.T) {
@@ -22,7 +20,7 @@
 		for _, o := range script.orders {
 			orderedAt[o.worker] = true
 		}
-		if rank := script.scheduler.placementOrder(script.scheduler.functions.byID[7])[0]; script.scheduler.functions.byID[7].replicaOn(rank) == nil {
+		if rank := script.scheduler.nearestPlaces(script.scheduler.functions.byID[7])[0]; script.scheduler.functions.byID[7].replicaOn(rank) == nil {
 			t.Errorf("front end %d has no replica ordered at its own place", index)
 		}
 	}
@@ -54,7 +52,7 @@
 		script.scheduler.WorkersChanged(script.now, list, true)
 		n := 0
 		for f := range FunctionID(400) {
-			if script.scheduler.rendezvousOrder(&functionRecord{id: f})[0].ID <= 10 {
+			if script.scheduler.rendezvousOrder(&functionRecord{id: f}, 1)[0].ID <= 10 {
 				n++
 			}
 		}
@@ -71,16 +69,16 @@
 func TestPickColdWorker_WorkerWithoutResponses_DoesNotLookIdle(t *testing.T) {
 	script := newHarness(t, testSettings(), 8)
 	function := script.scheduler.trackFunction(7, 0)
-	order := script.scheduler.rendezvousOrder(function)
+	order := script.scheduler.rendezvousOrder(function, 8)
 	for _, worker := range order[:6] {
-		worker.queueDelay = estimate.NewDecayed(float64(time.Second), script.now)
+		script.setQueueDelay(worker, time.Second)
 	}
 	script.scheduler.delay.median = script.scheduler.medianDelay()
 	request := &requestRecord{class: &script.scheduler.settings.Classes[0], function: function, objectiveAt: never}
 	if worker := script.scheduler.pickColdWorker(function, request, 0); worker != order[0] {
 		t.Errorf("worker %d is to load, want the first rank %d, no busier than the median", worker.ID, order[0].ID)
 	}
-	order[0].queueDelay.Value *= 3
+	script.setQueueDelay(order[0], 3*time.Second)
 	if worker := script.scheduler.pickColdWorker(function, request, 0); worker != order[1] {
 		t.Errorf("worker %d is to load, want the second rank %d, the first is busier than the median", worker.ID, order[1].ID)
 	}
--- a/scheduler/queue_delay.go
+++ b/scheduler/queue_delay.go
@@ -13,6 +13,7 @@
 	contactedDivisor        = 2                      // one in so many contacted workers has less delay
 	contactedLatest         = 16                     // workers contacted last that count for it
 	contactedMinSamples     = 4                      // of them that it takes to tell
+	contactsPerWorker       = 2                      // observations that are kept
 	unloadedDivisor         = 4                      // one in so many workers runs faster
 	unloadedMinSamples      = 3                      // responses of a worker that it takes to count
 	unloadedRefreshInterval = 500 * time.Millisecond // for which it stands
@@ -26,9 +27,8 @@
 func (s *Scheduler) recordQueueDelay(worker *workerRecord, class int, latency time.Duration) {
 	unloaded := float64(s.unloadedRunTime(class))
 	delay := max(0, float64(latency)-unloaded)
-	worker.queueDelay.Observe(s.now, s.delay.memory, freshnessWindow, delay)
-	worker.observedDelay = worker.queueDelay.Value
-	if worker.queueDelay.Value > slowDelayRuns*unloaded {
+	s.delay.observe(worker, s.now, freshnessWindow, delay)
+	if worker.queueDelay.value > slowDelayRuns*unloaded {
 		s.decreaseLimit(worker)
 	} else if float64(len(worker.inFlight)) >= worker.concurrencyLimit-2 {
 		worker.concurrencyLimit += 1 / worker.concurrencyLimit
--- a/scheduler/queue_delay_test.go
+++ b/scheduler/queue_delay_test.go
@@ -1,10 +1,9 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
-
-	"havencart/internal/estimate"
 )
 
 func TestConcurrencyLimit_OverloadedWorker_IsDecreased(t *testing.T) {
@@ -29,7 +28,7 @@
 		script.endAttempt(r, OK, WarmStart)
 		script.answerQueries()
 		for _, worker := range script.scheduler.endpoints.list {
-			worker.queueDelay = estimate.Decayed{} // decayed when the next one comes
+			script.clearQueueDelay(worker) // decayed when the next one comes
 		}
 	}
 	if now := script.scheduler.unloadedRunTime(0); now > before+before/2 {
@@ -39,12 +38,12 @@
 
 func TestContactedDelay_LatestContacted_ShowOverload(t *testing.T) {
 	script := newHarness(t, testSettings(), 60)
-	for i, worker := range script.scheduler.endpoints.list {
+	for i, worker := range slices.Backward(script.scheduler.endpoints.list) {
 		contactedAt, delay := script.now-5*time.Second, float64(ms)
 		if i < contactedLatest {
 			contactedAt, delay = script.now-1500*ms, float64(2*time.Second)
 		}
-		worker.queueDelay, worker.observedDelay = estimate.NewDecayed(delay, contactedAt), delay
+		script.scheduler.delay.set(worker, contactedAt, delay)
 	}
 	if now := script.scheduler.contactedDelay(); now < float64(time.Second) {
 		t.Errorf("the queue delay is %v by the workers contacted in ten seconds; at those contacted last it is 2s", time.Duration(now))
@@ -55,8 +54,8 @@
 	script := newHarness(t, testSettings(), 4)
 	worker := script.scheduler.endpoints.byID[script.warm(7)]
 	script.endAttemptWithQueueDepth(script.request(7, 0), Overloaded, 20)
-	if worker.observedDelay < float64(time.Second) {
-		t.Errorf("a worker that rejected a request as overloaded counts as one where requests wait %v", time.Duration(worker.observedDelay))
+	if worker.queueDelay.observed < float64(time.Second) {
+		t.Errorf("a worker that rejected a request as overloaded counts as one where requests wait %v", time.Duration(worker.queueDelay.observed))
 	}
 }
 
@@ -66,7 +65,7 @@
 	script := newHarness(t, testSettings(), 4)
 	worker := script.scheduler.endpoints.byID[script.warm(7)]
 	for _, other := range script.scheduler.endpoints.list {
-		other.queueDelay, other.observedDelay = estimate.NewDecayed(0, script.now), 0
+		script.setQueueDelay(other, 0)
 	}
 	if r := script.request(7, 0); script.workerOf(r) != worker.ID {
 		t.Fatalf("the request went to worker %d, a replica is loaded at %d", script.workerOf(r), worker.ID)
--- /dev/null
+++ b/scheduler/rendezvous.go
@@ -0,0 +1,134 @@
+package scheduler
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"slices"
+
+	"havencart/internal/estimate"
+)
+
+// This file keeps the order in which all front ends rank the workers for a function; it decides nothing.
+
+// rankedWorker is what a worker's rank depends on, apart from its record: ranks are made for many workers at a time.
+type rankedWorker struct {
+	id       WorkerID
+	capacity float64 // relative, see relativeCapacity
+}
+
+// rendezvousCache holds the first workers of a function's rendezvous order.
+type rendezvousCache struct {
+	version int // of the endpoint table that it was made from
+	workers []*workerRecord
+}
+
+// rankedPlace is a worker's place in a rendezvous order that is being made.
+type rankedPlace struct {
+	rank  float64
+	index int // in endpointTable.list, which decides between equal ranks
+}
+
+func compareRanks(a, b rankedPlace) int {
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.index, b.index))
+}
+
+// rendezvousOrder lists the workers in the order that every front end computes alike for a function: the first count of
+// them at least, all where there are fewer. The list stands until the next change of the endpoint list.
+func (s *Scheduler) rendezvousOrder(function *functionRecord, count int) []*workerRecord {
+	table, cache := &s.endpoints, &function.rendezvous
+	if cache.version != table.version {
+		cache.version, cache.workers = table.version, nil
+	}
+	if len(cache.workers) < min(count, len(table.list)) {
+		places := s.firstPlaces(function, rendezvousLength(count, len(table.list)))
+		cache.workers = make([]*workerRecord, len(places))
+		for i, place := range places {
+			cache.workers[i] = table.list[place.index]
+		}
+	}
+	return cache.workers
+}
+
+// firstPlaces returns so many workers that come first in the rendezvous order of a function, in that order.
+func (s *Scheduler) firstPlaces(function *functionRecord, count int) []rankedPlace {
+	places := make(highestRankFirst, 0, count)
+	for i, worker := range s.endpoints.ranking {
+		draw := rendezvousDraw(function.id, worker.id)
+		if len(places) < count {
+			places = append(places, rankedPlace{rendezvousRank(draw, worker.capacity), i})
+			if len(places) == count {
+				heap.Init(&places)
+			}
+			continue
+		}
+		if leastRank(draw, worker.capacity) > places[0].rank {
+			continue
+		}
+		if place := (rankedPlace{rendezvousRank(draw, worker.capacity), i}); compareRanks(place, places[0]) < 0 {
+			places[0] = place
+			heap.Fix(&places, 0)
+		}
+	}
+	slices.SortFunc(places, compareRanks)
+	return places
+}
+
+// highestRankFirst is a heap of the places found so far, the last of them on top.
+type highestRankFirst []rankedPlace
+
+func (h highestRankFirst) Len() int           { return len(h) }
+func (h highestRankFirst) Less(i, j int) bool { return compareRanks(h[i], h[j]) > 0 }
+func (h highestRankFirst) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *highestRankFirst) Push(x any)        { *h = append(*h, x.(rankedPlace)) }
+func (h *highestRankFirst) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// rendezvousDraw is a hash of both identifiers in (0, 1).
+func rendezvousDraw(function FunctionID, worker WorkerID) float64 {
+	return estimate.UnitInterval(estimate.Mix(uint64(function), uint64(worker))) + 0.5/(1<<53)
+}
+
+// rendezvousRank is lower for workers that come sooner in the rendezvous order, by weighted rendezvous hashing:
+// -ln(1-draw) / capacity. A worker comes first for as large a part of the functions as it has of the capacity.
+//
+// Thaler, Ravishankar: "Using name-based mappings to increase hit rates", IEEE/ACM Transactions on Networking, 1998;
+// with weights: Schindelhauer, Schomaker: "Weighted distributed hash tables", SPAA 2005.
+func rendezvousRank(draw, capacity float64) float64 { return -math.Log1p(-draw) / capacity }
+
+// leastRank is not above rendezvousRank, and costs no logarithm: -ln(1-x) >= x.
+func leastRank(draw, capacity float64) float64 { return draw / capacity }
+
+// rankWorkers takes a change of the workers or their capacities.
+func (s *Scheduler) rankWorkers() {
+	table := &s.endpoints
+	table.meanScale = 0
+	for _, worker := range table.list {
+		table.meanScale += worker.Scale / float64(len(table.list))
+	}
+	table.ranking = table.ranking[:0]
+	for _, worker := range table.list {
+		table.ranking = append(table.ranking, rankedWorker{worker.ID, s.relativeCapacity(worker)})
+	}
+}
+
+// cellMembers lists the workers of a cell in the rendezvous order of a function.
+func (s *Scheduler) cellMembers(function *functionRecord, cell int) []*workerRecord {
+	table := &s.endpoints
+	if table.cellsVersion != table.version {
+		table.cellsVersion = table.version
+		clear(table.cells)
+		for _, worker := range table.list {
+			table.cells[worker.Cell] = append(table.cells[worker.Cell], worker)
+		}
+	}
+	members := slices.Clone(table.cells[cell])
+	rank := func(worker *workerRecord) float64 {
+		return rendezvousRank(rendezvousDraw(function.id, worker.ID), s.relativeCapacity(worker))
+	}
+	slices.SortStableFunc(members, func(a, b *workerRecord) int { return cmp.Compare(rank(a), rank(b)) })
+	return members
+}
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -68,6 +68,10 @@
 	replica.inFlight++
 	replica.lastUsed, worker.lastContact = s.now, s.now
 	worker.inFlight = append(worker.inFlight, request)
+	if !worker.busy {
+		worker.busy = true
+		s.endpoints.busy = append(s.endpoints.busy, worker)
+	}
 	s.recordSlowStartSend(worker)
 	worker.sendTimes = append(dropBefore(worker.sendTimes, s.now-s.settings.OverloadWindow), s.now)
 	s.actions.Send(request.ID, worker.ID, 0)
--- a/scheduler/residency_test.go
+++ b/scheduler/residency_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"havencart/internal/estimate"
 )
 
 func TestReplicaBelief_Evidence_EndsIt(t *testing.T) {
@@ -65,7 +63,7 @@
 	script := newHarness(t, testSettings(), 4)
 	w := script.warm(7)
 	script.advance(2 * time.Second)
-	script.scheduler.endpoints.byID[w].queueDelay = estimate.NewDecayed(float64(5*time.Second), script.now)
+	script.setQueueDelay(script.scheduler.endpoints.byID[w], 5*time.Second)
 	other := w%4 + 1
 	r := script.request(7, 0)
 	if len(script.sentTo[r]) != 0 {
@@ -134,7 +132,7 @@
 			script.queries = script.queries[1:]
 			script.scheduler.LoadEnded(script.now, LoadResult{Worker: a.worker, Function: a.function, Status: OK, Latency: ms})
 		}
-		if first := script.scheduler.rendezvousOrder(script.scheduler.functions.byID[7])[0].ID; len(script.queries) != 0 || script.workerOf(r) != first {
+		if first := script.scheduler.rendezvousOrder(script.scheduler.functions.byID[7], 1)[0].ID; len(script.queries) != 0 || script.workerOf(r) != first {
 			t.Errorf("of %d workers %d more were queried, the request went to worker %d, not %d", workers, len(script.queries), script.workerOf(r), first)
 		}
 	}
--- a/scheduler/scale_out_test.go
+++ b/scheduler/scale_out_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"havencart/internal/estimate"
 )
 
 func TestScaleOut_DeepQueue_StartsLoadForFewRequests(t *testing.T) {
@@ -167,7 +165,7 @@
 	script := newHarness(t, testSettings(), 2)
 	warm := script.warm(7)
 	cold := script.scheduler.endpoints.byID[3-warm]
-	cold.queueDelay = estimate.NewDecayed(float64(100*ms), script.now)
+	script.setQueueDelay(cold, 100*ms)
 	for range 30 {
 		script.request(7, 0)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -45,13 +45,13 @@
 		actions:    actions,
 		now:        now,
 		startedAt:  now,
-		endpoints:  endpointTable{byID: map[WorkerID]*workerRecord{}},
+		endpoints:  newEndpointTable(len(settings.Classes)),
 		functions:  functionTable{byID: map[FunctionID]*functionRecord{}},
 		requests:   map[RequestID]*requestRecord{},
 		loadOrders: map[replicaKey]int{},
 		stall:      stallDetector{lastTickAt: now},
 		latency:    newLatencyEstimates(len(settings.Classes)),
-		delay:      queueDelayEstimates{memory: maxDelayMemory},
+		delay:      queueDelayEstimates{memory: maxDelayMemory, clockAt: now},
 		tenants:    newTenantQuotas(len(settings.Tenants)),
 	}
 }
--- a/scheduler/slow_start.go
+++ b/scheduler/slow_start.go
@@ -31,7 +31,7 @@
 	function, uptime := request.function, s.now-s.startedAt+freshnessWindow
 	fraction, window := s.capacityFraction(worker), s.settings.OverloadWindow.Seconds()
 	completed := s.demand.completions.RatePerSecond(s.now, completionMemory, uptime)
-	perWorker := completed / max(fraction, s.servingCapacity(function.class, completionMemory))
+	perWorker := completed / max(fraction, s.servingCapacity(function.class))
 	capacity := perWorker * s.relativeCapacity(worker) * window
 	requested := function.requestedRunTime.RatePerSecond(s.now, demandMemory, uptime)
 	demand := requested / float64(s.expectedRunTime(function)) * window
--- a/scheduler/slow_start_test.go
+++ b/scheduler/slow_start_test.go
@@ -107,7 +107,10 @@
 		"removed": func(script *harness, worker *workerRecord) {
 			script.changeWorker(WorkerInfo{ID: worker.ID, Started: UnknownStart, State: Removed})
 		},
-		"long gone": func(_ *harness, worker *workerRecord) { worker.healthByClass[0] = workerHealth{ejected: true} },
+		"long gone": func(script *harness, worker *workerRecord) {
+			worker.healthByClass[0].lastResponseAt = 0
+			script.scheduler.connectionLost(worker)
+		},
 	}
 	sent := map[string]int{}
 	for name, leaves := range leave {
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -32,8 +32,9 @@
 	}
 	s.actions.SetTimer(tickInterval, tickTimer)
 	s.stall.tick(now)
+	s.updateCounts()
 	if s.stall.isOver(now) {
-		for _, worker := range s.endpoints.list {
+		for _, worker := range s.busyWorkers() {
 			s.ejectIfSilent(worker)
 		}
 	}
