Worker connections: one that is idle makes room for a worker that has none

Now the budget is a queue of places: a worker without a connection gets the place of the connection that has been idle for longest, which closes first, so that the limit holds at each moment; a connection in use keeps its place. Tests with -race: more workers than connections, a busy connection keeps its place, an evicted one is not used, a stopped client leaves the queue.

--- a/internal/decide/connpool/connpool.go
+++ b/internal/decide/connpool/connpool.go
@@ -71,13 +71,14 @@
 }
 
 // MayOpen reports whether another connection may be opened to a worker that has own connections, while used of at
-// most limit connections to all workers exist. The last eighth is reserved for workers that have none, so that load
-// on one worker does not make the others unreachable.
-func MayOpen(own, used, limit int) bool {
+// most limit connections to all workers exist, of which some are idle. The last eighth is reserved for workers that have
+// none, so that load on one worker does not make the others unreachable; and such a worker may have the place of an idle
+// connection, however many there are: with more workers than connections, most are met after a long time.
+func MayOpen(own, used, idle, limit int) bool {
 	if own > 0 {
 		return used < limit-limit/reservedDivisor
 	}
-	return used < limit
+	return used < limit || idle > 0
 }
 
 // RetryAfterReset reports whether a connection is dialled again for the requests that wait for it, after so many
--- a/internal/decide/connpool/connpool_test.go
+++ b/internal/decide/connpool/connpool_test.go
@@ -27,11 +27,19 @@
 
 func TestMayOpen_ManyToOneWorker_ReservesForOthers(t *testing.T) {
 	own := 0
-	for MayOpen(own, own, 80) {
+	for MayOpen(own, own, 0, 80) {
 		own++
 	}
-	if own != 70 || !MayOpen(0, own, 80) || MayOpen(0, 80, 80) {
-		t.Errorf("one worker may have %d of 80 connections, another then one: %v", own, MayOpen(0, own, 80))
+	if own != 70 || !MayOpen(0, own, 0, 80) || MayOpen(0, 80, 0, 80) {
+		t.Errorf("one worker may have %d of 80 connections, another then one: %v", own, MayOpen(0, own, 0, 80))
+	}
+}
+
+// An idle connection makes room for a worker that has none, and for no second one.
+func TestMayOpen_LimitReachedWithIdleConnections_OnlyWorkersWithNone(t *testing.T) {
+	if !MayOpen(0, 80, 1, 80) || MayOpen(1, 80, 80, 80) {
+		t.Errorf("with idle connections at the limit: a worker with none may open one: %v, one with a connection another: %v",
+			MayOpen(0, 80, 1, 80), MayOpen(1, 80, 80, 80))
 	}
 }
 
--- a/internal/platform/workerclient/client.go
+++ b/internal/platform/workerclient/client.go
@@ -126,6 +126,18 @@
 	if c.closed || len(c.attempts)+len(c.loads) >= c.cfg.MaxQueue {
 		return nil
 	}
+	for {
+		conn, isOpen := c.chooseConnection(number)
+		if !isOpen || c.cfg.Budget.claim(conn) {
+			return conn
+		}
+		conn.draining = true // it is about to close, as another worker needs its place
+	}
+}
+
+// chooseConnection is one try of selectConnection. isOpen tells whether the connection is one that was there before. The
+// lock is held.
+func (c *Client) chooseConnection(number uint64) (conn *connection, isOpen bool) {
 	candidates := make([]connpool.Connection, len(c.connections))
 	for i, conn := range c.connections {
 		candidates[i] = connpool.Connection{
@@ -137,19 +149,20 @@
 	choice := connpool.Select(candidates, c.cfg.StreamsPerConnection, c.cfg.Budget.mayOpen(len(candidates)))
 	switch choice {
 	case connpool.NoConnection:
-		return nil
+		return nil, false
 	case connpool.OpenConnection:
-		return c.openConnection()
+		return c.openConnection(), false
 	default:
-		return c.connections[choice]
+		return c.connections[choice], true
 	}
 }
 
-// openConnection adds a connection and starts its goroutine, which dials. The lock is held.
+// openConnection adds a connection and starts its goroutine, which dials once the connection has its place in the budget.
+// The lock is held.
 func (c *Client) openConnection() *connection {
 	conn := newConnection(c)
 	c.connections = append(c.connections, conn)
-	c.cfg.Budget.used.Add(1)
+	c.cfg.Budget.reserve(conn)
 	c.tasks.Go(conn.run)
 	return conn
 }
@@ -159,7 +172,7 @@
 	for i := range c.connections {
 		if c.connections[i] == conn {
 			c.connections = append(c.connections[:i], c.connections[i+1:]...)
-			c.cfg.Budget.used.Add(-1)
+			c.cfg.Budget.release(conn)
 			return
 		}
 	}
--- a/internal/platform/workerclient/connection.go
+++ b/internal/platform/workerclient/connection.go
@@ -21,6 +21,8 @@
 	client *Client
 	wake   workerconn.Signal // there is something to write, or the need for the connection may have ended
 
+	place place // guarded by the budget's lock
+
 	silentConnections int // made in a row on which nothing was received; used by run's goroutine only
 
 	// Guarded by client.mu.
@@ -79,6 +81,10 @@
 // The end of what was sent on a connection that broke is reported once it is known whether the next one can be made:
 // that tells a lost connection from a lost worker.
 func (c *connection) run() {
+	if err := c.awaitPlace(); err != nil {
+		c.close(err)
+		return
+	}
 	var lost []queueItem // sent on the connection before, and not reported yet
 	var breakReason error
 	for {
@@ -102,6 +108,23 @@
 	}
 }
 
+// errNoPlace is why a connection was not made while all places of the budget were in use.
+var errNoPlace = errors.New("no connection became free in time")
+
+// awaitPlace waits until the connection has its place in the budget, as long as it may take to connect.
+func (c *connection) awaitPlace() error {
+	timeout := time.NewTimer(c.client.cfg.ConnectTimeout)
+	defer timeout.Stop()
+	select {
+	case <-c.place.granted:
+		return nil
+	case <-c.client.ctx.Done():
+		return errStopped
+	case <-timeout.C:
+		return errNoPlace
+	}
+}
+
 // breakOutcome is what follows after a connection ended.
 type breakOutcome struct {
 	reconnect   bool // make another connection
--- a/internal/platform/workerclient/connection_budget.go
+++ b/internal/platform/workerclient/connection_budget.go
@@ -1,25 +1,120 @@
 package workerclient
 
 import (
-	"sync/atomic"
+	"container/list"
+	"sync"
 
 	"havencart/internal/decide/connpool"
 )
 
 // ConnectionBudget bounds the connections of the clients of all workers together. When it is used up, attempts share
-// connections. It may be used from any goroutine.
+// connections, and a worker that has none gets the place of the connection that has been idle for longest. It may be used
+// from any goroutine.
+//
+// A client's lock may be held when its methods are called; none of them takes one.
 type ConnectionBudget struct {
 	limit int
-	used  atomic.Int64
+
+	mu      sync.Mutex
+	used    int       // places that are held, those of connections that were told to close included
+	idle    list.List // of *connection, the one that has been idle for longest first
+	waiting list.List // of *connection without a place, first come first served
+}
+
+// place is a connection's place within the budget. The budget's lock guards it, but for granted.
+type place struct {
+	granted chan struct{} // closed once the connection has its place
+	idle    *list.Element // in ConnectionBudget.idle; nil: it is not idle
+	waiting *list.Element // in ConnectionBudget.waiting; nil: it has its place, or has given it up
+	evicted bool          // it must close, and takes nothing new
 }
 
 // NewConnectionBudget returns a ConnectionBudget of at most limit connections.
 func NewConnectionBudget(limit int) *ConnectionBudget { return &ConnectionBudget{limit: limit} }
 
 // Used is the number of connections that are open or being made.
-func (b *ConnectionBudget) Used() int { return int(b.used.Load()) }
+func (b *ConnectionBudget) Used() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
 
 // mayOpen tells whether a worker that has a number of connections may have one more.
 func (b *ConnectionBudget) mayOpen(connections int) bool {
-	return connpool.MayOpen(connections, b.Used(), b.limit)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return connpool.MayOpen(connections, b.used, b.idle.Len(), b.limit)
+}
+
+// reserve gives a new connection its place, or has it wait for one that another connection gives up.
+func (b *ConnectionBudget) reserve(conn *connection) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	conn.place.granted = make(chan struct{})
+	if b.used < b.limit {
+		b.used++
+		close(conn.place.granted)
+		return
+	}
+	conn.place.waiting = b.waiting.PushBack(conn)
+	b.evictIdle()
+}
+
+// evictIdle tells the connection that has been idle for longest to close; its place is free once it has. The lock is held.
+func (b *ConnectionBudget) evictIdle() {
+	first := b.idle.Front()
+	if first == nil {
+		return
+	}
+	victim := b.idle.Remove(first).(*connection)
+	victim.place.idle, victim.place.evicted = nil, true
+	victim.wake.Notify()
+}
+
+// release takes a connection out of the budget that has closed, or that waited in vain. Its place goes to the first that
+// waits.
+func (b *ConnectionBudget) release(conn *connection) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if conn.place.idle != nil {
+		b.idle.Remove(conn.place.idle)
+		conn.place.idle = nil
+	}
+	if conn.place.waiting != nil {
+		b.waiting.Remove(conn.place.waiting)
+		conn.place.waiting = nil
+		return
+	}
+	first := b.waiting.Front()
+	if first == nil {
+		b.used--
+		return
+	}
+	next := b.waiting.Remove(first).(*connection)
+	next.place.waiting = nil
+	close(next.place.granted)
+}
+
+// setIdle notes that nothing is in flight on a connection. It returns false if the connection must close.
+func (b *ConnectionBudget) setIdle(conn *connection) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if conn.place.evicted {
+		return false
+	}
+	if conn.place.idle == nil {
+		conn.place.idle = b.idle.PushBack(conn)
+	}
+	return true
+}
+
+// claim notes that a connection is about to be used. It returns false if the connection must close.
+func (b *ConnectionBudget) claim(conn *connection) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if conn.place.idle != nil {
+		b.idle.Remove(conn.place.idle)
+		conn.place.idle = nil
+	}
+	return !conn.place.evicted
 }
--- /dev/null
+++ b/internal/platform/workerclient/connection_budget_test.go
@@ -0,0 +1,139 @@
+package workerclient
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"havencart/internal/platform/workerframe"
+	"havencart/lab/platformworker"
+	"havencart/scheduler"
+)
+
+// fleetOfClients are the clients of several workers, which share one budget.
+type fleetOfClients struct {
+	budget    *ConnectionBudget
+	clients   []*Client
+	recorders []eventRecorder
+	held      chan func() // responses, where the workers hold them back
+}
+
+// startFleet starts so many workers and their clients. The workers respond at once, or pass their responses to held.
+func startFleet(t *testing.T, workers, connections int, holds bool) *fleetOfClients {
+	t.Helper()
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	fleet := &fleetOfClients{budget: NewConnectionBudget(connections), held: make(chan func(), 64)}
+	for range workers {
+		server, err := platformworker.Start(func(c *platformworker.Conn, f workerframe.Frame) {
+			respond := func() { c.Respond(workerframe.Frame{Code: workerframe.OK, ID: f.ID}) }
+			if holds {
+				fleet.held <- respond
+				return
+			}
+			respond()
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Close)
+		client, recorder := newTestClient(t, server.Address(), connections)
+		client.cfg.Budget = fleet.budget
+		fleet.clients, fleet.recorders = append(fleet.clients, client), append(fleet.recorders, recorder)
+	}
+	return fleet
+}
+
+// call sends an attempt to a worker and waits until it has ended well.
+func (f *fleetOfClients) call(t *testing.T, worker, number int) {
+	t.Helper()
+	send(t, f.clients[worker], newAttempt(number))
+	if result := <-f.recorders[worker].attemptEnds; result.Status != scheduler.OK {
+		t.Errorf("attempt %d at worker %d ended as %+v", number, worker, result)
+	}
+}
+
+// awaitIdle waits until so many connections are idle: the goroutines that notice it are the connections' own.
+func (f *fleetOfClients) awaitIdle(t *testing.T, count int) {
+	t.Helper()
+	for t.Context().Err() == nil {
+		f.budget.mu.Lock()
+		idle := f.budget.idle.Len()
+		f.budget.mu.Unlock()
+		if idle == count {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// With more workers than connections, each worker is reached: the connection that was idle for longest makes room.
+func TestConnectionBudget_MoreWorkersThanConnections_AllAreReached(t *testing.T) {
+	const workers, connections = 12, 3
+	fleet := startFleet(t, workers, connections, false)
+	for number := range 4 * workers {
+		fleet.call(t, number%workers, 100+number)
+		if used := fleet.budget.Used(); used > connections {
+			t.Fatalf("%d connections with a budget of %d", used, connections)
+		}
+		fleet.awaitIdle(t, min(number+1, connections))
+	}
+}
+
+// A connection with a request in flight keeps its place.
+func TestConnectionBudget_NoConnectionIdle_AttemptIsNotSent(t *testing.T) {
+	fleet := startFleet(t, 3, 2, true)
+	send(t, fleet.clients[0], newAttempt(1))
+	send(t, fleet.clients[1], newAttempt(2))
+	responses := []func(){<-fleet.held, <-fleet.held}
+	if result := fleet.clients[2].Send(newAttempt(3)); result == nil || result.Status != scheduler.NotSent {
+		t.Errorf("sent while no connection was free: %+v", result)
+	}
+	for _, respond := range responses {
+		respond()
+	}
+	for _, recorder := range fleet.recorders[:2] {
+		if result := <-recorder.attemptEnds; result.Status != scheduler.OK {
+			t.Errorf("ended as %+v", result)
+		}
+	}
+	fleet.awaitIdle(t, 2)
+	send(t, fleet.clients[2], newAttempt(4))
+	(<-fleet.held)()
+	if result := <-fleet.recorders[2].attemptEnds; result.Status != scheduler.OK {
+		t.Errorf("ended as %+v", result)
+	}
+}
+
+// A connection that was told to close takes no attempt, and its client makes another one.
+func TestConnectionBudget_EvictedConnection_IsNotUsedAgain(t *testing.T) {
+	fleet := startFleet(t, 2, 2, false)
+	fleet.call(t, 0, 1)
+	fleet.awaitIdle(t, 1)
+	fleet.budget.mu.Lock()
+	fleet.budget.evictIdle()
+	fleet.budget.mu.Unlock()
+	fleet.call(t, 0, 2)
+	fleet.awaitIdle(t, 1)
+	if used := fleet.budget.Used(); used != 1 {
+		t.Errorf("%d places are in use, one connection is open", used)
+	}
+}
+
+// A client that is stopped while its connection waits for a place gives up waiting.
+func TestConnectionBudget_StoppedWhileWaiting_LeavesNoTrace(t *testing.T) {
+	fleet := startFleet(t, 2, 1, true)
+	send(t, fleet.clients[0], newAttempt(1))
+	respond := <-fleet.held
+	waiting := fleet.clients[1]
+	waiting.mu.Lock()
+	waiting.openConnection()
+	waiting.mu.Unlock()
+	waiting.Stop()
+	<-waiting.Done()
+	if used := fleet.budget.Used(); used != 1 {
+		t.Errorf("%d places are in use, one connection is open", used)
+	}
+	respond()
+	<-fleet.recorders[0].attemptEnds
+}
--- a/internal/platform/workerclient/connection_write.go
+++ b/internal/platform/workerclient/connection_write.go
@@ -108,7 +108,10 @@
 	}
 	isOnly := len(c.client.connections) == 1
 	idleTime = c.lastUsed + connpool.IdleTimeout(isOnly, c.client.cfg.IdleTimeout) - c.client.cfg.Now()
-	unneeded = len(batch.Bytes) == 0 && (idleTime <= 0 || c.draining)
+	if len(batch.Bytes) > 0 {
+		return idleTime, false
+	}
+	unneeded = idleTime <= 0 || c.draining || !c.client.cfg.Budget.setIdle(c)
 	if unneeded {
 		c.draining = true
 	}
--- a/internal/platform/workerclient/helpers_test.go
+++ b/internal/platform/workerclient/helpers_test.go
@@ -111,7 +111,7 @@
 	conn := newConnection(client)
 	conn.netConn, conn.received = netConn, true
 	client.connections = append(client.connections, conn)
-	client.cfg.Budget.used.Add(1)
+	client.cfg.Budget.reserve(conn)
 	return client, conn
 }
 
