Rendezvous order: the first places by a limit on the rank, without a heap

A profile of the reproduction had a third of the time in the selection of a function's first places, of that most in the heap.

--- a/scheduler/aggregates_test.go
+++ b/scheduler/aggregates_test.go
@@ -205,3 +205,17 @@
 		})
 	}
 }
+
+// BenchmarkFirstPlaces is the making of a function's first places after a change of the list.
+func BenchmarkFirstPlaces(b *testing.B) {
+	for _, workers := range []int{120, 1920, 3200} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			script := newHarness(&testing.T{}, testSettings(), workers)
+			function := &functionRecord{id: 7}
+			b.ReportAllocs()
+			for b.Loop() {
+				script.scheduler.firstPlaces(function, rendezvousLength(1, workers))
+			}
+		})
+	}
+}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -10,64 +10,13 @@
 )
 
 const (
-	demandMemory    = 10 * time.Second // memory of a function's part of the requested work
-	demandSmoothing = 10               // runs as if of other functions, while few were requested
-	placementSpread = 3.0              // times the workers that its part of the work fills
-	rendezvousStep  = 32               // places of a rendezvous order that are made at least
-	placementSearch = 256              // workers looked at for one that may load a function
+	demandMemory     = 10 * time.Second // memory of a function's part of the requested work
+	demandSmoothing  = 10               // runs as if of other functions, while few were requested
+	placementSpread  = 3.0              // times the workers that its part of the work fills
+	rendezvousStep   = 32               // places of a rendezvous order that are made at least, and beyond
+	rendezvousMargin = 2                // one more for so many that are needed
 )
 
-// pickColdWorker picks the worker that loads a function: the first in placement order whose queue delay is
-// not above the median (one without reports looks idle); an ejected one only when no other is left. All front
-// ends rank the workers of a function alike, so that without communication they load it in the same places.
-func (s *Scheduler) pickColdWorker(
-	function *functionRecord, request *requestRecord, minIdle time.Duration,
-) *workerRecord {
-	if minIdle > anyIdle && s.now < s.endpoints.noneIdleUntil {
-		return nil
-	}
-	var best *workerRecord
-	leastDelay, searched := never, 0
-	for worker := range s.coldCandidates(function, request) {
-		if searched++; searched > placementSearch && !request.boundToKeyScope() {
-			break
-		}
-		if s.now-worker.lastContact < minIdle || !s.mayLoad(function, request, worker) {
-			continue
-		}
-		if delay := max(s.delay.median, s.queueDelay(worker)); delay < leastDelay {
-			best, leastDelay = worker, delay
-		}
-		if best != nil && leastDelay == s.delay.median {
-			return best // none has less
-		}
-	}
-	if best == nil && minIdle > anyIdle {
-		s.endpoints.noneIdleUntil = max(s.now+freshnessWindow, s.leastRecentContact()+minIdle)
-	}
-	return best
-}
-
-// coldCandidates are the workers that may load a function, in placement order. A request that is bound to a
-// cell has few, which need not be searched for among all.
-func (s *Scheduler) coldCandidates(function *functionRecord, request *requestRecord) iter.Seq[*workerRecord] {
-	if request.boundToKeyScope() && request.class.KeyScope == ScopeCell {
-		return slices.Values(s.cellMembers(function, request.firstWorker.Cell))
-	}
-	return s.placementOrder(function)
-}
-
-// mayLoad is whether a worker may load a function for a request now.
-func (s *Scheduler) mayLoad(function *functionRecord, request *requestRecord, worker *workerRecord) bool {
-	if !s.acceptsLoads(worker) || function.replicaOn(worker) != nil || !s.mayExecuteOn(request, worker) {
-		return false
-	}
-	if worker.isEjected(function.class) && s.hasHealthy(function.class) && !request.boundToKeyScope() {
-		return false
-	}
-	return s.hasHeadroom(worker, request)
-}
-
 // placementOrder lists the workers in the order in which this front end would load a function: the rendezvous
 // order, begun at this front end's own place among the first targetReplicaCount, its own zone first there.
 func (s *Scheduler) placementOrder(function *functionRecord) iter.Seq[*workerRecord] {
@@ -98,16 +47,29 @@
 	}
 	order := s.rendezvousOrder(function, target)
 	own := int(estimate.Mix(uint64(function.id), uint64(s.settings.FrontEndIndex+1)) % uint64(target))
-	nearest := slices.Concat(order[own:target], order[:own])
-	slices.SortStableFunc(nearest, func(a, b *workerRecord) int { return s.crossZone(a) - s.crossZone(b) })
-	cache.version, cache.workers = s.endpoints.version, nearest
-	return nearest
+	cache.version, cache.workers = s.endpoints.version, s.ownZoneFirst(order[own:target], order[:own])
+	return cache.workers
+}
+
+// ownZoneFirst joins two lists of workers, those of this front end's zone first.
+func (s *Scheduler) ownZoneFirst(first, second []*workerRecord) []*workerRecord {
+	joined := make([]*workerRecord, 0, len(first)+len(second))
+	for crossZone := range 2 {
+		for _, part := range [][]*workerRecord{first, second} {
+			for _, worker := range part {
+				if s.crossZone(worker) == crossZone {
+					joined = append(joined, worker)
+				}
+			}
+		}
+	}
+	return joined
 }
 
 // rendezvousLength is how many places of a rendezvous order are made at once where count are needed of so
 // many workers: most functions need the first few only, and an order that is made anew costs as much again.
 func rendezvousLength(count, workers int) int {
-	length := max(rendezvousStep, 2*count)
+	length := rendezvousStep + count + count/rendezvousMargin
 	if 2*length >= workers {
 		return workers
 	}
--- a/scheduler/rendezvous.go
+++ b/scheduler/rendezvous.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"math"
 	"slices"
 
@@ -29,8 +28,15 @@
 	index int // in endpointTable.list, which decides between equal ranks
 }
 
+// compareRanks orders places by rank, and equal ranks as the list has them.
 func compareRanks(a, b rankedPlace) int {
-	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.index, b.index))
+	switch {
+	case a.rank < b.rank:
+		return -1
+	case a.rank > b.rank:
+		return 1
+	}
+	return a.index - b.index
 }
 
 // rendezvousOrder lists the workers in the order that every front end computes alike for a function: the first count of
@@ -50,43 +56,38 @@
 	return cache.workers
 }
 
-// firstPlaces returns so many workers that come first in the rendezvous order of a function, in that order.
+// firstPlaces returns the workers that come first in the rendezvous order of a function, in that order: count at least,
+// all where there are fewer.
+//
+// Of n workers of capacity 1 in the mean, about n * limit have a rank below a small limit. Only those are ranked and
+// sorted, with a limit that lets enough through most times, and is doubled where it did not.
 func (s *Scheduler) firstPlaces(function *functionRecord, count int) []rankedPlace {
-	places := make(highestRankFirst, 0, count)
+	ranking := s.endpoints.ranking
+	if count >= len(ranking) {
+		return s.placesBelow(function, math.Inf(1))
+	}
+	for limit := float64(count) / float64(len(ranking)); ; limit *= 2 {
+		if places := s.placesBelow(function, limit); len(places) >= count {
+			return places
+		}
+	}
+}
+
+// placesBelow returns the workers whose rank for a function is below a limit, in their order.
+func (s *Scheduler) placesBelow(function *functionRecord, limit float64) (places []rankedPlace) {
 	for i, worker := range s.endpoints.ranking {
 		draw := rendezvousDraw(function.id, worker.id)
-		if len(places) < count {
-			places = append(places, rankedPlace{rendezvousRank(draw, worker.capacity), i})
-			if len(places) == count {
-				heap.Init(&places)
-			}
-			continue
-		}
-		if leastRank(draw, worker.capacity) > places[0].rank {
+		if leastRank(draw, worker.capacity) >= limit {
 			continue
 		}
-		if place := (rankedPlace{rendezvousRank(draw, worker.capacity), i}); compareRanks(place, places[0]) < 0 {
-			places[0] = place
-			heap.Fix(&places, 0)
+		if rank := rendezvousRank(draw, worker.capacity); rank < limit {
+			places = append(places, rankedPlace{rank, i})
 		}
 	}
 	slices.SortFunc(places, compareRanks)
 	return places
 }
 
-// highestRankFirst is a heap of the places found so far, the last of them on top.
-type highestRankFirst []rankedPlace
-
-func (h highestRankFirst) Len() int           { return len(h) }
-func (h highestRankFirst) Less(i, j int) bool { return compareRanks(h[i], h[j]) > 0 }
-func (h highestRankFirst) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *highestRankFirst) Push(x any)        { *h = append(*h, x.(rankedPlace)) }
-func (h *highestRankFirst) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 // rendezvousDraw is a hash of both identifiers in (0, 1).
 func rendezvousDraw(function FunctionID, worker WorkerID) float64 {
 	return estimate.UnitInterval(estimate.Mix(uint64(function), uint64(worker))) + 0.5/(1<<53)
