--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -3,7 +3,6 @@
 import (
 	"iter"
 	"math"
-	"slices"
 	"time"
 
 	"havencart/internal/estimate"
