Each request expires: its final response does not depend on the event loop

Class of the incident: a final response that needs a step of the event loop, whose length nothing bounds. Who comes first is decided once (delivery, an atomic state); the loop is told and ends the attempt. Counted as Expired.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -17,6 +17,10 @@
 	if request.state != requestSubmitted {
 		return
 	}
+	if !request.delivery.take() {
+		request.enter(requestCompleted) // it expired while it waited
+		return
+	}
 	request.deadline = request.StartedAt + request.Timeout - f.settings.DeadlineMargin - f.lag.DeadlineMargin(now)
 	if reason := f.rejectionReason(request); reason != noReason {
 		f.reject(request, reason)
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -164,6 +164,9 @@
 		f.timers.remove(&attempt.timer) // the client's connection bounds how long a response may stall
 		f.scheduler.ResponseStarted(now, attempt.request.id)
 		f.respond(attempt.request, FinalResponse{Kind: Served, Response: result.Response, Worker: attempt.worker.Name})
+		if attempt.request.expired { // nobody reads the stream
+			f.abandonAttempt(attempt, scheduler.Cancelled, attemptUnwanted)
+		}
 	}
 	f.runDeferred()
 }
--- a/internal/gateway/counts.go
+++ b/internal/gateway/counts.go
@@ -22,6 +22,9 @@
 	LateResponses uint64
 	// PastDeadline counts final responses given by the FrontEnd because the scheduler did not decide in time.
 	PastDeadline uint64
+	// Expired requests got their final response from their expiry, as the event loop did not give it in time. Those that the
+	// loop had admitted count as Failed and PastDeadline too.
+	Expired uint64
 	// Violations are rules that were about to be broken, or were.
 	Violations ViolationCounts
 	// ShadowDifferences are decisions in which the shadow settings diverge.
@@ -68,6 +71,7 @@
 	c.AttemptsUnanswered += other.AttemptsUnanswered
 	c.LateResponses += other.LateResponses
 	c.PastDeadline += other.PastDeadline
+	c.Expired += other.Expired
 	for violation, count := range other.Violations {
 		c.Violations[violation] += count
 	}
--- a/internal/gateway/deadlines.go
+++ b/internal/gateway/deadlines.go
@@ -126,4 +126,5 @@
 	if attempt != nil {
 		f.endAttempt(attempt, abandonedResult(status, reason))
 	}
+	f.forget(request)
 }
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -90,8 +90,8 @@
 // Now returns the loop's clock: the monotonic time since Settings.ClockStart.
 func (l *EventLoop) Now() time.Duration { return time.Since(l.cfg.ClockStart) }
 
-// Submit hands a request over; its final response is delivered as its constructor says. A loop that is overloaded,
-// whose queue is full, or that has ended, rejects at once, at no cost to the loop's own goroutine.
+// Submit hands a request over; its final response is delivered as its constructor says, at the latest when it expires. A
+// loop that is overloaded, whose queue is full, or that has ended, rejects at once, at no cost to the loop's own goroutine.
 func (l *EventLoop) Submit(request *Request) {
 	request.queuedAt = l.Now()
 	reason := l.enqueue(request)
@@ -112,6 +112,7 @@
 		return LoopStopped
 	default:
 	}
+	l.expireAfter(request)
 	select {
 	case l.requests <- request:
 		return noReason
@@ -166,6 +167,7 @@
 func (l *EventLoop) counts() Counts {
 	counts := l.frontEnd.Counts()
 	counts.Shed += l.gate.rejected.Load()
+	counts.Expired += l.gate.expired.Load()
 	return counts
 }
 
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -136,6 +136,7 @@
 			submit(request)
 			if loop.gate.rejected.Load() > before { // rejected by the gate: nothing else has it, and it is used again
 				request.state = requestSubmitted
+				request.delivery.state.Store(deliveryQueued)
 				request.StartedAt = loop.Now()
 				continue
 			}
--- a/internal/gateway/queue_gate.go
+++ b/internal/gateway/queue_gate.go
@@ -15,6 +15,8 @@
 	_        cpu.CacheLinePad
 	rejected atomic.Uint64 // requests that were rejected without the FrontEnd
 	_        cpu.CacheLinePad
+	expired  atomic.Uint64 // requests that expired
+	_        cpu.CacheLinePad
 	worstLag atomic.Int64 // nanoseconds; the worst since the loop took it last
 	_        cpu.CacheLinePad
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -24,6 +24,9 @@
 	queuedAt    time.Duration // when it entered the event loop's queue; 0: it waited in none
 	response    chan FinalResponse
 	deliver     func(FinalResponse)
+	delivery    delivery
+	expiry      *time.Timer // see EventLoop.expireAfter; nil: it does not expire
+	expired     bool        // the expiry gave its final response
 	state       requestState
 	id          scheduler.RequestID
 	deadline    time.Duration    // when the final response is due
@@ -60,10 +63,18 @@
 	r.state = next
 	if next.isFinal() {
 		r.record.Close()
+		r.stopExpiry()
 	}
 	return true
 }
 
+// stopExpiry ends the expiry of a request that needs none any longer. One that has begun ends by itself.
+func (r *Request) stopExpiry() {
+	if r.expiry != nil {
+		r.expiry.Stop()
+	}
+}
+
 // NewRequest returns a request whose final response is received from Response.
 func NewRequest() *Request {
 	r := &Request{response: make(chan FinalResponse, 1)}
@@ -71,18 +82,23 @@
 	return r
 }
 
-// NewRequestWithCallback returns a request whose final response is given to deliver. The goroutine that owns the request calls
-// deliver, once and within the handling of an event: it must neither block nor call the FrontEnd.
+// NewRequestWithCallback returns a request whose final response is given to deliver, once: within the handling of an event,
+// or by the goroutine of its expiry. It must neither block nor call the FrontEnd.
 func NewRequestWithCallback(deliver func(FinalResponse)) *Request { return &Request{deliver: deliver} }
 
 // Response returns the channel that receives the final response, once; nil after NewRequestWithCallback.
 func (r *Request) Response() <-chan FinalResponse { return r.response }
 
-// complete gives the final response and reports whether it was still owed. All final responses go through here.
+// complete gives the final response, unless the request has expired, and reports whether it was still owed by the owner of
+// the request. All final responses but those of the expiry go through here.
 func (r *Request) complete(response FinalResponse) bool {
 	if !r.enter(requestCompleted) {
 		return false
 	}
+	if !r.delivery.finish() {
+		r.expired = true
+		return true
+	}
 	response.Attempts = r.attempts
 	r.deliver(response)
 	return true
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -53,8 +53,12 @@
 	if !request.complete(response) {
 		return
 	}
-	f.recordTenantUse(request, response.Kind)
-	switch response.Kind {
+	kind := response.Kind
+	if request.expired {
+		kind = Failed // as its client was told
+	}
+	f.recordTenantUse(request, kind)
+	switch kind {
 	case Served:
 		f.counts.Served++
 	case Rejected:
--- a/scheduler/residency.go
+++ b/scheduler/residency.go
@@ -8,9 +8,9 @@
 )
 
 // prewarm orders a function loaded at this front end's own place, while its requests go on to loaded
-// replicas.
+// replicas. A front end that lags does not: its requests need what processor time it has.
 func (s *Scheduler) prewarm(function *functionRecord) {
-	if !s.settings.LoadOrdersAllowed {
+	if !s.settings.LoadOrdersAllowed || s.stall.isLagging(s.now) {
 		return
 	}
 	for _, worker := range s.nearestPlaces(function) {
@@ -30,8 +30,12 @@
 // queryResidency finds replicas that others loaded before a load is started: it acts when no replica is
 // believed warm, or the queue delays at the warm ones call for a load, and costs milliseconds where a load
 // costs hundreds. It queries the first workers in placement order and reports whether to wait for their
-// answers.
+// answers. A front end that lags asks nobody: each query may cost it a connection, and the place where it
+// loads then is the first that others load in too.
 func (s *Scheduler) queryResidency(function *functionRecord) bool {
+	if s.stall.isLagging(s.now) {
+		return s.awaitsResidency(function)
+	}
 	if !s.settings.LoadOrdersAllowed || s.now-function.queriedAt < freshnessWindow {
 		return s.awaitsResidency(function)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -75,6 +75,11 @@
 	return now-d.resumedAt > stallTicks*tickInterval
 }
 
+// isLagging is whether a stall was seen lately: this front end has less processor time than it wants.
+func (d *stallDetector) isLagging(now time.Duration) bool {
+	return d.resumedAt > 0 && !d.isOver(now)
+}
+
 // dropBefore returns the times, which ascend, that are not before from.
 func dropBefore(times []time.Duration, from time.Duration) []time.Duration {
 	i := 0
