Endpoint stream: a whole list is compared with the one before

A whole list within the stream (after an outage, or where the platform sends one) cost a pass over all workers in the loop; now only what differs is reported, as for a change. Test: what a whole list does not change is not reported.

--- a/cmd/havencart/incident_many_workers_test.go
+++ b/cmd/havencart/incident_many_workers_test.go
@@ -396,8 +396,9 @@
 	if code := frontEnd.waitForExit(); code != 0 {
 		t.Errorf("the front end ended with code %d", code)
 	}
-	t.Logf("%d served, %d rejected, %d failed, %d lost; %v of processor time", log.served, log.rejected, log.failed, len(log.lost),
-		frontEnd.ProcessState.UserTime()+frontEnd.ProcessState.SystemTime())
+	usage := frontEnd.ProcessState.SysUsage().(*syscall.Rusage)
+	t.Logf("%d served, %d rejected, %d failed, %d lost; %v of processor time, %d KB of memory", log.served, log.rejected, log.failed,
+		len(log.lost), frontEnd.ProcessState.UserTime()+frontEnd.ProcessState.SystemTime(), usage.Maxrss)
 	for _, line := range lines[max(0, len(lines)-8):] {
 		t.Log(line)
 	}
--- a/internal/discovery/endpointstream.go
+++ b/internal/discovery/endpointstream.go
@@ -171,12 +171,7 @@
 			return received, fmt.Errorf("read the endpoint stream: %w", err)
 		}
 		received = true
-		switch {
-		case !s.isNew(event):
-		case event.Kind == endpointstream.Snapshot:
-			s.apply(event)
-			sink.EndpointsChanged(s.list())
-		default:
+		if s.isNew(event) {
 			sink.EndpointsUpdated(s.apply(event))
 		}
 	}
@@ -188,28 +183,46 @@
 	return event.Kind != endpointstream.NoChange && event.Number > s.lastEvent
 }
 
-// apply takes a new event over into the list, and returns the workers that it changed.
+// apply takes a new event over into the list, and returns the workers that it changed. A whole list is compared with the
+// one before: what is as it was costs its reader nothing.
 func (s *EndpointStream) apply(event endpointstream.Event) (changed []Worker) {
 	s.lastEvent = event.Number
+	entries := event.Entries
 	if event.Kind == endpointstream.Snapshot {
-		clear(s.workers)
+		entries = append(s.missingFrom(entries), entries...)
 	}
-	changed = make([]Worker, 0, len(event.Entries))
-	for _, entry := range event.Entries {
-		if entry.State != endpointstream.Removed {
+	for _, entry := range entries {
+		known, wasKnown := s.workers[entry.ID]
+		switch {
+		case entry.State != endpointstream.Removed:
+			if wasKnown && known == entry {
+				continue
+			}
 			s.workers[entry.ID] = entry
 			changed = append(changed, s.worker(entry))
-			continue
-		}
-		if removed, known := s.workers[entry.ID]; known {
+		case wasKnown:
 			delete(s.workers, entry.ID)
-			removed.State = endpointstream.Removed
-			changed = append(changed, s.worker(removed))
+			known.State = endpointstream.Removed
+			changed = append(changed, s.worker(known))
 		}
 	}
 	return changed
 }
 
+// missingFrom returns the workers of the list that a whole list lacks, as removed.
+func (s *EndpointStream) missingFrom(entries []endpointstream.Entry) (missing []endpointstream.Entry) {
+	listed := make(map[uint32]bool, len(entries))
+	for _, entry := range entries {
+		listed[entry.ID] = true
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		if !listed[id] {
+			missing = append(missing, endpointstream.Entry{ID: id, State: endpointstream.Removed})
+		}
+	}
+	return missing
+}
+
 var schedulerStates = map[endpointstream.State]scheduler.WorkerState{
 	endpointstream.Ready:    scheduler.Ready,
 	endpointstream.Draining: scheduler.Draining,
--- a/internal/discovery/endpointstream_test.go
+++ b/internal/discovery/endpointstream_test.go
@@ -156,3 +156,47 @@
 	other.Publish(event(5, endpointstream.Delta, entry(3, 9003, endpointstream.Ready)))
 	expectList(t, received, "1 2 3 ")
 }
+
+// updateSink is a Sink that passes on updates as they come.
+type updateSink struct{ lists, updates chan []Worker }
+
+func (u updateSink) EndpointsChanged(list []Worker)    { u.lists <- list }
+func (u updateSink) EndpointsUpdated(changed []Worker) { u.updates <- changed }
+func (updateSink) WatchFailed(error)                   {}
+
+// What a whole list does not change is not reported, and neither are the other workers of an event.
+func TestEndpointStream_WholeList_ReportsChangesOnly(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	server := startServer(t)
+	stream, err := NewEndpointStream(server.Address(), []byte(initialEvents), []string{"room"}, []string{"std"}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	sink, done := updateSink{make(chan []Worker, 4), make(chan []Worker, 4)}, make(chan struct{})
+	go func() { defer close(done); stream.Run(ctx, sink) }()
+	t.Cleanup(func() { cancel(); <-done })
+	if list := summary(<-sink.lists); list != "1 " {
+		t.Errorf("initial list %q", list)
+	}
+	<-server.Resumed()
+	expectUpdate := func(number uint64, kind endpointstream.EventKind, want string, entries ...endpointstream.Entry) {
+		t.Helper()
+		server.Publish(event(number, kind, entries...))
+		update := <-sink.updates
+		removed := ""
+		for _, worker := range update {
+			if worker.State == scheduler.Removed {
+				removed += worker.Name[9:] + "gone "
+			}
+		}
+		if got := summary(update) + removed; got != want {
+			t.Errorf("event %d reported %q, want %q", number, got, want)
+		}
+	}
+	expectUpdate(4, endpointstream.Delta, "2 3 ", entry(2, 9002, endpointstream.Ready), entry(3, 9003, endpointstream.Ready))
+	expectUpdate(5, endpointstream.Snapshot, "1 3 4 1gone ",
+		entry(2, 9002, endpointstream.Ready), entry(3, 9033, endpointstream.Ready), entry(4, 9004, endpointstream.Ready))
+	expectUpdate(6, endpointstream.Snapshot, "", entry(2, 9002, endpointstream.Ready), entry(3, 9033, endpointstream.Ready), entry(4, 9004, endpointstream.Ready))
+	expectUpdate(7, endpointstream.Delta, "", entry(9, 9009, endpointstream.Removed))
+}
