Soak: kill at the earliest time after SIGTERM, signals in series, crowds, releases, many workers

A request that was left without a response as its front end ended, and reached no worker, is told by its time alone.

--- a/cmd/havencart/soak.go
+++ b/cmd/havencart/soak.go
@@ -22,8 +22,10 @@
 	frontEnds int
 	workers   int
 	length    time.Duration
-	logs      string
-	verbose   bool
+	// largeEvery is the share of the runs with many workers: those whose seed it divides.
+	largeEvery uint64
+	logs       string
+	verbose    bool
 }
 
 // soakCommand runs front ends as processes under random faults and judges what clients and workers saw.
@@ -41,6 +43,7 @@
 	flags.IntVar(&options.parallel, "parallel", 1, "how many runs at a time")
 	flags.IntVar(&options.frontEnds, "front-ends", 24, "processes of a run")
 	flags.IntVar(&options.workers, "workers", 10, "emulated workers of a run")
+	flags.Uint64Var(&options.largeEvery, "large-every", 5, "one seed in so many has few processes and many workers; 0: none")
 	flags.DurationVar(&options.length, "length", 12*time.Second, "length of a run")
 	flags.StringVar(&options.logs, "logs", "", "directory that keeps the front ends' logs")
 	flags.BoolVar(&options.verbose, "verbose", false, "tell each fault as it begins")
@@ -50,6 +53,13 @@
 // soakCells is the number of cells of a run's workers.
 const soakCells = 3
 
+// A run with many workers: as many as the descriptors of one emulating process allow.
+const (
+	largeSoakFrontEnds = 6
+	largeSoakWorkers   = 600
+	largeSoakCellSize  = 4
+)
+
 func runSoak(ctx context.Context, out output, options *soakOptions) error {
 	executable, err := os.Executable()
 	if err != nil {
@@ -95,11 +105,15 @@
 
 // config is the configuration of the run of a seed.
 func (o *soakOptions) config(seed uint64, executable string, out output) soak.Config {
+	frontEnds, workers, cells := o.frontEnds, o.workers, soakCells
+	if o.largeEvery > 0 && seed%o.largeEvery == 0 {
+		frontEnds, workers, cells = largeSoakFrontEnds, largeSoakWorkers, largeSoakWorkers/largeSoakCellSize
+	}
 	config := soak.Config{
 		Seed:      seed,
-		FrontEnds: o.frontEnds,
-		Workers:   o.workers,
-		Cells:     soakCells,
+		FrontEnds: frontEnds,
+		Workers:   workers,
+		Cells:     cells,
 		Length:    o.length,
 		Command:   func() *exec.Cmd { return exec.Command(executable, "serve-platform") },
 		LogDir:    o.logs,
--- a/lab/soak/frontend.go
+++ b/lab/soak/frontend.go
@@ -30,7 +30,9 @@
 	process  *exec.Cmd
 	exited   chan struct{} // closed when the process has ended
 	stopping bool          // it was told to end
-	accepts  bool          // clients may send requests
+	accepts  bool          // clients may connect
+	usable   bool          // clients may send requests on open connections
+	crowded  bool          // clients send many times as much
 }
 
 // start starts the process with the endpoints that are known now, and waits until it is ready.
@@ -64,7 +66,7 @@
 	case <-time.After(readyWithin):
 		return fmt.Errorf("soak: front end %d is not ready", f.index)
 	}
-	f.setAccepts(true)
+	f.acceptRequests()
 	return nil
 }
 
@@ -120,7 +122,7 @@
 	f.mu.Lock()
 	stopping := f.stopping
 	f.mu.Unlock()
-	f.setAccepts(false)
+	f.refuseRequests()
 	switch {
 	case !stopping:
 		f.run.history.Fault(fmt.Sprintf("front end %d ended by itself: %v", f.index, err))
@@ -129,19 +131,54 @@
 	}
 }
 
-func (f *frontEnd) setAccepts(accepts bool) {
+// acceptRequests lets clients connect and send requests.
+func (f *frontEnd) acceptRequests() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.accepts = accepts
+	f.accepts, f.usable = true, true
 }
 
-// isAccepting is whether clients may send requests.
+// refuseConnects lets clients make no new connections.
+func (f *frontEnd) refuseConnects() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.accepts = false
+}
+
+// refuseRequests lets clients send nothing new.
+func (f *frontEnd) refuseRequests() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.accepts, f.usable = false, false
+}
+
+// isAccepting is whether clients may connect.
 func (f *frontEnd) isAccepting() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.accepts
 }
 
+// isUsable is whether clients may send requests on open connections.
+func (f *frontEnd) isUsable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.usable
+}
+
+// setCrowded has clients send many times as much, or as usual again.
+func (f *frontEnd) setCrowded(crowded bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crowded = crowded
+}
+
+func (f *frontEnd) isCrowded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crowded
+}
+
 // signal sends a signal to the process, if it runs.
 func (f *frontEnd) signal(signal syscall.Signal) {
 	f.mu.Lock()
@@ -152,13 +189,15 @@
 // kill ends the process at once, and returns once it has ended.
 func (f *frontEnd) kill() {
 	f.expectEnd()
+	f.refuseRequests()
 	f.signal(syscall.SIGKILL)
 	<-f.exitedChannel()
 }
 
-// terminate asks the process to end, and waits until it has.
+// terminate asks the process to end at the end of the run, when clients send nothing new, and waits until it has.
 func (f *frontEnd) terminate() {
 	f.expectEnd()
+	f.refuseRequests()
 	f.signal(syscall.SIGTERM)
 	select {
 	case <-f.exitedChannel():
@@ -169,11 +208,11 @@
 	}
 }
 
-// expectEnd notes that the process is about to be ended: clients send nothing new.
+// expectEnd notes that the process is about to be ended.
 func (f *frontEnd) expectEnd() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.stopping, f.accepts = true, false
+	f.stopping = true
 }
 
 func (f *frontEnd) exitedChannel() <-chan struct{} {
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -79,6 +79,7 @@
 	orders   []LoadOrder
 	notices  map[string]*Notice
 	pauses   []*Pause
+	ends     []Termination
 	faults   []string // violations that are seen at once, as a process that crashed
 }
 
@@ -184,6 +185,19 @@
 	}
 }
 
+// Termination is that a front end was told to end.
+type Termination struct {
+	FrontEnd int
+	At       time.Duration
+}
+
+// Terminated notes that a front end is told to end now.
+func (h *History) Terminated(frontEnd int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ends = append(h.ends, Termination{FrontEnd: frontEnd, At: h.Now()})
+}
+
 // never is after the end of every run.
 const never = 24 * time.Hour
 
