Cold worker for a keyed retry: small cells are listed, large ones searched in placement order

Cells of up to 256 workers are listed, ranks made once each. Test with 1,024 workers in 150 and in 2 cells.

--- a/scheduler/aggregates_test.go
+++ b/scheduler/aggregates_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -93,11 +92,7 @@
 // verifyRendezvousOrder compares the first places of a function with those of a sort of all workers.
 func verifyRendezvousOrder(t *testing.T, s *Scheduler, function *functionRecord) {
 	t.Helper()
-	all := slices.Clone(s.endpoints.list)
-	rank := func(worker *workerRecord) float64 {
-		return rendezvousRank(rendezvousDraw(function.id, worker.ID), s.relativeCapacity(worker))
-	}
-	slices.SortStableFunc(all, func(a, b *workerRecord) int { return cmp.Compare(rank(a), rank(b)) })
+	all := s.inRendezvousOrder(function, s.endpoints.list)
 	count := min(3, len(all))
 	if order := s.rendezvousOrder(function, count); !slices.Equal(order, all[:len(order)]) {
 		t.Errorf("the first %d places of function %d differ from those of a sort", len(order), function.id)
--- a/scheduler/cold_worker.go
+++ b/scheduler/cold_worker.go
@@ -41,10 +41,13 @@
 }
 
 // coldCandidates are the workers that may load a function, in placement order. A request that is bound to a
-// cell has few, which need not be searched for among all.
+// small cell has few, which need not be searched for among all.
 func (s *Scheduler) coldCandidates(function *functionRecord, request *requestRecord) iter.Seq[*workerRecord] {
 	if request.boundToKeyScope() && request.class.KeyScope == ScopeCell {
-		return slices.Values(s.cellMembers(function, request.firstWorker.Cell))
+		members := s.cellMembers(request.firstWorker.Cell)
+		if len(members) <= placementSearch {
+			return slices.Values(s.inRendezvousOrder(function, members))
+		}
 	}
 	return s.placementOrder(function)
 }
--- a/scheduler/rendezvous.go
+++ b/scheduler/rendezvous.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
@@ -116,8 +115,8 @@
 	}
 }
 
-// cellMembers lists the workers of a cell in the rendezvous order of a function.
-func (s *Scheduler) cellMembers(function *functionRecord, cell int) []*workerRecord {
+// cellMembers lists the workers of a cell, by identifier.
+func (s *Scheduler) cellMembers(cell int) []*workerRecord {
 	table := &s.endpoints
 	if table.cellsVersion != table.version {
 		table.cellsVersion = table.version
@@ -126,10 +125,19 @@
 			table.cells[worker.Cell] = append(table.cells[worker.Cell], worker)
 		}
 	}
-	members := slices.Clone(table.cells[cell])
-	rank := func(worker *workerRecord) float64 {
-		return rendezvousRank(rendezvousDraw(function.id, worker.ID), s.relativeCapacity(worker))
+	return table.cells[cell]
+}
+
+// inRendezvousOrder returns some workers in the rendezvous order of a function.
+func (s *Scheduler) inRendezvousOrder(function *functionRecord, workers []*workerRecord) []*workerRecord {
+	places := make([]rankedPlace, len(workers))
+	for i, worker := range workers {
+		places[i] = rankedPlace{rendezvousRank(rendezvousDraw(function.id, worker.ID), s.relativeCapacity(worker)), i}
+	}
+	slices.SortFunc(places, compareRanks)
+	ordered := make([]*workerRecord, len(places))
+	for i, place := range places {
+		ordered[i] = workers[place.index]
 	}
-	slices.SortStableFunc(members, func(a, b *workerRecord) int { return cmp.Compare(rank(a), rank(b)) })
-	return members
+	return ordered
 }
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -105,3 +105,30 @@
 		}
 	}
 }
+
+// A keyed request that may have run is loaded elsewhere in its cell only, however many workers or members of the cell there
+// are: more than are looked at for another request.
+func TestRetry_KeyedInLargeFleet_LoadsWithinCell(t *testing.T) {
+	for name, cells := range map[string]int{"small cells": 150, "large cells": 2} {
+		t.Run(name, func(t *testing.T) {
+			const workers = 4 * placementSearch
+			script := newHarness(t, testSettings(), 0)
+			var list []WorkerInfo
+			for i := range workers {
+				list = append(list, WorkerInfo{ID: WorkerID(i + 1), Cell: i % cells, Started: UnknownStart, State: Ready})
+			}
+			script.scheduler.WorkersChanged(script.now, list, true)
+			r := script.request(7, 1)
+			script.answerQueries()
+			first := script.workerOf(r)
+			script.advance(20 * ms)
+			script.changeWorker(WorkerInfo{ID: first, Cell: (int(first) - 1) % cells, Started: UnknownStart, State: Draining})
+			script.endAttempt(r, Reset, ColdStartUnknown)
+			script.answerQueries()
+			second := script.workerOf(r)
+			if len(script.sentTo[r]) != 2 || first == second || (int(first)-1)%cells != (int(second)-1)%cells {
+				t.Errorf("sent to workers %v, want a second one of the cell of the first", script.sentTo[r])
+			}
+		})
+	}
+}
