--- /dev/null
+++ b/cmd/havencart/large_fleet_test.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"havencart/internal/platform/endpointstream"
+	"havencart/internal/platform/workerframe"
+	"havencart/lab/platformdiscovery"
+	"havencart/lab/platformworker"
+)
+
+// emulatedWorker is a worker that loads what it lacks.
+type emulatedWorker struct {
+	*platformworker.Server
+	id uint32 // of the process that stands at its address now; release's goroutine only
+
+	mu     sync.Mutex
+	loaded map[string]time.Time // from when on, by function
+}
+
+func (w *emulatedWorker) handle(c *platformworker.Conn, f workerframe.Frame) {
+	switch f.Code {
+	case workerframe.Request:
+		name, _ := workerframe.Field(f.Fields, "name")
+		time.AfterFunc(w.load(name)+emulatedRunTime, func() {
+			c.Respond(workerframe.Frame{Code: workerframe.OK, ID: f.ID, Body: f.Body})
+		})
+	case workerframe.Load:
+		name, _ := workerframe.Field(f.Fields, "name")
+		replicas, _ := workerframe.Count(f.Fields, "replicas", 0)
+		w.handleLoad(c, f, name, replicas)
+	}
+}
+
+// handleLoad answers an order to load, or a residency query, which asks for no replica.
+func (w *emulatedWorker) handleLoad(c *platformworker.Conn, f workerframe.Frame, name string, replicas int) {
+	wait := time.Duration(0)
+	if replicas > 0 {
+		wait = w.load(name)
+	} else if w.holds(name) {
+		replicas = 1
+	}
+	time.AfterFunc(wait, func() {
+		c.Respond(workerframe.Frame{Code: workerframe.OK, ID: f.ID, Fields: "replicas=" + strconv.Itoa(replicas)})
+	})
+}
+
+// load loads a function unless it is loaded, and returns how long that takes from now on.
+func (w *emulatedWorker) load(name string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, known := w.loaded[name]
+	if !known {
+		at = time.Now().Add(emulatedLoadTime)
+		w.loaded[name] = at
+	}
+	return max(0, time.Until(at))
+}
+
+func (w *emulatedWorker) holds(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, known := w.loaded[name]
+	return known && time.Now().After(at)
+}
+
+func (w *emulatedWorker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.loaded)
+}
+
+func (w *emulatedWorker) entry(state endpointstream.State) endpointstream.Entry {
+	return endpointstream.Entry{ID: w.id, Address: netip.MustParseAddrPort(w.Address()), State: state, Weight: 1, Cell: int(w.id) % 4}
+}
+
+// largeFleet is an installation with many workers.
+type largeFleet struct {
+	*testing.T
+	rng       *rand.Rand
+	discovery *platformdiscovery.Server
+	workers   []*emulatedWorker
+	lastID    uint32
+	number    uint64 // of the last event of the list
+	draining  []*emulatedWorker
+}
+
+func startLargeFleet(t *testing.T, workers int) *largeFleet {
+	t.Helper()
+	fleet := &largeFleet{T: t, rng: rand.New(rand.NewPCG(1, 2))}
+	var err error
+	if fleet.discovery, err = platformdiscovery.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.discovery.Close)
+	for range workers {
+		worker := &emulatedWorker{id: fleet.nextID(), loaded: map[string]time.Time{}}
+		if worker.Server, err = platformworker.Start(worker.handle); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(worker.Close)
+		fleet.workers = append(fleet.workers, worker)
+	}
+	return fleet
+}
+
+func (l *largeFleet) nextID() uint32 {
+	l.lastID++
+	return l.lastID * 2654435761 // spread, as the platform's identifiers are
+}
+
+// config is the configuration of the front end, with all workers.
+func (l *largeFleet) config() string {
+	l.Helper()
+	var hosts []map[string]any
+	for _, worker := range l.workers {
+		hosts = append(hosts, map[string]any{
+			"host": worker.entry(endpointstream.Ready).Name(), "dial": worker.Address(), "site": "room", "class": "std",
+			"block": int(worker.id) % 4, "health": "up", "share": 1.0, "born_ms": 0,
+		})
+	}
+	l.number = 1
+	list := map[string]any{"no": 1, "roster": map[string]any{"seq": 1, "whole": true, "hosts": hosts}}
+	config, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bulletin": l.discovery.Address(),
+		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 576},
+		"known":  map[string]any{"no": 1, "items": []any{list}},
+		"settings": map[string]any{
+			"balancers": 100, "ordinal": 7, "azs": []string{"room"}, "skus": []string{"std"}, "resolution": 2.0, "weights": "rough",
+			"limits": map[string]any{
+				"streamsPerConn": 32, "connectTimeout": 250.0, "connIdle": 30000.0, "maxAttempts": 5, "mayCancel": true,
+				"retryAfter": true, "maxRetryAfter": 500.0,
+			},
+			"rules":      map[string]any{"stopSendingWithin": 500.0, "cold": 4000.0, "coldFrom": 0.3, "fall": 1000.0, "tipMultiple": 2.0},
+			"familyInfo": map[string]any{"keep": 8000.0, "mayLoad": true, "loadWait": 2000.0, "whenAbsent": "load"},
+			"classes": []map[string]any{
+				{"name": "quote", "deadline": 1230.0, "onTime": 400.0, "repeat": "retryable", "worth": 2.0},
+				{"name": "status", "deadline": 1230.0, "onTime": 600.0, "repeat": "dedup", "worth": 1.0, "keyScope": "cell", "memorySpan": 2000.0},
+				{"name": "charge", "deadline": 820.0, "onTime": 300.0, "repeat": "fragile", "worth": 3.0},
+			},
+		},
+	})
+	if err != nil {
+		l.Fatal(err)
+	}
+	return string(config)
+}
+
+// release replaces workers step by step: some drain, those of the step before are removed, and a new process takes the
+// place of each at its address.
+func (l *largeFleet) release(ctx context.Context) {
+	for range releaseSteps {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(releaseInterval):
+		}
+		var entries []endpointstream.Entry
+		for _, worker := range l.draining {
+			entries = append(entries, worker.entry(endpointstream.Removed))
+			worker.id = l.nextID()
+			worker.restart()
+			started := worker.entry(endpointstream.Ready)
+			started.StartedUnixMilli = time.Now().UnixMilli()
+			entries = append(entries, started)
+		}
+		l.draining = nil
+		for range int(releaseShare * float64(len(l.workers))) {
+			worker := l.workers[l.rng.IntN(len(l.workers))]
+			l.draining = append(l.draining, worker)
+			entries = append(entries, worker.entry(endpointstream.Draining))
+		}
+		l.number++
+		l.discovery.Publish(endpointstream.Event{Number: l.number, Kind: endpointstream.Delta, Entries: entries})
+	}
+}
