A connection is not closed on a request that was received and not read yet

Now a close asks for unread data first, and at the end of a shutdown requests are read and rejected for 50 ms more.

--- a/internal/platform/rpcserver/close_test.go
+++ b/internal/platform/rpcserver/close_test.go
@@ -4,12 +4,14 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
+	"havencart/internal/clientconn"
 	"havencart/internal/decide/connadmission"
 	"havencart/internal/platform/rpcframe"
 )
@@ -83,3 +85,37 @@
 		t.Error("an idle one stays open during a shutdown")
 	}
 }
+
+// TestCloseIf_RequestNotReadYet_StaysOpen holds that a request that the system has received is not lost by a close, however
+// late the process reads it.
+func TestCloseIf_RequestNotReadYet_StaysOpen(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	connection := newConn(New(Config{}, stubHandler{}, zerolog.Nop()), accepted) // nothing reads it
+	write(t, client, requestMessage(t, 1, "quote", validFields(1)))
+	for !clientconn.HasUnread(accepted) && t.Context().Err() == nil {
+		runtime.Gosched()
+	}
+	always := func(connadmission.Connection) bool { return true }
+	if connection.closeIf(always) {
+		t.Error("closed with a request unread")
+	}
+	if _, err := io.ReadAtLeast(accepted, make([]byte, 4096), 1); err != nil {
+		t.Fatal(err)
+	}
+	if !connection.closeIf(always) {
+		t.Error("stays open once all is read")
+	}
+}
--- a/internal/platform/rpcserver/conn.go
+++ b/internal/platform/rpcserver/conn.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"havencart/internal/clientconn"
 	"havencart/internal/decide/connadmission"
 	"havencart/internal/platform/rpcframe"
 )
@@ -92,7 +93,8 @@
 // message may have begun to arrive since the caller looked at it. It reports whether it closed the connection.
 //
 // A message that was received whole counts as in flight until it is handled or rejected. Otherwise a request could be
-// read from a connection that is closed meanwhile: its client would send it again under the same id, which is in use.
+// read from a connection that is closed meanwhile: its client would send it again under the same id, which is in use. And
+// one that the system has received, and that was not read yet, keeps the connection open: its close would lose it.
 func (c *conn) closeIf(permits func(connadmission.Connection) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -100,13 +102,19 @@
 		return false
 	}
 	state := c.snapshotLocked(time.Now())
-	if state.InFlight > 0 || !permits(state) {
+	if state.InFlight > 0 || !permits(state) || clientconn.HasUnread(c.net) {
 		return false
 	}
 	c.closeLocked()
 	return true
 }
 
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lifecycle == lifecycleClosed
+}
+
 // drain closes the connection once what is queued is written.
 func (c *conn) drain() {
 	c.mu.Lock()
--- a/internal/platform/rpcserver/server.go
+++ b/internal/platform/rpcserver/server.go
@@ -23,6 +23,13 @@
 // sweepInterval is the time between searches for connections to close.
 const sweepInterval = 250 * time.Millisecond
 
+// At the end of a shutdown connections on which something is under way are closed no later than lastReadTime after the
+// others.
+const (
+	lastReadTime     = 50 * time.Millisecond
+	lastReadInterval = 5 * time.Millisecond
+)
+
 // Config bounds what clients may do.
 type Config struct {
 	Rules          Rules
@@ -135,6 +142,31 @@
 	return conns, states
 }
 
+// closeQuietConnections closes the connections on which nothing is under way, for lastReadTime or until all are closed.
+func (s *Server) closeQuietConnections() {
+	end := time.NewTimer(lastReadTime)
+	defer end.Stop()
+	again := time.NewTicker(lastReadInterval)
+	defer again.Stop()
+	for s.closeQuiet() > 0 {
+		select {
+		case <-again.C:
+		case <-end.C:
+			return
+		}
+	}
+}
+
+// closeQuiet is one try of closeQuietConnections. It returns how many connections stay open.
+func (s *Server) closeQuiet() (open int) {
+	for _, c := range s.conns.All() {
+		if !c.closeIf(func(connadmission.Connection) bool { return true }) && !c.isClosed() {
+			open++
+		}
+	}
+	return open
+}
+
 func (s *Server) sweepUntilDone(ctx context.Context) {
 	periodic.Run(ctx, sweepInterval, s.sweep)
 }
@@ -180,8 +212,10 @@
 }
 
 // Shutdown closes each connection behind the responses that are queued on it, and returns when all goroutines of the
-// server have ended. Serve must have returned and its context ended before.
+// server have ended. Serve must have returned and its context ended before. Clients may go on sending meanwhile: for
+// lastReadTime requests are still read, and a connection is closed when none is on its way.
 func (s *Server) Shutdown() {
+	s.closeQuietConnections()
 	for _, c := range s.conns.All() {
 		c.drain()
 	}
