--- a/cmd/havencart/soak.go
+++ b/cmd/havencart/soak.go
@@ -133,6 +133,9 @@
 	out.printf("seed %d: %d requests, %d served, %d rejected, %d failed, %d given up; %d attempts, %d of them repeats; %d faults; %d violations\n",
 		seed, report.Requests, report.Served, report.Rejected, report.Failed, report.Cancelled, report.Arrivals, report.Repeats,
 		faults, len(report.Violations))
+	if len(report.Violations) > 0 {
+		out.printf("seed %d: the soak itself was late by %v at most; by more than the rules' slack: %v\n", seed, report.WorstLateness, report.LateTimes)
+	}
 	for _, violation := range report.Violations {
 		out.printf("seed %d: %s\n", seed, violation)
 	}
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -30,6 +30,8 @@
 	Arrivals, Repeats                             int
 	Faults                                        map[string]int
 	Violations                                    []Violation
+	WorstLateness                                 time.Duration // of the soak itself
+	LateTimes                                     []string      // when it was later than the slack of the rules
 }
 
 // run is a run under way.
@@ -42,6 +44,7 @@
 	frontEnds      []*frontEnd
 	tasks          sync.WaitGroup
 	requests       atomic.Uint64
+	lateness       lateness // of play's goroutine that measures it, until the tasks have ended
 	stopOnce       sync.Once
 
 	mu      sync.Mutex
@@ -132,6 +135,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.config.Length)
 	defer cancel()
 	r.tasks.Go(func() { r.endpoints.runHeartbeats(ctx) })
+	r.tasks.Go(func() { r.lateness.measure(ctx, r.history) })
 	var clients, faults sync.WaitGroup
 	for i, f := range r.frontEnds {
 		for n := range clientsPerFrontEnd {
@@ -259,7 +263,12 @@
 // report judges the run.
 func (r *run) report() Report {
 	r.stopFrontEnds()
-	report := Report{Faults: r.played, Violations: Judge(r.history)}
+	report := Report{
+		Faults:        r.played,
+		Violations:    Judge(r.history),
+		WorstLateness: r.lateness.worst,
+		LateTimes:     r.lateness.times,
+	}
 	h := r.history
 	h.mu.Lock()
 	defer h.mu.Unlock()
