--- a/internal/gateway/expiry.go
+++ b/internal/gateway/expiry.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// expiryPart of the deadline margin is left to the client when a request expires. The event loop's own timers are due
-// before: a request expires only where the loop did not get to them.
-const expiryPart = 4
+// expiryPart of the deadline margin is left for the way to the client when a request expires. What the scheduler decides is
+// due before, by the whole margin: a request expires only where the loop did not get to it.
+const expiryPart = 2
 
 // delivery is who may give a request its final response. The FrontEnd owns the request and gives it; the expiry, which has
 // a goroutine of its own, gives it where the event loop does not, however long the loop stands still and whatever for.
--- a/lab/experiment/stored_counts.go
+++ b/lab/experiment/stored_counts.go
@@ -25,6 +25,7 @@
 	Retries            uint64           `json:"Retries,omitempty"`
 	AttemptsNotSent    uint64           `json:"AttemptsNotSent,omitempty"`
 	AttemptsUnanswered uint64           `json:"AttemptsUnanswered,omitempty"`
+	Expired            uint64           `json:"Expired,omitempty"`
 	Violations         storedViolations `json:"Violations,omitzero"`
 }
 
@@ -55,6 +56,7 @@
 		HealthChecks:       counts.HealthChecks,
 		LateResponses:      counts.LateResponses,
 		PastDeadline:       counts.PastDeadline,
+		Expired:            counts.Expired,
 		Retries:            counts.Retries,
 		AttemptsNotSent:    counts.AttemptsNotSent,
 		AttemptsUnanswered: counts.AttemptsUnanswered,
@@ -85,6 +87,7 @@
 		HealthChecks:       s.HealthChecks,
 		LateResponses:      s.LateResponses,
 		PastDeadline:       s.PastDeadline,
+		Expired:            s.Expired,
 		Retries:            s.Retries,
 		AttemptsNotSent:    s.AttemptsNotSent,
 		AttemptsUnanswered: s.AttemptsUnanswered,
