Shutdown test: the idle connection is accepted before the shutdown begins

Traced: its idle connection could still wait in the backlog when the shutdown began, and was then answered 503 as a new one.

--- a/internal/native/httpserver/shutdown_test.go
+++ b/internal/native/httpserver/shutdown_test.go
@@ -20,7 +20,8 @@
 
 func TestShutdown_RequestsInFlight_ServedBeforeClose(t *testing.T) {
 	setup := startServer(t, nil)
-	busy, idle := setup.dial(), setup.dial()
+	idle := setup.dial() // accepted before the next one, and so before its requests
+	busy := setup.dial()
 	busy.send(postRequest("a", "", "") + postRequest("b", "", ""))
 	a, b := receive(t, "a request", setup.handler.requests), receive(t, "a request", setup.handler.requests)
 	done := make(chan struct{})
