One look into a socket's receive buffer for both edges

Read once more: HasUnread of client connections wrote again what peerClosed of worker connections had. Both stand on one peek in internal/socket now; tests moved with every assertion, names of the functions aside. Behaviour as it was.

--- a/internal/layering/layers_test.go
+++ b/internal/layering/layers_test.go
@@ -34,7 +34,7 @@
 		"internal/platform/workerframe",
 		"internal/simwire",
 	}},
-	{edges, []string{"internal/clientconn", "internal/periodic", "internal/workerconn"}},
+	{edges, []string{"internal/clientconn", "internal/periodic", "internal/socket", "internal/workerconn"}},
 	{edges, []string{
 		"internal/discovery",
 		"internal/native/httpserver",
--- a/internal/platform/rpcserver/close_test.go
+++ b/internal/platform/rpcserver/close_test.go
@@ -11,9 +11,9 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
-	"havencart/internal/clientconn"
 	"havencart/internal/decide/connadmission"
 	"havencart/internal/platform/rpcframe"
+	"havencart/internal/socket"
 )
 
 // pausingHandler lets the test act between a request's last byte and its handling.
@@ -105,7 +105,7 @@
 	}
 	connection := newConn(New(Config{}, stubHandler{}, zerolog.Nop()), accepted) // nothing reads it
 	write(t, client, requestMessage(t, 1, "quote", validFields(1)))
-	for !clientconn.HasUnread(accepted) && t.Context().Err() == nil {
+	for !socket.HasUnread(accepted) && t.Context().Err() == nil {
 		runtime.Gosched()
 	}
 	always := func(connadmission.Connection) bool { return true }
--- a/internal/platform/rpcserver/conn.go
+++ b/internal/platform/rpcserver/conn.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
-	"havencart/internal/clientconn"
 	"havencart/internal/decide/connadmission"
 	"havencart/internal/platform/rpcframe"
+	"havencart/internal/socket"
 )
 
 // readBufferSize, in bytes, is small: there are many connections, and memory is scarce.
@@ -102,7 +102,7 @@
 		return false
 	}
 	state := c.snapshotLocked(time.Now())
-	if state.InFlight > 0 || !permits(state) || clientconn.HasUnread(c.net) {
+	if state.InFlight > 0 || !permits(state) || socket.HasUnread(c.net) {
 		return false
 	}
 	c.closeLocked()
--- a/internal/platform/workerclient/connection_write.go
+++ b/internal/platform/workerclient/connection_write.go
@@ -7,6 +7,7 @@
 
 	"havencart/internal/decide/connpool"
 	"havencart/internal/platform/workerframe"
+	"havencart/internal/socket"
 	"havencart/internal/workerconn"
 	"havencart/scheduler"
 )
@@ -75,7 +76,7 @@
 	if !c.isLeavingIdle() {
 		return nil
 	}
-	return peerClosed(netConn)
+	return socket.PeerClosed(netConn)
 }
 
 // isLeavingIdle tells whether something is queued on a connection that was used and has nothing in flight.
--- a/internal/platform/workerclient/connection_write_test.go
+++ b/internal/platform/workerclient/connection_write_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"testing"
 	"time"
+
+	"havencart/internal/socket"
 )
 
 // The end of the connection lies in the operating system's buffer and was not read yet.
@@ -18,7 +20,7 @@
 		ours, theirs := connectedPair(t)
 		client, conn := newUnservedConnection(t, ours)
 		end(theirs)
-		for peerClosed(ours) == nil {
+		for socket.PeerClosed(ours) == nil {
 			continue // until the end is in the buffer
 		}
 		a := newAttempt(5)
--- a/internal/platform/workerclient/peer_close_test.go
+++ b/internal/socket/peer_close_test.go
@@ -1,4 +1,4 @@
-package workerclient
+package socket
 
 import (
 	"errors"
@@ -9,24 +9,24 @@
 
 func TestPeerClosed_UnreadData_IsNotConsumed(t *testing.T) {
 	ours, theirs := connectedPair(t)
-	if err := peerClosed(ours); err != nil {
+	if err := PeerClosed(ours); err != nil {
 		t.Errorf("an open connection: %v", err)
 	}
 	if _, err := theirs.Write([]byte("ab")); err != nil {
 		t.Fatal(err)
 	}
 	_ = theirs.Close()
-	if err := peerClosed(ours); err != nil {
+	if err := PeerClosed(ours); err != nil {
 		t.Errorf("one with unread data: %v", err)
 	}
 	if got, err := io.ReadAll(ours); err != nil || string(got) != "ab" {
 		t.Errorf("read %q, %v", got, err)
 	}
-	if err := peerClosed(ours); !errors.Is(err, io.EOF) {
+	if err := PeerClosed(ours); !errors.Is(err, io.EOF) {
 		t.Errorf("one that was read to its end: %v", err)
 	}
 	_ = ours.Close()
-	if err := peerClosed(ours); !errors.Is(err, net.ErrClosed) {
+	if err := PeerClosed(ours); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("our own close: %v", err)
 	}
 }
--- a/internal/clientconn/unread_test.go
+++ b/internal/socket/unread_test.go
@@ -1,4 +1,4 @@
-package clientconn
+package socket
 
 import (
 	"net"
@@ -7,19 +7,7 @@
 )
 
 func TestHasUnread_DataArrivesAndIsRead(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	client, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	server, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	server, client := connectedPair(t)
 	if HasUnread(server) {
 		t.Error("unread data before any was sent")
 	}
@@ -46,9 +34,9 @@
 	if HasUnread(server) {
 		t.Error("a closed connection has unread data")
 	}
-	ours, theirs := net.Pipe()
-	defer func() { _ = ours.Close(); _ = theirs.Close() }()
-	if HasUnread(ours) {
+	pipe, otherEnd := net.Pipe()
+	defer func() { _ = pipe.Close(); _ = otherEnd.Close() }()
+	if HasUnread(pipe) {
 		t.Error("a connection without a descriptor has unread data")
 	}
 }
