Scheduler: names of the field, one type for cached orders, rank kept instead of made anew

Read once more. places, lapsing, list and unlist say what they are (rankEntry, topRanked, preferredWorkers, servingByResponse, addToOrder); the two caches of worker orders are one type; the rank of a queue delay is kept with it, not computed in each comparison; a condition that was always so is gone. estimate.Decayed.Observe, NewDecayed and ObservedAt had no user left: removed, their test moved to the queue delays with every assertion.

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -35,20 +35,14 @@
 	return time.Duration(m.Value)
 }
 
-// Decayed is a value that decays exponentially with time: a count of recent events, or an average of recent samples.
-// Each instance is either added to or observed with, always with the same memory. The zero value is 0.
+// Decayed is a value that decays exponentially with time: a count of recent events. Each instance is always used with the
+// same memory. The zero value is 0.
 //
 // Reading advances the decay to the time of the reading. A caller that needs bit-identical results must therefore read
 // at the same times.
 type Decayed struct {
-	Value      float64       // as it was at ReadAt
-	ReadAt     time.Duration // when the decay was last applied
-	ObservedAt time.Duration // when a sample was last observed
-}
-
-// NewDecayed returns a Decayed that was observed to be value at now.
-func NewDecayed(value float64, now time.Duration) Decayed {
-	return Decayed{Value: value, ReadAt: now, ObservedAt: now}
+	Value  float64       // as it was at ReadAt
+	ReadAt time.Duration // when the decay was last applied
 }
 
 // Read returns the value at now, which must not be before the last reading:
@@ -63,17 +57,6 @@
 // Add counts n more at now.
 func (d *Decayed) Add(now, memory time.Duration, n float64) { d.Value = d.Read(now, memory) + n }
 
-// Observe takes a sample at now into the average. The sample weighs the more the longer ago the last one was, as
-// measured by smoothing:
-//
-//	w = 1 - exp(-(now - observedAt) / smoothing)
-//	value = (1 - w) * read(now) + w * sample
-func (d *Decayed) Observe(now, memory, smoothing time.Duration, sample float64) {
-	weight := 1 - math.Exp(-float64(now-d.ObservedAt)/float64(smoothing))
-	d.Value = (1-weight)*d.Read(now, memory) + weight*sample
-	d.ObservedAt = now
-}
-
 // RatePerSecond returns the rate of what was added, for a counter that has counted for the time observed:
 //
 //	read(now) / (memory * (1 - exp(-observed / memory)))
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -38,7 +38,7 @@
 func TestDecayed_Read_HalvesInHalfLife(t *testing.T) {
 	memory := 10 * time.Second
 	halfLife := time.Duration(float64(memory) * math.Ln2)
-	decayed := NewDecayed(8, time.Minute)
+	decayed := Decayed{Value: 8, ReadAt: time.Minute}
 	for range 3 {
 		decayed.Read(decayed.ReadAt+halfLife, memory)
 	}
@@ -48,26 +48,13 @@
 }
 
 func TestDecayed_ReadTwiceAtOneTime_IsUnchanged(t *testing.T) {
-	decayed := NewDecayed(8, 0)
+	decayed := Decayed{Value: 8}
 	first := decayed.Read(time.Second, 3*time.Second)
 	if second := decayed.Read(time.Second, 3*time.Second); first != second {
 		t.Errorf("read %v, then %v at the same time", first, second)
 	}
 }
 
-func TestDecayed_Observe_WeighsSampleByAge(t *testing.T) {
-	const memory, smoothing = 10 * time.Second, time.Second
-	soon, late := NewDecayed(0, time.Minute), NewDecayed(0, time.Minute)
-	soon.Observe(time.Minute+100*time.Millisecond, memory, smoothing, 100)
-	late.Observe(time.Minute+10*time.Second, memory, smoothing, 100)
-	if soon.Value < 9 || soon.Value > 10 {
-		t.Errorf("a sample of 100 after 0.1 s gives %v, want 100 (1 - exp(-0.1)) = 9.5", soon.Value)
-	}
-	if late.Value < 99 || late.ObservedAt != time.Minute+10*time.Second {
-		t.Errorf("a sample of 100 after 10 s gives %v at %v, want nearly 100 at 1m10s", late.Value, late.ObservedAt)
-	}
-}
-
 func TestDecayed_RatePerSecond_IsRightForYoungCounters(t *testing.T) {
 	const memory = 10 * time.Second
 	for _, age := range []time.Duration{time.Second, 5 * time.Second, time.Minute} {
--- a/scheduler/aggregates_test.go
+++ b/scheduler/aggregates_test.go
@@ -89,13 +89,13 @@
 	}
 }
 
-// verifyRendezvousOrder compares the first places of a function with those of a sort of all workers.
+// verifyRendezvousOrder compares the first workers of a function with those of a sort of all.
 func verifyRendezvousOrder(t *testing.T, s *Scheduler, function *functionRecord) {
 	t.Helper()
 	all := s.inRendezvousOrder(function, s.endpoints.list)
 	count := min(3, len(all))
 	if order := s.rendezvousOrder(function, count); !slices.Equal(order, all[:len(order)]) {
-		t.Errorf("the first %d places of function %d differ from those of a sort", len(order), function.id)
+		t.Errorf("the first %d workers of function %d differ from those of a sort", len(order), function.id)
 	}
 }
 
@@ -201,15 +201,15 @@
 	}
 }
 
-// BenchmarkFirstPlaces is the making of a function's first places after a change of the list.
-func BenchmarkFirstPlaces(b *testing.B) {
+// BenchmarkTopRanked is the making of a function's first places after a change of the list.
+func BenchmarkTopRanked(b *testing.B) {
 	for _, workers := range []int{120, 1920, 3200} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			script := newHarness(&testing.T{}, testSettings(), workers)
 			function := &functionRecord{id: 7}
 			b.ReportAllocs()
 			for b.Loop() {
-				script.scheduler.firstPlaces(function, rendezvousLength(1, workers))
+				script.scheduler.topRanked(function, rendezvousLength(1, workers))
 			}
 		})
 	}
--- a/scheduler/clone.go
+++ b/scheduler/clone.go
@@ -25,7 +25,7 @@
 	clone.endpoints.counts.healthy = slices.Clone(s.endpoints.counts.healthy)
 	clone.endpoints.counts.serving = slices.Clone(s.endpoints.counts.serving)
 	clone.endpoints.counts.cold = cloneElements(s.endpoints.counts.cold, c.worker)
-	clone.endpoints.counts.lapsing = cloneElements(s.endpoints.counts.lapsing, c.worker)
+	clone.endpoints.counts.servingByResponse = cloneElements(s.endpoints.counts.servingByResponse, c.worker)
 	clone.delay.ordered = cloneElements(s.delay.ordered, c.worker)
 	clone.delay.contacts = slices.Clone(s.delay.contacts)
 	for i := range clone.delay.contacts {
@@ -86,7 +86,7 @@
 		f.queue = cloneElements(f.queue, c.request)
 		f.replicas = cloneElements(f.replicas, c.replica)
 		f.rendezvous.workers = cloneElements(f.rendezvous.workers, c.worker)
-		f.nearest.workers = cloneElements(f.nearest.workers, c.worker)
+		f.preferred.workers = cloneElements(f.preferred.workers, c.worker)
 	})
 }
 
--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -45,9 +45,9 @@
 	removedAt        time.Duration // 0: it is listed
 	healthByClass    []workerHealth
 
-	cold    bool // it is counted as in slow start
-	lapsing bool // it is in servingCounts.lapsing
-	busy    bool // it is in endpointTable.busy
+	cold             bool // it is counted as in slow start
+	servesByResponse bool // it is in servingCounts.servingByResponse
+	busy             bool // it is in endpointTable.busy
 }
 
 // slowStartWindow is what a worker in slow start was sent in the current overload window, for the log.
@@ -106,10 +106,9 @@
 			changed = append(changed, worker)
 		}
 	}
-	if known := len(table.list); known > 0 {
-		table.list = slices.DeleteFunc(table.list, s.expireRemoved)
-		table.version += known - len(table.list)
-	}
+	known := len(table.list)
+	table.list = slices.DeleteFunc(table.list, s.expireRemoved)
+	table.version += known - len(table.list)
 	if table.version != before {
 		s.rankWorkers()
 	}
@@ -144,7 +143,7 @@
 		table.list = slices.Insert(table.list, i, worker)
 	} else {
 		s.uncount(worker)
-		s.delay.unlist(worker)
+		s.delay.removeFromOrder(worker)
 	}
 	lostReplicas = worker.State == Ready && info.State != Ready
 	if isNew || worker.Scale != info.Scale || worker.Cell != info.Cell {
@@ -163,7 +162,7 @@
 		worker.removedAt = s.now
 	}
 	s.count(worker)
-	s.delay.list(worker)
+	s.delay.addToOrder(worker)
 	return worker, lostReplicas
 }
 
@@ -176,7 +175,7 @@
 	}
 	delete(s.endpoints.byID, worker.ID)
 	s.uncount(worker)
-	s.delay.unlist(worker)
+	s.delay.removeFromOrder(worker)
 	s.forgetRunTimes(worker)
 	return true
 }
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -218,6 +218,6 @@
 
 // clearQueueDelay sets the queue delay of a worker as if it had never been observed.
 func (script *harness) clearQueueDelay(worker *workerRecord) {
-	script.scheduler.delay.unlist(worker)
+	script.scheduler.delay.removeFromOrder(worker)
 	worker.queueDelay = workerDelay{}
 }
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -12,7 +12,7 @@
 	demandMemory     = 10 * time.Second // memory of a function's part of the requested work
 	demandSmoothing  = 10               // runs as if of other functions, while few were requested
 	placementSpread  = 3.0              // times the workers that its part of the work fills
-	rendezvousStep   = 32               // places of a rendezvous order that are made at least, and beyond
+	rendezvousStep   = 32               // workers of a rendezvous order that are ranked beyond those needed
 	rendezvousMargin = 2                // one more for so many that are needed
 )
 
@@ -20,13 +20,13 @@
 // order, begun at this front end's own place among the first targetReplicaCount, its own zone first there.
 func (s *Scheduler) placementOrder(function *functionRecord) iter.Seq[*workerRecord] {
 	return func(yield func(*workerRecord) bool) {
-		nearest := s.nearestPlaces(function)
-		for _, worker := range nearest {
+		preferred := s.preferredWorkers(function)
+		for _, worker := range preferred {
 			if !yield(worker) {
 				return
 			}
 		}
-		for i := len(nearest); i < len(s.endpoints.list); i++ {
+		for i := len(preferred); i < len(s.endpoints.list); i++ {
 			if !yield(s.rendezvousOrder(function, i+1)[i]) {
 				return
 			}
@@ -34,20 +34,21 @@
 	}
 }
 
-// nearestPlaces are the first targetReplicaCount workers in placement order, none where that is one.
-func (s *Scheduler) nearestPlaces(function *functionRecord) []*workerRecord {
+// preferredWorkers are the first targetReplicaCount workers in placement order, none where that is one.
+func (s *Scheduler) preferredWorkers(function *functionRecord) []*workerRecord {
 	target := s.targetReplicaCount(function)
 	if target < 2 {
 		return nil
 	}
-	cache := &function.nearest
-	if cache.version == s.endpoints.version && len(cache.workers) == target {
-		return cache.workers
+	preferred := &function.preferred
+	if preferred.version == s.endpoints.version && len(preferred.workers) == target {
+		return preferred.workers
 	}
 	order := s.rendezvousOrder(function, target)
 	own := int(estimate.Mix(uint64(function.id), uint64(s.settings.FrontEndIndex+1)) % uint64(target))
-	cache.version, cache.workers = s.endpoints.version, s.ownZoneFirst(order[own:target], order[:own])
-	return cache.workers
+	preferred.version = s.endpoints.version
+	preferred.workers = s.ownZoneFirst(order[own:target], order[:own])
+	return preferred.workers
 }
 
 // ownZoneFirst joins two lists of workers, those of this front end's zone first.
@@ -65,8 +66,8 @@
 	return joined
 }
 
-// rendezvousLength is how many places of a rendezvous order are made at once where count are needed of so
-// many workers: most functions need the first few only, and an order that is made anew costs as much again.
+// rendezvousLength is how many workers of a rendezvous order are ranked at once where count are needed of so
+// many: most functions need the first few only, and an order that is made anew costs as much again.
 func rendezvousLength(count, workers int) int {
 	length := rendezvousStep + count + count/rendezvousMargin
 	if 2*length >= workers {
--- a/scheduler/placement_test.go
+++ b/scheduler/placement_test.go
@@ -20,7 +20,7 @@
 		for _, o := range script.orders {
 			orderedAt[o.worker] = true
 		}
-		if rank := script.scheduler.nearestPlaces(script.scheduler.functions.byID[7])[0]; script.scheduler.functions.byID[7].replicaOn(rank) == nil {
+		if rank := script.scheduler.preferredWorkers(script.scheduler.functions.byID[7])[0]; script.scheduler.functions.byID[7].replicaOn(rank) == nil {
 			t.Errorf("front end %d has no replica ordered at its own place", index)
 		}
 	}
--- a/scheduler/queue_delay_index.go
+++ b/scheduler/queue_delay_index.go
@@ -14,6 +14,7 @@
 type workerDelay struct {
 	value      float64       // nanoseconds, as it was at clock
 	clock      float64       // of the index, see queueDelayEstimates.clock
+	rank       float64       // orders delays that were observed at different times; see rankOf
 	observed   float64       // nanoseconds as last observed, not decayed since
 	observedAt time.Duration // 0: never
 	ordered    bool          // the worker is in queueDelayEstimates.ordered
@@ -22,8 +23,8 @@
 // read is the delay at a time of the index's clock.
 func (d *workerDelay) read(clock float64) float64 { return d.value * math.Exp(d.clock-clock) }
 
-// rank orders delays that were observed at different times: all decay alike, so that their order stays.
-func (d *workerDelay) rank() float64 { return math.Log(d.value) + d.clock }
+// rankOf returns what stays the order of delays: the logarithm of a delay falls as fast as the clock advances.
+func rankOf(value, clock float64) float64 { return math.Log(value) + clock }
 
 // delayContact is one observation of a worker's queue delay.
 type delayContact struct {
@@ -80,17 +81,19 @@
 // set sets the queue delay of a worker as it was observed.
 func (q *queueDelayEstimates) set(worker *workerRecord, now time.Duration, value float64) {
 	q.advance(now)
-	q.unlist(worker)
-	isFirst := worker.queueDelay.observedAt != now
-	worker.queueDelay = workerDelay{value: value, clock: q.clock, observed: value, observedAt: now}
-	q.list(worker)
-	if isFirst {
+	q.removeFromOrder(worker)
+	isNewContact := worker.queueDelay.observedAt != now
+	worker.queueDelay = workerDelay{
+		value: value, clock: q.clock, rank: rankOf(value, q.clock), observed: value, observedAt: now,
+	}
+	q.addToOrder(worker)
+	if isNewContact {
 		q.contacts = append(q.contacts, delayContact{worker, now})
 	}
 }
 
-// list puts a worker into the order if it is ready and requests wait there.
-func (q *queueDelayEstimates) list(worker *workerRecord) {
+// addToOrder puts a worker into the order if it is ready and requests wait there.
+func (q *queueDelayEstimates) addToOrder(worker *workerRecord) {
 	if worker.State != Ready || worker.queueDelay.value <= 0 {
 		return
 	}
@@ -99,8 +102,8 @@
 	q.ordered = slices.Insert(q.ordered, i, worker)
 }
 
-// unlist takes a worker out of the order.
-func (q *queueDelayEstimates) unlist(worker *workerRecord) {
+// removeFromOrder takes a worker out of the order.
+func (q *queueDelayEstimates) removeFromOrder(worker *workerRecord) {
 	if !worker.queueDelay.ordered {
 		return
 	}
@@ -110,7 +113,7 @@
 }
 
 func compareDelays(a, b *workerRecord) int {
-	return cmp.Or(cmp.Compare(a.queueDelay.rank(), b.queueDelay.rank()), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(a.queueDelay.rank, b.queueDelay.rank), cmp.Compare(a.ID, b.ID))
 }
 
 // medianOf is the median over so many ready workers, of which those that are not in the order have no queue delay.
--- a/scheduler/queue_delay_test.go
+++ b/scheduler/queue_delay_test.go
@@ -104,3 +104,20 @@
 		t.Errorf("a queue delay of %v counts as %v %v later", before, after, 2*maxDelayMemory)
 	}
 }
+
+func TestQueueDelay_Observe_WeighsSampleByAge(t *testing.T) {
+	const smoothing = time.Second
+	delays := queueDelayEstimates{memory: 10 * time.Second}
+	soon, late := &workerRecord{}, &workerRecord{}
+	for _, worker := range []*workerRecord{soon, late} {
+		delays.set(worker, time.Minute, 0)
+	}
+	delays.observe(soon, time.Minute+100*ms, smoothing, 100)
+	delays.observe(late, time.Minute+10*time.Second, smoothing, 100)
+	if soon.queueDelay.value < 9 || soon.queueDelay.value > 10 {
+		t.Errorf("a sample of 100 after 0.1 s gives %v, want 100 (1 - exp(-0.1)) = 9.5", soon.queueDelay.value)
+	}
+	if late.queueDelay.value < 99 || late.queueDelay.observedAt != time.Minute+10*time.Second {
+		t.Errorf("a sample of 100 after 10 s gives %v at %v, want nearly 100 at 1m10s", late.queueDelay.value, late.queueDelay.observedAt)
+	}
+}
--- a/scheduler/rendezvous.go
+++ b/scheduler/rendezvous.go
@@ -15,20 +15,20 @@
 	capacity float64 // relative, see relativeCapacity
 }
 
-// rendezvousCache holds the first workers of a function's rendezvous order.
-type rendezvousCache struct {
+// workerOrder holds the first workers of an order that was made for a function.
+type workerOrder struct {
 	version int // of the endpoint table that it was made from
 	workers []*workerRecord
 }
 
-// rankedPlace is a worker's place in a rendezvous order that is being made.
-type rankedPlace struct {
+// rankEntry is a worker's rank in a rendezvous order that is being made.
+type rankEntry struct {
 	rank  float64
 	index int // in endpointTable.list, which decides between equal ranks
 }
 
-// compareRanks orders places by rank, and equal ranks as the list has them.
-func compareRanks(a, b rankedPlace) int {
+// compareRanks orders workers by rank, and equal ranks as the list has them.
+func compareRanks(a, b rankEntry) int {
 	switch {
 	case a.rank < b.rank:
 		return -1
@@ -41,50 +41,50 @@
 // rendezvousOrder lists the workers in the order that every front end computes alike for a function: the first count of
 // them at least, all where there are fewer. The list stands until the next change of the endpoint list.
 func (s *Scheduler) rendezvousOrder(function *functionRecord, count int) []*workerRecord {
-	table, cache := &s.endpoints, &function.rendezvous
-	if cache.version != table.version {
-		cache.version, cache.workers = table.version, nil
+	table, order := &s.endpoints, &function.rendezvous
+	if order.version != table.version {
+		order.version, order.workers = table.version, nil
 	}
-	if len(cache.workers) < min(count, len(table.list)) {
-		places := s.firstPlaces(function, rendezvousLength(count, len(table.list)))
-		cache.workers = make([]*workerRecord, len(places))
-		for i, place := range places {
-			cache.workers[i] = table.list[place.index]
+	if len(order.workers) < min(count, len(table.list)) {
+		entries := s.topRanked(function, rendezvousLength(count, len(table.list)))
+		order.workers = make([]*workerRecord, len(entries))
+		for i, entry := range entries {
+			order.workers[i] = table.list[entry.index]
 		}
 	}
-	return cache.workers
+	return order.workers
 }
 
-// firstPlaces returns the workers that come first in the rendezvous order of a function, in that order: count at least,
+// topRanked returns the workers that come first in the rendezvous order of a function, in that order: count at least,
 // all where there are fewer.
 //
 // Of n workers of capacity 1 in the mean, about n * limit have a rank below a small limit. Only those are ranked and
 // sorted, with a limit that lets enough through most times, and is doubled where it did not.
-func (s *Scheduler) firstPlaces(function *functionRecord, count int) []rankedPlace {
+func (s *Scheduler) topRanked(function *functionRecord, count int) []rankEntry {
 	ranking := s.endpoints.ranking
 	if count >= len(ranking) {
-		return s.placesBelow(function, math.Inf(1))
+		return s.rankedBelow(function, math.Inf(1))
 	}
 	for limit := float64(count) / float64(len(ranking)); ; limit *= 2 {
-		if places := s.placesBelow(function, limit); len(places) >= count {
-			return places
+		if entries := s.rankedBelow(function, limit); len(entries) >= count {
+			return entries
 		}
 	}
 }
 
-// placesBelow returns the workers whose rank for a function is below a limit, in their order.
-func (s *Scheduler) placesBelow(function *functionRecord, limit float64) (places []rankedPlace) {
+// rankedBelow returns the workers whose rank for a function is below a limit, in their order.
+func (s *Scheduler) rankedBelow(function *functionRecord, limit float64) (entries []rankEntry) {
 	for i, worker := range s.endpoints.ranking {
 		draw := rendezvousDraw(function.id, worker.id)
 		if leastRank(draw, worker.capacity) >= limit {
 			continue
 		}
 		if rank := rendezvousRank(draw, worker.capacity); rank < limit {
-			places = append(places, rankedPlace{rank, i})
+			entries = append(entries, rankEntry{rank, i})
 		}
 	}
-	slices.SortFunc(places, compareRanks)
-	return places
+	slices.SortFunc(entries, compareRanks)
+	return entries
 }
 
 // rendezvousDraw is a hash of both identifiers in (0, 1).
@@ -130,14 +130,14 @@
 
 // inRendezvousOrder returns some workers in the rendezvous order of a function.
 func (s *Scheduler) inRendezvousOrder(function *functionRecord, workers []*workerRecord) []*workerRecord {
-	places := make([]rankedPlace, len(workers))
+	entries := make([]rankEntry, len(workers))
 	for i, worker := range workers {
-		places[i] = rankedPlace{rendezvousRank(rendezvousDraw(function.id, worker.ID), s.relativeCapacity(worker)), i}
+		entries[i] = rankEntry{rendezvousRank(rendezvousDraw(function.id, worker.ID), s.relativeCapacity(worker)), i}
 	}
-	slices.SortFunc(places, compareRanks)
-	ordered := make([]*workerRecord, len(places))
-	for i, place := range places {
-		ordered[i] = workers[place.index]
+	slices.SortFunc(entries, compareRanks)
+	ordered := make([]*workerRecord, len(entries))
+	for i, entry := range entries {
+		ordered[i] = workers[entry.index]
 	}
 	return ordered
 }
--- a/scheduler/replicas.go
+++ b/scheduler/replicas.go
@@ -48,13 +48,13 @@
 	replicas           []*replicaBelief
 	runTime            estimate.MovingAverage // nanoseconds
 	loadTime           estimate.MovingAverage // nanoseconds
-	rendezvous         rendezvousCache
-	nearest            nearestCache
-	rotation           int              // where pickWarmReplica begins
-	pendingQueries     int              // residency queries without an answer
-	queriedAt          time.Duration    // when residency was last queried
-	lastUsed           time.Duration    // when it was last requested
-	requestedRunTime   estimate.Decayed // nanoseconds, requested of this front end
+	rendezvous         workerOrder            // in the order that all front ends share
+	preferred          workerOrder            // the first targetReplicaCount, in the order of this front end
+	rotation           int                    // where pickWarmReplica begins
+	pendingQueries     int                    // residency queries without an answer
+	queriedAt          time.Duration          // when residency was last queried
+	lastUsed           time.Duration          // when it was last requested
+	requestedRunTime   estimate.Decayed       // nanoseconds, requested of this front end
 }
 
 // replicaBelief is the belief that a worker holds a function loaded, or is loading it for us.
@@ -72,12 +72,6 @@
 	runTime            estimate.MovingAverage // nanoseconds, here
 }
 
-// nearestCache holds the first places of a function in this front end's placement order.
-type nearestCache struct {
-	version int // of the endpoint table that it was made from
-	workers []*workerRecord
-}
-
 // replicaKey names the replica of a function at a worker.
 type replicaKey struct {
 	worker   WorkerID
--- a/scheduler/residency.go
+++ b/scheduler/residency.go
@@ -13,7 +13,7 @@
 	if !s.settings.LoadOrdersAllowed || s.stall.isLagging(s.now) {
 		return
 	}
-	for _, worker := range s.nearestPlaces(function) {
+	for _, worker := range s.preferredWorkers(function) {
 		if !s.acceptsLoads(worker) || worker.isEjected(function.class) {
 			continue
 		}
--- a/scheduler/serving_capacity.go
+++ b/scheduler/serving_capacity.go
@@ -42,7 +42,8 @@
 	healthy []int         // by class: ready and not ejected
 	serving []capacitySum // by class: healthy, or responded within completionMemory
 	cold    []*workerRecord
-	lapsing []*workerRecord // those that count as serving by a response alone, which grows old
+	// servingByResponse are those that count as serving by a response alone, which grows old.
+	servingByResponse []*workerRecord
 }
 
 func newServingCounts(classes int) servingCounts {
@@ -88,9 +89,9 @@
 		counts.cold = slices.Delete(counts.cold, i, i+1)
 		worker.cold = false
 	}
-	if worker.lapsing {
-		counts.lapsing = without(counts.lapsing, worker)
-		worker.lapsing = false
+	if worker.servesByResponse {
+		counts.servingByResponse = without(counts.servingByResponse, worker)
+		worker.servesByResponse = false
 	}
 }
 
@@ -101,17 +102,17 @@
 // recount counts a worker anew that was ejected, is no longer ejected, or responded.
 func (s *Scheduler) recount(worker *workerRecord) {
 	responded := worker.respondedSince(s.now - completionMemory)
-	lapsing := false
+	byResponse := false
 	for class := range worker.healthByClass {
 		healthy := worker.State == Ready && !worker.isEjected(class)
 		s.countHealthy(worker, class, healthy)
 		s.countServing(worker, class, healthy || responded)
-		lapsing = lapsing || responded && !healthy
+		byResponse = byResponse || responded && !healthy
 	}
-	if lapsing && !worker.lapsing {
-		s.endpoints.counts.lapsing = append(s.endpoints.counts.lapsing, worker)
+	if byResponse && !worker.servesByResponse {
+		s.endpoints.counts.servingByResponse = append(s.endpoints.counts.servingByResponse, worker)
 	}
-	worker.lapsing = worker.lapsing || lapsing
+	worker.servesByResponse = worker.servesByResponse || byResponse
 }
 
 func (s *Scheduler) countHealthy(worker *workerRecord, class int, healthy bool) {
@@ -147,12 +148,12 @@
 		warmed++
 	}
 	counts.cold = slices.Delete(counts.cold, 0, warmed)
-	counts.lapsing = slices.DeleteFunc(counts.lapsing, func(worker *workerRecord) bool {
-		worker.lapsing = worker.respondedSince(s.now - completionMemory)
-		if !worker.lapsing {
+	counts.servingByResponse = slices.DeleteFunc(counts.servingByResponse, func(worker *workerRecord) bool {
+		worker.servesByResponse = worker.respondedSince(s.now - completionMemory)
+		if !worker.servesByResponse {
 			s.recount(worker)
 		}
-		return !worker.lapsing
+		return !worker.servesByResponse
 	})
 }
 
--- a/scheduler/slow_start_test.go
+++ b/scheduler/slow_start_test.go
@@ -63,7 +63,7 @@
 		for n := range windows {
 			script.now += set.OverloadWindow
 			script.scheduler.now, worker.Started = script.now, script.now-set.SlowStartDuration/2-time.Duration(n)
-			script.scheduler.demand.completions = estimate.NewDecayed(each*workers/frontEnds*completionMemory.Seconds(), script.now)
+			script.scheduler.demand.completions = estimate.Decayed{Value: each * workers / frontEnds * completionMemory.Seconds(), ReadAt: script.now}
 			draw := estimate.Mix(uint64(i), uint64(n)+1000)
 			if estimate.UnitInterval(draw) < wanted*each*set.OverloadWindow.Seconds()/frontEnds && script.scheduler.slowStartAllows(worker, request) {
 				worker.sendTimes = append(worker.sendTimes, script.now)
@@ -119,7 +119,7 @@
 		script := newHarness(t, set, others)
 		script.changeWorker(WorkerInfo{ID: cold, Scale: 1, Started: script.now, State: Ready})
 		s := script.scheduler
-		s.demand.completions = estimate.NewDecayed(20*completionMemory.Seconds(), s.now)
+		s.demand.completions = estimate.Decayed{Value: 20 * completionMemory.Seconds(), ReadAt: s.now}
 		for id := range WorkerID(others) {
 			worker := s.endpoints.byID[id+1]
 			worker.healthByClass[0].lastResponseAt = s.now
