Front end and worker clients: names of the field, what stood twice, a log line

A slot of the connection budget, claim, applyEntries, expiryMarginDivisor; the two ways to take a list of workers share one loop; tags of JSON fields that were never used are gone; comments stand at the fields that they are about. The log line of a request that expired says that it failed, as its client was told, and not that it was rejected.

--- a/internal/decide/connpool/connpool.go
+++ b/internal/decide/connpool/connpool.go
@@ -73,7 +73,7 @@
 // MayOpen reports whether another connection may be opened to a worker that has own connections, while used of at
 // most limit connections to all workers exist, of which some are idle. The last eighth is reserved for workers that have
 // none, so that load on one worker does not make the others unreachable; and such a worker may have the place of an idle
-// connection, however many there are: with more workers than connections, most are met after a long time.
+// connection: with more workers than connections, idle ones would else keep all other workers out of reach.
 func MayOpen(own, used, idle, limit int) bool {
 	if own > 0 {
 		return used < limit-limit/reservedDivisor
--- a/internal/decide/incarnation/incarnation.go
+++ b/internal/decide/incarnation/incarnation.go
@@ -43,27 +43,30 @@
 // it cold for good. A start is corrected once, when the list first gives it, so that it does not move with
 // each list. A start earlier than the effective one changes nothing: a list may be older than a connection.
 func (t *Tracker) ObserveList(now time.Duration, list []scheduler.WorkerInfo) []scheduler.WorkerInfo {
-	effective := make([]scheduler.WorkerInfo, len(list))
-	for i, info := range list {
-		effective[i] = t.observeListed(now, info)
-	}
+	effective := t.observeEntries(now, list)
 	t.forgetUnlisted(list)
 	return effective
 }
 
 // ObserveChanges takes the entries of an endpoint list that changed, as ObserveList takes all of them. listed is how many
-// workers the list names now.
+// workers the list names now: where many more are remembered, those that were removed are forgotten.
 func (t *Tracker) ObserveChanges(now time.Duration, changed []scheduler.WorkerInfo, listed int) []scheduler.WorkerInfo {
-	effective := make([]scheduler.WorkerInfo, len(changed))
-	for i, info := range changed {
-		effective[i] = t.observeListed(now, info)
-	}
+	effective := t.observeEntries(now, changed)
 	if len(t.workers) > listed+maxUnlistedWorkers {
 		maps.DeleteFunc(t.workers, func(_ scheduler.WorkerID, w *worker) bool { return w.info.State == scheduler.Removed })
 	}
 	return effective
 }
 
+// observeEntries returns entries of a list with the effective starts.
+func (t *Tracker) observeEntries(now time.Duration, entries []scheduler.WorkerInfo) []scheduler.WorkerInfo {
+	effective := make([]scheduler.WorkerInfo, len(entries))
+	for i, info := range entries {
+		effective[i] = t.observeListed(now, info)
+	}
+	return effective
+}
+
 // observeListed takes one entry of a list and returns it with the effective start.
 func (t *Tracker) observeListed(now time.Duration, info scheduler.WorkerInfo) scheduler.WorkerInfo {
 	w, known := t.workers[info.ID]
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -17,7 +17,7 @@
 	if request.state != requestSubmitted {
 		return
 	}
-	if !request.delivery.take() {
+	if !request.delivery.claim() {
 		request.enter(requestCompleted) // it expired while it waited
 		return
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -19,7 +19,7 @@
 // sent before the scheduler is notified, so that nothing new can be sent from here on.
 func (f *FrontEnd) EndpointsChanged(now time.Duration, list []discovery.Worker) {
 	f.now = now
-	infos, listed := f.takeEntries(list)
+	infos, listed := f.applyEntries(list)
 	for _, id := range sortedKeys(f.workers) {
 		if !listed[id] {
 			f.setWorkerState(f.workers[id], scheduler.Removed)
@@ -32,13 +32,13 @@
 // EndpointsUpdated takes the workers that changed, as EndpointsChanged takes all of them. It costs nothing for the others.
 func (f *FrontEnd) EndpointsUpdated(now time.Duration, changed []discovery.Worker) {
 	f.now = now
-	infos, _ := f.takeEntries(changed)
+	infos, _ := f.applyEntries(changed)
 	f.scheduler.WorkersChanged(now, f.incarnations.ObserveChanges(now, infos, len(f.workers)), false)
 	f.runDeferred()
 }
 
-// takeEntries takes entries of the endpoint list, and returns them as the scheduler receives them.
-func (f *FrontEnd) takeEntries(entries []discovery.Worker) (infos []scheduler.WorkerInfo, listed map[scheduler.WorkerID]bool) {
+// applyEntries applies entries of the endpoint list, and returns them as the scheduler receives them.
+func (f *FrontEnd) applyEntries(entries []discovery.Worker) (infos []scheduler.WorkerInfo, listed map[scheduler.WorkerID]bool) {
 	infos = make([]scheduler.WorkerInfo, 0, len(entries))
 	listed = make(map[scheduler.WorkerID]bool, len(entries))
 	for _, entry := range entries {
--- a/internal/gateway/expiry.go
+++ b/internal/gateway/expiry.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// expiryPart of the deadline margin is left for the way to the client when a request expires. What the scheduler decides is
-// due before, by the whole margin: a request expires only where the loop did not get to it.
-const expiryPart = 2
+// expiryMarginDivisor gives the part of the deadline margin that is left for the way to the client when a request expires.
+// What the scheduler decides is due before, by the whole margin: a request expires only where the loop did not get to it.
+const expiryMarginDivisor = 2
 
 // delivery is who may give a request its final response. The FrontEnd owns the request and gives it; the expiry, which has
 // a goroutine of its own, gives it where the event loop does not, however long the loop stands still and whatever for.
@@ -20,8 +20,8 @@
 	deliveryDone                 // the final response was given, or is owed no longer
 )
 
-// take gives the request to the FrontEnd, and reports whether a final response is still owed.
-func (d *delivery) take() bool { return d.state.CompareAndSwap(deliveryQueued, deliveryOwned) }
+// claim gives the request to the FrontEnd, and reports whether a final response is still owed.
+func (d *delivery) claim() bool { return d.state.CompareAndSwap(deliveryQueued, deliveryOwned) }
 
 // finish reports whether the caller is to give the final response.
 func (d *delivery) finish() bool { return d.state.Swap(deliveryDone) != deliveryDone }
@@ -39,7 +39,7 @@
 	if request.Timeout <= 0 {
 		return
 	}
-	due := request.StartedAt + request.Timeout - l.cfg.DeadlineMargin/expiryPart
+	due := request.StartedAt + request.Timeout - l.cfg.DeadlineMargin/expiryMarginDivisor
 	request.expiry = time.AfterFunc(max(0, due-l.Now()), func() { l.expire(request) })
 }
 
--- a/internal/gateway/expiry_test.go
+++ b/internal/gateway/expiry_test.go
@@ -108,7 +108,7 @@
 		var delivered atomic.Int32
 		var ends sync.WaitGroup
 		ends.Go(func() {
-			if state.take() && state.finish() {
+			if state.claim() && state.finish() {
 				delivered.Add(1)
 			}
 		})
--- a/internal/gateway/loop_times.go
+++ b/internal/gateway/loop_times.go
@@ -38,9 +38,9 @@
 
 // stepTotals are the totals of one kind of work.
 type stepTotals struct {
-	Steps   uint64        `json:"steps"`
-	Total   time.Duration `json:"-"`
-	Longest time.Duration `json:"-"`
+	Steps   uint64
+	Total   time.Duration
+	Longest time.Duration
 }
 
 // MarshalJSON writes the durations in milliseconds.
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -53,12 +53,11 @@
 	if !request.complete(response) {
 		return
 	}
-	kind := response.Kind
 	if request.expired {
-		kind = Failed // as its client was told
+		response.Kind = Failed // as its client was told
 	}
-	f.recordTenantUse(request, kind)
-	switch kind {
+	f.recordTenantUse(request, response.Kind)
+	switch response.Kind {
 	case Served:
 		f.counts.Served++
 	case Rejected:
--- a/internal/platform/workerclient/client.go
+++ b/internal/platform/workerclient/client.go
@@ -52,15 +52,17 @@
 
 	mu sync.Mutex // guards what follows and the connections' fields
 
-	// Made with the first connection: most of many workers are never sent anything.
-	ctx         context.Context // done once the client is stopped
-	cancel      context.CancelFunc
-	rng         *rand.Rand
 	connections []*connection
-	attempts    map[*workerconn.Attempt]*connection // unfinished; together with loads bounded by MaxQueue
-	loads       map[*workerconn.LoadOrder]*connection
-	draining    bool // the worker drains: no new work is sent
-	closed      bool // the client was stopped
+
+	// Made when they are first needed: of many workers most are never sent anything.
+	ctx      context.Context // done once the client is stopped
+	cancel   context.CancelFunc
+	rng      *rand.Rand
+	attempts map[*workerconn.Attempt]*connection // unfinished; together with loads bounded by MaxQueue
+	loads    map[*workerconn.LoadOrder]*connection
+
+	draining bool // the worker drains: no new work is sent
+	closed   bool // the client was stopped
 }
 
 // New returns a Client without connections, which are made on demand. The caller ends it by Stop.
@@ -149,7 +151,7 @@
 		if !isOpen || c.cfg.Budget.claim(conn) {
 			return conn
 		}
-		conn.draining = true // it is about to close, as another worker needs its place
+		conn.draining = true // it is about to close, as another worker needs its slot
 	}
 }
 
@@ -175,7 +177,7 @@
 	}
 }
 
-// openConnection adds a connection and starts its goroutine, which dials once the connection has its place in the budget.
+// openConnection adds a connection and starts its goroutine, which dials once the connection has its slot of the budget.
 // The lock is held.
 func (c *Client) openConnection() *connection {
 	c.start()
--- a/internal/platform/workerclient/connection.go
+++ b/internal/platform/workerclient/connection.go
@@ -21,7 +21,7 @@
 	client *Client
 	wake   workerconn.Signal // there is something to write, or the need for the connection may have ended
 
-	place place // guarded by the budget's lock
+	slot slot // guarded by the budget's lock
 
 	silentConnections int // made in a row on which nothing was received; used by run's goroutine only
 
@@ -81,7 +81,7 @@
 // The end of what was sent on a connection that broke is reported once it is known whether the next one can be made:
 // that tells a lost connection from a lost worker.
 func (c *connection) run() {
-	if err := c.awaitPlace(); err != nil {
+	if err := c.awaitSlot(); err != nil {
 		c.close(err)
 		return
 	}
@@ -108,20 +108,20 @@
 	}
 }
 
-// errNoPlace is why a connection was not made while all places of the budget were in use.
-var errNoPlace = errors.New("no connection became free in time")
+// errNoSlot is why a connection was not made while all slots of the budget were in use.
+var errNoSlot = errors.New("no connection became free in time")
 
-// awaitPlace waits until the connection has its place in the budget, as long as it may take to connect.
-func (c *connection) awaitPlace() error {
+// awaitSlot waits until the connection has its slot of the budget, as long as it may take to connect.
+func (c *connection) awaitSlot() error {
 	timeout := time.NewTimer(c.client.cfg.ConnectTimeout)
 	defer timeout.Stop()
 	select {
-	case <-c.place.granted:
+	case <-c.slot.granted:
 		return nil
 	case <-c.client.ctx.Done():
 		return errStopped
 	case <-timeout.C:
-		return errNoPlace
+		return errNoSlot
 	}
 }
 
--- a/internal/platform/workerclient/connection_budget.go
+++ b/internal/platform/workerclient/connection_budget.go
@@ -8,7 +8,7 @@
 )
 
 // ConnectionBudget bounds the connections of the clients of all workers together. When it is used up, attempts share
-// connections, and a worker that has none gets the place of the connection that has been idle for longest. It may be used
+// connections, and a worker that has none gets the slot of the connection that has been idle for longest. It may be used
 // from any goroutine.
 //
 // A client's lock may be held when its methods are called; none of them takes one.
@@ -16,16 +16,16 @@
 	limit int
 
 	mu      sync.Mutex
-	used    int       // places that are held, those of connections that were told to close included
+	used    int       // slots that are held, those of connections that were told to close included
 	idle    list.List // of *connection, the one that has been idle for longest first
-	waiting list.List // of *connection without a place, first come first served
+	waiting list.List // of *connection without a slot, first come first served
 }
 
-// place is a connection's place within the budget. The budget's lock guards it, but for granted.
-type place struct {
-	granted chan struct{} // closed once the connection has its place
+// slot is a connection's share of the budget. The budget's lock guards it, but for granted.
+type slot struct {
+	granted chan struct{} // closed once the connection may be made
 	idle    *list.Element // in ConnectionBudget.idle; nil: it is not idle
-	waiting *list.Element // in ConnectionBudget.waiting; nil: it has its place, or has given it up
+	waiting *list.Element // in ConnectionBudget.waiting; nil: it has its slot, or has given it up
 	evicted bool          // it must close, and takes nothing new
 }
 
@@ -46,43 +46,43 @@
 	return connpool.MayOpen(connections, b.used, b.idle.Len(), b.limit)
 }
 
-// reserve gives a new connection its place, or has it wait for one that another connection gives up.
+// reserve gives a new connection its slot, or has it wait for one that another connection gives up.
 func (b *ConnectionBudget) reserve(conn *connection) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	conn.place.granted = make(chan struct{})
+	conn.slot.granted = make(chan struct{})
 	if b.used < b.limit {
 		b.used++
-		close(conn.place.granted)
+		close(conn.slot.granted)
 		return
 	}
-	conn.place.waiting = b.waiting.PushBack(conn)
+	conn.slot.waiting = b.waiting.PushBack(conn)
 	b.evictIdle()
 }
 
-// evictIdle tells the connection that has been idle for longest to close; its place is free once it has. The lock is held.
+// evictIdle tells the connection that has been idle for longest to close; its slot is free once it has. The lock is held.
 func (b *ConnectionBudget) evictIdle() {
 	first := b.idle.Front()
 	if first == nil {
 		return
 	}
 	victim := b.idle.Remove(first).(*connection)
-	victim.place.idle, victim.place.evicted = nil, true
+	victim.slot.idle, victim.slot.evicted = nil, true
 	victim.wake.Notify()
 }
 
-// release takes a connection out of the budget that has closed, or that waited in vain. Its place goes to the first that
+// release takes a connection out of the budget that has closed, or that waited in vain. Its slot goes to the first that
 // waits.
 func (b *ConnectionBudget) release(conn *connection) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if conn.place.idle != nil {
-		b.idle.Remove(conn.place.idle)
-		conn.place.idle = nil
+	if conn.slot.idle != nil {
+		b.idle.Remove(conn.slot.idle)
+		conn.slot.idle = nil
 	}
-	if conn.place.waiting != nil {
-		b.waiting.Remove(conn.place.waiting)
-		conn.place.waiting = nil
+	if conn.slot.waiting != nil {
+		b.waiting.Remove(conn.slot.waiting)
+		conn.slot.waiting = nil
 		return
 	}
 	first := b.waiting.Front()
@@ -91,19 +91,19 @@
 		return
 	}
 	next := b.waiting.Remove(first).(*connection)
-	next.place.waiting = nil
-	close(next.place.granted)
+	next.slot.waiting = nil
+	close(next.slot.granted)
 }
 
 // setIdle notes that nothing is in flight on a connection. It returns false if the connection must close.
 func (b *ConnectionBudget) setIdle(conn *connection) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if conn.place.evicted {
+	if conn.slot.evicted {
 		return false
 	}
-	if conn.place.idle == nil {
-		conn.place.idle = b.idle.PushBack(conn)
+	if conn.slot.idle == nil {
+		conn.slot.idle = b.idle.PushBack(conn)
 	}
 	return true
 }
@@ -112,9 +112,9 @@
 func (b *ConnectionBudget) claim(conn *connection) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if conn.place.idle != nil {
-		b.idle.Remove(conn.place.idle)
-		conn.place.idle = nil
+	if conn.slot.idle != nil {
+		b.idle.Remove(conn.slot.idle)
+		conn.slot.idle = nil
 	}
-	return !conn.place.evicted
+	return !conn.slot.evicted
 }
--- a/internal/platform/workerclient/connection_budget_test.go
+++ b/internal/platform/workerclient/connection_budget_test.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// A connection with a request in flight keeps its place.
+// A connection with a request in flight keeps its slot.
 func TestConnectionBudget_NoConnectionIdle_AttemptIsNotSent(t *testing.T) {
 	fleet := startFleet(t, 3, 2, true)
 	send(t, fleet.clients[0], newAttempt(1))
@@ -116,11 +116,11 @@
 	fleet.call(t, 0, 2)
 	fleet.awaitIdle(t, 1)
 	if used := fleet.budget.Used(); used != 1 {
-		t.Errorf("%d places are in use, one connection is open", used)
+		t.Errorf("%d slots are in use, one connection is open", used)
 	}
 }
 
-// A client that is stopped while its connection waits for a place gives up waiting.
+// A client that is stopped while its connection waits for a slot gives up waiting.
 func TestConnectionBudget_StoppedWhileWaiting_LeavesNoTrace(t *testing.T) {
 	fleet := startFleet(t, 2, 1, true)
 	send(t, fleet.clients[0], newAttempt(1))
@@ -132,7 +132,7 @@
 	waiting.Stop()
 	<-waiting.Done()
 	if used := fleet.budget.Used(); used != 1 {
-		t.Errorf("%d places are in use, one connection is open", used)
+		t.Errorf("%d slots are in use, one connection is open", used)
 	}
 	respond()
 	<-fleet.recorders[0].attemptEnds
