Soak: a judge's check that said too little, one that was lost, typed access of clients, names

The check that a front end ends after SIGTERM was lost for restarts as the kill came earlier: one that has to be killed is a violation found by times. Both with tests.

--- a/cmd/havencart/soak.go
+++ b/cmd/havencart/soak.go
@@ -16,14 +16,13 @@
 
 // soakOptions are the flags of the soak command.
 type soakOptions struct {
-	firstSeed uint64
-	seeds     int
-	parallel  int
-	frontEnds int
-	workers   int
-	length    time.Duration
-	// largeEvery is the share of the runs with many workers: those whose seed it divides.
-	largeEvery uint64
+	firstSeed  uint64
+	seeds      int
+	parallel   int
+	frontEnds  int
+	workers    int
+	largeEvery uint64 // seeds that it divides have many workers; 0: none
+	length     time.Duration
 	logs       string
 	verbose    bool
 }
@@ -134,7 +133,7 @@
 		seed, report.Requests, report.Served, report.Rejected, report.Failed, report.Cancelled, report.Arrivals, report.Repeats,
 		faults, len(report.Violations))
 	if len(report.Violations) > 0 {
-		out.printf("seed %d: the soak itself was late by %v at most; by more than the rules' slack: %v\n", seed, report.WorstLateness, report.LateTimes)
+		out.printf("seed %d: the soak itself was late by %v at most; by more than the rules' slack: %v\n", seed, report.WorstLag, report.NotedLags)
 	}
 	for _, violation := range report.Violations {
 		out.printf("seed %d: %s\n", seed, violation)
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -34,7 +34,7 @@
 // loop sends requests until ctx ends.
 func (c *client) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !c.frontEnd.isAccepting() || !c.useConnection(ctx) {
+		if !c.frontEnd.permits(allConnections) || !c.useConnection(ctx) {
 			sleep(ctx, reconnectPause)
 		}
 	}
@@ -59,7 +59,7 @@
 	}
 	conn := newClientConn(c.run.history, dialed)
 	defer conn.awaitEnd()
-	for ctx.Err() == nil && c.frontEnd.isUsable() && !conn.hasEnded() {
+	for ctx.Err() == nil && c.frontEnd.permits(openConnections) && !conn.hasEnded() {
 		if conn.openCount() < maxOpenRequests && !c.sendOne(ctx, conn) {
 			return true
 		}
--- a/lab/soak/crowd.go
+++ b/lab/soak/crowd.go
@@ -1,17 +1,9 @@
 package soak
 
-import (
-	"context"
-	"math/rand/v2"
-	"sync"
-	"time"
-)
+import "context"
 
-const (
-	crowdFactor    = 12  // times the usual requests, while there is a crowd
-	maxReleasePart = 0.3 // of the workers, replaced within one release
-	releaseTime    = 2 * time.Second
-)
+// crowdFactor is how many times the usual requests clients send while there is a crowd.
+const crowdFactor = 12
 
 // crowdFrontEnd has the clients of one front end send many times as much for a while.
 func crowdFrontEnd(ctx context.Context, r *run, draw *draw) {
@@ -20,15 +12,3 @@
 	sleep(ctx, draw.length)
 	f.setCrowded(false)
 }
-
-// releaseWorkers replaces many workers within a short time.
-func releaseWorkers(ctx context.Context, r *run, drawn *draw) {
-	count := 1 + int(drawn.rng.Float64()*maxReleasePart*float64(r.config.Workers))
-	var replacements sync.WaitGroup
-	for range count {
-		each := &draw{rng: rand.New(rand.NewPCG(drawn.rng.Uint64(), 0)), length: drawn.length}
-		replacements.Go(func() { replaceWorker(ctx, r, each) })
-		sleep(ctx, releaseTime/time.Duration(count))
-	}
-	replacements.Wait()
-}
--- a/lab/soak/frontend.go
+++ b/lab/soak/frontend.go
@@ -30,11 +30,19 @@
 	process  *exec.Cmd
 	exited   chan struct{} // closed when the process has ended
 	stopping bool          // it was told to end
-	accepts  bool          // clients may connect
-	usable   bool          // clients may send requests on open connections
-	crowded  bool          // clients send many times as much
+	access   clientAccess
+	crowded  bool // clients send many times as much
 }
 
+// clientAccess is what clients may do with a front end.
+type clientAccess int
+
+const (
+	noRequests      clientAccess = iota
+	openConnections              // send requests, but make no new connection
+	allConnections
+)
+
 // start starts the process with the endpoints that are known now, and waits until it is ready.
 func (f *frontEnd) start() error {
 	if err := f.writeConfig(); err != nil {
@@ -66,7 +74,7 @@
 	case <-time.After(readyWithin):
 		return fmt.Errorf("soak: front end %d is not ready", f.index)
 	}
-	f.acceptRequests()
+	f.setAccess(allConnections)
 	return nil
 }
 
@@ -122,7 +130,7 @@
 	f.mu.Lock()
 	stopping := f.stopping
 	f.mu.Unlock()
-	f.refuseRequests()
+	f.setAccess(noRequests)
 	switch {
 	case !stopping:
 		f.run.history.Fault(fmt.Sprintf("front end %d ended by itself: %v", f.index, err))
@@ -131,39 +139,24 @@
 	}
 }
 
-// acceptRequests lets clients connect and send requests.
-func (f *frontEnd) acceptRequests() {
+func (f *frontEnd) setAccess(access clientAccess) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.accepts, f.usable = true, true
+	f.access = access
 }
 
 // refuseConnects lets clients make no new connections.
 func (f *frontEnd) refuseConnects() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.accepts = false
-}
-
-// refuseRequests lets clients send nothing new.
-func (f *frontEnd) refuseRequests() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.accepts, f.usable = false, false
-}
-
-// isAccepting is whether clients may connect.
-func (f *frontEnd) isAccepting() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.accepts
+	f.access = min(f.access, openConnections)
 }
 
-// isUsable is whether clients may send requests on open connections.
-func (f *frontEnd) isUsable() bool {
+// permits is whether clients may do this much.
+func (f *frontEnd) permits(access clientAccess) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.usable
+	return f.access >= access
 }
 
 // setCrowded has clients send many times as much, or as usual again.
@@ -189,7 +182,7 @@
 // kill ends the process at once, and returns once it has ended.
 func (f *frontEnd) kill() {
 	f.expectEnd()
-	f.refuseRequests()
+	f.setAccess(noRequests)
 	f.signal(syscall.SIGKILL)
 	<-f.exitedChannel()
 }
@@ -197,7 +190,7 @@
 // terminate asks the process to end at the end of the run, when clients send nothing new, and waits until it has.
 func (f *frontEnd) terminate() {
 	f.expectEnd()
-	f.refuseRequests()
+	f.setAccess(noRequests)
 	f.signal(syscall.SIGTERM)
 	select {
 	case <-f.exitedChannel():
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -79,7 +79,7 @@
 	orders   []LoadOrder
 	notices  map[string]*Notice
 	pauses   []*Pause
-	ends     []Termination
+	ends     []*Termination
 	faults   []string // violations that are seen at once, as a process that crashed
 }
 
@@ -189,13 +189,20 @@
 type Termination struct {
 	FrontEnd int
 	At       time.Duration
+	Killed   bool // it had not ended when the platform may kill it
 }
 
-// Terminated notes that a front end is told to end now.
-func (h *History) Terminated(frontEnd int) {
+// Terminated notes that a front end is told to end now. The function that it returns notes that it has not, and is killed.
+func (h *History) Terminated(frontEnd int) (killed func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ends = append(h.ends, Termination{FrontEnd: frontEnd, At: h.Now()})
+	end := &Termination{FrontEnd: frontEnd, At: h.Now()}
+	h.ends = append(h.ends, end)
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		end.Killed = true
+	}
 }
 
 // never is after the end of every run.
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -56,6 +56,7 @@
 		j.checkTTL(request)
 	}
 	j.checkDrains()
+	j.checkTerminations()
 	slices.SortFunc(j.found, func(a, b Violation) int { return compareText(a.String(), b.String()) })
 	return j.found
 }
@@ -121,10 +122,11 @@
 	return request.Lost > 0 && request.Lost-request.SentAt <= crossing && neverSent
 }
 
-// crossedTermination is whether a request was sent to a front end that was ending, and reached no worker: only the time
-// tells whether it crossed the close of its connection.
+// crossedTermination is whether a request was sent to a front end that was ending, reached no worker and lost its
+// connection soon: only the time tells whether it crossed the close.
 func (j *judge) crossedTermination(request *Request) bool {
-	if request.Lost == 0 || len(j.arrivalsOf[request.ID]) > 0 {
+	isSoon := request.Lost > 0 && request.Lost-request.SentAt <= lateResponse
+	if !isSoon || len(j.arrivalsOf[request.ID]) > 0 {
 		return false
 	}
 	for _, end := range j.ends {
@@ -200,6 +202,15 @@
 	}
 }
 
+// checkTerminations holds that a front end that was told to end does so before the platform may kill it.
+func (j *judge) checkTerminations() {
+	for _, end := range j.ends {
+		if end.Killed {
+			j.reportTimed("process", "front end %d, told to end at %v, had not ended %v later", end.FrontEnd, end.At, killAfter)
+		}
+	}
+}
+
 // checkDrains holds that a worker gets nothing new once front ends were told that it drains.
 func (j *judge) checkDrains() {
 	for _, arrival := range j.arrivals {
--- a/lab/soak/judge_test.go
+++ b/lab/soak/judge_test.go
@@ -107,6 +107,45 @@
 	}
 }
 
+// A request that was left without a response as its front end ended is told by times only where it may have crossed the close.
+func TestJudge_Termination_TellsWhatIsFoundByTimes(t *testing.T) {
+	cases := map[string]struct {
+		lostAfter time.Duration // 0: the request was served
+		arrivals  []*Arrival
+		killed    bool
+		rule      string // empty: none is broken
+		timed     bool
+	}{
+		"ended when told":                          {},
+		"had to be killed":                         {killed: true, rule: "process", timed: true},
+		"request crossed the close":                {lostAfter: 50 * ms},
+		"request crossed the close late":           {lostAfter: 60 * ms, rule: "lost", timed: true},
+		"request lost long after it was sent":      {lostAfter: lateResponse + ms, rule: "lost"},
+		"request lost that had reached its worker": {lostAfter: 60 * ms, arrivals: []*Arrival{arrivalAt(1010*ms, "w1", 1)}, rule: "lost"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			history, request := NewHistory(), sentRequest(Quote)
+			history.requests[request.ID] = request
+			history.arrivals = c.arrivals
+			history.ends = []*Termination{{At: 500 * ms, Killed: c.killed}}
+			if c.lostAfter > 0 {
+				request.Answers, request.Lost = nil, request.SentAt+c.lostAfter
+			}
+			found := Judge(history)
+			if c.rule == "" {
+				if len(found) > 0 {
+					t.Errorf("found %v, want nothing", found)
+				}
+				return
+			}
+			if len(found) != 1 || found[0].Rule != c.rule || found[0].Timed != c.timed {
+				t.Errorf("found %+v, want one of rule %s, by times %v", found, c.rule, c.timed)
+			}
+		})
+	}
+}
+
 func rejected(_ *History, request *Request) { request.Answers[0].Outcome = Rejected }
 
 func draining(history *History, _ *Request) {
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -30,8 +30,8 @@
 	Arrivals, Repeats                             int
 	Faults                                        map[string]int
 	Violations                                    []Violation
-	WorstLateness                                 time.Duration // of the soak itself
-	LateTimes                                     []string      // when it was later than the slack of the rules
+	WorstLag                                      time.Duration // of the soak itself
+	NotedLags                                     []string      // when it was more than the slack of the rules
 }
 
 // run is a run under way.
@@ -44,7 +44,7 @@
 	frontEnds      []*frontEnd
 	tasks          sync.WaitGroup
 	requests       atomic.Uint64
-	lateness       lateness // of play's goroutine that measures it, until the tasks have ended
+	lag            lagMeter // of the goroutine that measures, until the tasks have ended
 	stopOnce       sync.Once
 
 	mu      sync.Mutex
@@ -135,7 +135,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.config.Length)
 	defer cancel()
 	r.tasks.Go(func() { r.endpoints.runHeartbeats(ctx) })
-	r.tasks.Go(func() { r.lateness.measure(ctx, r.history) })
+	r.tasks.Go(func() { r.lag.measure(ctx, r.history) })
 	var clients, faults sync.WaitGroup
 	for i, f := range r.frontEnds {
 		for n := range clientsPerFrontEnd {
@@ -264,10 +264,10 @@
 func (r *run) report() Report {
 	r.stopFrontEnds()
 	report := Report{
-		Faults:        r.played,
-		Violations:    Judge(r.history),
-		WorstLateness: r.lateness.worst,
-		LateTimes:     r.lateness.times,
+		Faults:     r.played,
+		Violations: Judge(r.history),
+		WorstLag:   r.lag.worst,
+		NotedLags:  r.lag.noted,
 	}
 	h := r.history
 	h.mu.Lock()
--- a/lab/soak/terminate.go
+++ b/lab/soak/terminate.go
@@ -45,7 +45,7 @@
 	r.notef("front end %d terminated", f.index)
 	signals := furtherSignals(draw)
 	f.expectEnd()
-	f.run.history.Terminated(f.index)
+	killed := r.history.Terminated(f.index)
 	f.signal(syscall.SIGTERM)
 	stopConnects := time.AfterFunc(leastConnectsAfter+time.Duration(draw.rng.Float64()*float64(spreadConnectsAfter)), f.refuseConnects)
 	defer stopConnects.Stop()
@@ -57,6 +57,7 @@
 		f.signal(next.signal)
 	}
 	if !f.endsWithin(time.Until(began.Add(killAfter))) {
+		killed()
 		r.notef("front end %d killed after SIGTERM", f.index)
 		f.signal(syscall.SIGKILL)
 	}
