Laboratory: an emulated process keeps its port while it is down

Cause: the port came from the range of local ports, and was free while the worker was down. Change: emulated workers and the fleet's front ends hold their address with a socket that is bound and never listens, for as long as they exist; the system gives the port to nobody, and connects are refused as before. Ruled out: TIME_WAIT of the worker's own connections (listeners of package net set SO_REUSEADDR).

--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"havencart/lab/functionstore"
 	"havencart/lab/invariant"
 	"havencart/lab/model"
+	"havencart/lab/portreservation"
 	"havencart/lab/worker"
 	"havencart/scheduler"
 )
@@ -110,11 +111,15 @@
 
 func (f *Fleet) startFrontEnds() error {
 	for i := range f.cfg.FrontEnds {
-		e := &FrontEnd{fleet: f, number: i, address: loopback}
-		if err := e.Start(); err != nil {
+		reservation, err := portreservation.Reserve(loopback)
+		if err != nil {
 			return err
 		}
+		e := &FrontEnd{fleet: f, number: i, reservation: reservation}
 		f.FrontEnds = append(f.FrontEnds, e)
+		if err := e.Start(); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -152,6 +157,7 @@
 func (f *Fleet) Close() {
 	for _, e := range f.FrontEnds {
 		_ = e.Stop() // reported where a test asks for it
+		e.reservation.Release()
 	}
 	if f.Discovery != nil {
 		f.Discovery.Close()
--- a/lab/fleet/front_end.go
+++ b/lab/fleet/front_end.go
@@ -9,15 +9,16 @@
 	"havencart/internal/config/gatewayconfig"
 	"havencart/internal/gateway"
 	"havencart/lab/client"
+	"havencart/lab/portreservation"
 )
 
 var errNeverStarted = errors.New("never started")
 
 // FrontEnd is one front end of a Fleet, and its clients' connections to it.
 type FrontEnd struct {
-	fleet   *Fleet
-	number  int
-	address string
+	fleet       *Fleet
+	number      int
+	reservation *portreservation.Reservation // of its address, for all its processes
 
 	mu      sync.Mutex
 	service *gateway.Service
@@ -52,7 +53,7 @@
 	return e.service
 }
 
-// Start starts the front end, at its old address if it had one.
+// Start starts the front end, at its address.
 func (e *FrontEnd) Start() error {
 	settings, err := gatewayconfig.Parse(e.Name(), e.settingsText())
 	if err != nil {
@@ -67,9 +68,9 @@
 	done := make(chan struct{})
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.address, e.service, e.cancel, e.done = service.Address(), service, cancel, done
+	e.service, e.cancel, e.done = service, cancel, done
 	if e.pool == nil {
-		e.pool = &client.Pool{Name: e.Name(), Address: e.address, History: e.fleet.History, Grace: cfg.Tolerance}
+		e.pool = &client.Pool{Name: e.Name(), Address: e.reservation.Address(), History: e.fleet.History, Grace: cfg.Tolerance}
 	}
 	go func() {
 		defer close(done)
@@ -85,7 +86,7 @@
 func (e *FrontEnd) settingsText() string {
 	cfg := &e.fleet.cfg
 	loops := max(1, cfg.Loops)
-	return fmt.Sprintf("name fe\nlisten %s\ndirectory consul %s workers\nloops %d\nfirst %d\nfront-ends %d\n%s", e.address,
+	return fmt.Sprintf("name fe\nlisten %s\ndirectory consul %s workers\nloops %d\nfirst %d\nfront-ends %d\n%s", e.reservation.Address(),
 		e.fleet.Discovery.URL(), loops, e.number*loops, cfg.FrontEnds*loops, cfg.Settings)
 }
 
--- a/lab/worker/server.go
+++ b/lab/worker/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"havencart/lab/model"
+	"havencart/lab/portreservation"
 )
 
 // Config describes an emulated worker and its socket.
@@ -22,12 +23,12 @@
 
 // Server is one emulated worker.
 type Server struct {
-	cfg    Config
-	clock  *model.RealClock
-	worker *model.Worker // accessed within the clock only
+	cfg         Config
+	clock       *model.RealClock
+	worker      *model.Worker                // accessed within the clock only
+	reservation *portreservation.Reservation // of its address, for all its processes
 
 	mu          sync.Mutex
-	address     string
 	listener    net.Listener
 	connections map[*connection]bool
 	faults      socketFaults
@@ -37,9 +38,14 @@
 
 // Start starts a worker that has been running for long enough to be warm.
 func Start(clock *model.RealClock, cfg Config, store model.Fetcher, keys *model.KeyCache, observer model.Observer) (*Server, error) {
-	s := &Server{cfg: cfg, clock: clock, connections: map[*connection]bool{}, address: cfg.Address}
+	reservation, err := portreservation.Reserve(cfg.Address)
+	if err != nil {
+		return nil, fmt.Errorf("worker %s: %w", cfg.Name, err)
+	}
+	s := &Server{cfg: cfg, clock: clock, connections: map[*connection]bool{}, reservation: reservation}
 	clock.Do(func() { s.worker = model.NewWorker(clock, cfg.WorkerConfig, store, keys, crashObserver{observer, s}) })
 	if err := s.listen(); err != nil {
+		reservation.Release()
 		return nil, err
 	}
 	return s, nil
@@ -58,7 +64,7 @@
 }
 
 // Address is where the worker listens.
-func (s *Server) Address() string { return s.address }
+func (s *Server) Address() string { return s.reservation.Address() }
 
 // Name is the worker's name.
 func (s *Server) Name() string { return s.cfg.Name }
@@ -80,17 +86,18 @@
 	s.clock.Do(s.worker.Crash)
 	s.closeSockets()
 	s.tasks.Wait()
+	s.reservation.Release()
 }
 
-// listen opens the socket, at the address of an earlier one if there was one.
+// listen opens the socket, at the worker's address.
 func (s *Server) listen() error {
-	l, err := net.Listen("tcp", s.address)
+	l, err := net.Listen("tcp", s.Address())
 	if err != nil {
 		return fmt.Errorf("worker %s: %w", s.cfg.Name, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listener, s.address = l, l.Addr().String()
+	s.listener = l
 	s.tasks.Go(func() { s.accept(l) })
 	return nil
 }
