Failing test: workers wanted at once with few connections are taken for lost

Cause: whether a connection may be opened is looked at under one lock and done under another. Two clients see the last idle connection; one is told to close, two wait for its slot.

--- a/internal/platform/workerclient/connection_budget_test.go
+++ b/internal/platform/workerclient/connection_budget_test.go
@@ -1,6 +1,7 @@
 package workerclient
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -137,3 +138,24 @@
 	respond()
 	<-fleet.recorders[0].attemptEnds
 }
+
+// Workers that are all wanted at once with few connections are sent to, or not sent to; nothing is held against them.
+func TestConnectionBudget_ManyWorkersAtOnce_NoneIsTakenForLost(t *testing.T) {
+	const workers, connections, rounds = 16, 2, 12
+	fleet := startFleet(t, workers, connections, false)
+	var senders sync.WaitGroup
+	for worker, client := range fleet.clients {
+		senders.Go(func() {
+			for round := range rounds {
+				if result := client.Send(newAttempt(worker*rounds + round)); result != nil {
+					fleet.recorders[worker].attemptEnds <- *result
+				}
+				result := <-fleet.recorders[worker].attemptEnds
+				if result.Status != scheduler.OK && result.Status != scheduler.NotSent {
+					t.Errorf("worker %d: attempt ended as %+v", worker, result)
+				}
+			}
+		})
+	}
+	senders.Wait()
+}
