A connection's slot is reserved in one step; a full budget says nothing of the worker

Cause: ConnectionBudget.mayOpen and reserve took its lock one after the other (check, then act), so that more connections waited for slots than were told to close. Change: reserve decides and takes in one step, or refuses; as many connections wait as were told to close. What still gets no slot in time, or fails for want of descriptors, memory or local ports of this process, ends as not sent: it is no evidence against the worker, which was ejected for it. TestConnectionBudget_StoppedWhileWaiting_LeavesNoTrace opened its waiting connection by hand where none may wait any longer; it now waits behind an idle one that does not close, and checks the queue too.

--- a/internal/platform/workerclient/client.go
+++ b/internal/platform/workerclient/client.go
@@ -8,6 +8,7 @@
 //	a connection breaks, and the worker refuses the next one       Reset    the worker's process is gone; it may have executed
 //	a response cannot be read                                      Error    it may have executed
 //	the worker responds that the request had ended already         NotSent  it was not executed
+//	this process is out of what a connection needs                 NotSent  it says nothing of the worker
 package workerclient
 
 import (
@@ -166,24 +167,28 @@
 			LastUsed: conn.lastUsed,
 		}
 	}
-	choice := connpool.Select(candidates, c.cfg.StreamsPerConnection, c.cfg.Budget.mayOpen(len(candidates)))
-	switch choice {
-	case connpool.NoConnection:
+	choice := connpool.Select(candidates, c.cfg.StreamsPerConnection, true)
+	if choice == connpool.OpenConnection {
+		if conn := c.openConnection(); conn != nil {
+			return conn, false
+		}
+		choice = connpool.Select(candidates, c.cfg.StreamsPerConnection, false)
+	}
+	if choice == connpool.NoConnection {
 		return nil, false
-	case connpool.OpenConnection:
-		return c.openConnection(), false
-	default:
-		return c.connections[choice], true
 	}
+	return c.connections[choice], true
 }
 
 // openConnection adds a connection and starts its goroutine, which dials once the connection has its slot of the budget.
-// The lock is held.
+// It returns nil if the budget has none. The lock is held.
 func (c *Client) openConnection() *connection {
 	c.start()
 	conn := newConnection(c)
+	if !c.cfg.Budget.reserve(conn, len(c.connections)) {
+		return nil
+	}
 	c.connections = append(c.connections, conn)
-	c.cfg.Budget.reserve(conn)
 	c.tasks.Go(conn.run)
 	return conn
 }
--- a/internal/platform/workerclient/connection.go
+++ b/internal/platform/workerclient/connection.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
+	"syscall"
 	"time"
 
 	"havencart/internal/decide/connpool"
@@ -108,7 +110,7 @@
 	}
 }
 
-// errNoSlot is why a connection was not made while all slots of the budget were in use.
+// errNoSlot is why a connection was not made whose slot another connection did not give up.
 var errNoSlot = errors.New("no connection became free in time")
 
 // awaitSlot waits until the connection has its slot of the budget, as long as it may take to connect.
@@ -164,7 +166,8 @@
 	workerconn.NotifyEnded(c.client.events, lost, status, status, fmt.Sprint(reason))
 }
 
-// close removes the connection from its client, and reports what is still queued as never sent.
+// close removes the connection from its client, and reports what is still queued as never sent. What is reported of the
+// worker depends on the reason: see unsentStatus.
 func (c *connection) close(reason error) {
 	c.client.mu.Lock()
 	c.client.removeConnection(c)
@@ -173,15 +176,35 @@
 	healthChecks := len(c.healthChecks)
 	clear(c.healthChecks)
 	c.client.mu.Unlock()
-	workerconn.NotifyEnded(c.client.events, unsent, scheduler.ConnectFailed, scheduler.ConnectFailed, fmt.Sprint(reason))
+	status := unsentStatus(reason)
+	workerconn.NotifyEnded(c.client.events, unsent, status, status, fmt.Sprint(reason))
 	for range healthChecks {
-		c.client.events.HealthChecked(scheduler.ConnectFailed, nil)
+		c.client.events.HealthChecked(status, nil)
 	}
-	if len(unsent) > 0 {
+	if len(unsent) > 0 && status == scheduler.ConnectFailed {
 		c.client.events.Disconnected(reason)
 	}
 }
 
+// localExhaustion are the errors of a connect that say that this process or its machine is out of something. They say
+// nothing of the worker.
+var localExhaustion = []error{
+	errNoSlot,
+	syscall.EMFILE, syscall.ENFILE, // descriptors
+	syscall.ENOBUFS, syscall.ENOMEM, // memory
+	syscall.EADDRNOTAVAIL, // local ports
+}
+
+// unsentStatus is how something ends that waited for a connection which ended for a reason. ConnectFailed counts against
+// the worker.
+func unsentStatus(reason error) scheduler.Status {
+	isLocal := func(local error) bool { return errors.Is(reason, local) }
+	if slices.ContainsFunc(localExhaustion, isLocal) {
+		return scheduler.NotSent
+	}
+	return scheduler.ConnectFailed
+}
+
 // dial connects to the worker. The caller closes the connection.
 func (c *connection) dial() (net.Conn, error) {
 	dialer := net.Dialer{Timeout: c.client.cfg.ConnectTimeout, KeepAlive: -1}
--- a/internal/platform/workerclient/connection_budget.go
+++ b/internal/platform/workerclient/connection_budget.go
@@ -39,25 +39,24 @@
 	return b.used
 }
 
-// mayOpen tells whether a worker that has a number of connections may have one more.
-func (b *ConnectionBudget) mayOpen(connections int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return connpool.MayOpen(connections, b.used, b.idle.Len(), b.limit)
-}
-
-// reserve gives a new connection its slot, or has it wait for one that another connection gives up.
-func (b *ConnectionBudget) reserve(conn *connection) {
+// reserve takes a slot for a new connection of a worker that has a number of connections already, or returns false if it
+// may have none. Where no slot is free the connection gets that of an idle one, and waits until that has closed: as many
+// connections wait as were told to close.
+func (b *ConnectionBudget) reserve(conn *connection, connections int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !connpool.MayOpen(connections, b.used, b.idle.Len(), b.limit) {
+		return false
+	}
 	conn.slot.granted = make(chan struct{})
 	if b.used < b.limit {
 		b.used++
 		close(conn.slot.granted)
-		return
+		return true
 	}
 	conn.slot.waiting = b.waiting.PushBack(conn)
 	b.evictIdle()
+	return true
 }
 
 // evictIdle tells the connection that has been idle for longest to close; its slot is free once it has. The lock is held.
--- a/internal/platform/workerclient/connection_budget_test.go
+++ b/internal/platform/workerclient/connection_budget_test.go
@@ -1,13 +1,18 @@
 package workerclient
 
 import (
+	"fmt"
+	"net"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
 
 	"havencart/internal/platform/workerframe"
+	"havencart/internal/workerconn"
 	"havencart/lab/platformworker"
 	"havencart/scheduler"
 )
@@ -123,20 +128,37 @@
 
 // A client that is stopped while its connection waits for a slot gives up waiting.
 func TestConnectionBudget_StoppedWhileWaiting_LeavesNoTrace(t *testing.T) {
-	fleet := startFleet(t, 2, 1, true)
-	send(t, fleet.clients[0], newAttempt(1))
-	respond := <-fleet.held
-	waiting := fleet.clients[1]
-	waiting.mu.Lock()
-	waiting.openConnection()
-	waiting.mu.Unlock()
+	fleet := startFleet(t, 1, 1, true)
+	addIdleConnection(fleet.budget)
+	waiting := fleet.clients[0]
+	send(t, waiting, newAttempt(1))
 	waiting.Stop()
 	<-waiting.Done()
 	if used := fleet.budget.Used(); used != 1 {
 		t.Errorf("%d slots are in use, one connection is open", used)
 	}
-	respond()
-	<-fleet.recorders[0].attemptEnds
+	if waits := fleet.budget.waiting.Len(); waits != 0 {
+		t.Errorf("%d connections wait", waits)
+	}
+}
+
+// addIdleConnection adds an idle connection to a budget that does not close when it is told to.
+func addIdleConnection(budget *ConnectionBudget) {
+	conn := &connection{wake: workerconn.NewSignal()}
+	budget.reserve(conn, 0)
+	budget.setIdle(conn)
+}
+
+// As many connections wait as were told to close: of two workers that want the last idle connection's slot, one gets it.
+func TestConnectionBudget_TwoWantTheLastIdleConnection_OneIsRefused(t *testing.T) {
+	budget := NewConnectionBudget(1)
+	addIdleConnection(budget)
+	if !budget.reserve(&connection{}, 0) {
+		t.Error("the first one was refused")
+	}
+	if budget.reserve(&connection{}, 0) {
+		t.Error("the second one waits for a slot that nobody gives up")
+	}
 }
 
 // Workers that are all wanted at once with few connections are sent to, or not sent to; nothing is held against them.
@@ -159,3 +181,42 @@
 	}
 	senders.Wait()
 }
+
+// A connection that got no slot in time says nothing of its worker.
+func TestConnectionBudget_NoSlotInTime_AttemptIsNotSent(t *testing.T) {
+	fleet := startFleet(t, 1, 1, true)
+	fleet.clients[0].cfg.ConnectTimeout = time.Millisecond
+	addIdleConnection(fleet.budget)
+	send(t, fleet.clients[0], newAttempt(1))
+	if result := <-fleet.recorders[0].attemptEnds; result.Status != scheduler.NotSent {
+		t.Errorf("ended as %+v", result)
+	}
+	select {
+	case err := <-fleet.recorders[0].disconnects:
+		t.Errorf("the worker counts as disconnected: %v", err)
+	default:
+	}
+}
+
+func TestUnsentStatus_LocalExhaustion_IsNotTheWorkers(t *testing.T) {
+	connect := func(errno syscall.Errno) error {
+		return &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
+	}
+	for reason, want := range map[error]scheduler.Status{
+		errNoSlot:                                         scheduler.NotSent,
+		connect(syscall.EMFILE):                           scheduler.NotSent,
+		connect(syscall.ENFILE):                           scheduler.NotSent,
+		connect(syscall.ENOBUFS):                          scheduler.NotSent,
+		connect(syscall.ENOMEM):                           scheduler.NotSent,
+		connect(syscall.EADDRNOTAVAIL):                    scheduler.NotSent,
+		connect(syscall.ECONNREFUSED):                     scheduler.ConnectFailed,
+		connect(syscall.EHOSTUNREACH):                     scheduler.ConnectFailed,
+		connect(syscall.ETIMEDOUT):                        scheduler.ConnectFailed,
+		fmt.Errorf("connect: %w", os.ErrDeadlineExceeded): scheduler.ConnectFailed,
+		errStopped:                                        scheduler.ConnectFailed,
+	} {
+		if status := unsentStatus(reason); status != want {
+			t.Errorf("%v: %v, want %v", reason, status, want)
+		}
+	}
+}
--- a/internal/platform/workerclient/helpers_test.go
+++ b/internal/platform/workerclient/helpers_test.go
@@ -20,6 +20,7 @@
 	loadEnds      chan string
 	lateResponses chan bool
 	healthChecks  chan scheduler.Status
+	disconnects   chan error
 }
 
 func (r eventRecorder) ResponseStarted(*workerconn.Attempt, workerconn.Result) {}
@@ -32,7 +33,7 @@
 	r.healthChecks <- s
 }
 
-func (r eventRecorder) Disconnected(error) {}
+func (r eventRecorder) Disconnected(cause error) { r.disconnects <- cause }
 
 func (r eventRecorder) LateResponse(uint32) { r.lateResponses <- true }
 
@@ -56,7 +57,13 @@
 // newTestClient returns a client of the worker at an address with a budget of so many connections.
 func newTestClient(t *testing.T, address string, connections int) (*Client, eventRecorder) {
 	t.Helper()
-	recorder := eventRecorder{make(chan workerconn.Result, 16), make(chan string, 16), make(chan bool, 16), make(chan scheduler.Status, 16)}
+	recorder := eventRecorder{
+		attemptEnds:   make(chan workerconn.Result, 16),
+		loadEnds:      make(chan string, 16),
+		lateResponses: make(chan bool, 16),
+		healthChecks:  make(chan scheduler.Status, 16),
+		disconnects:   make(chan error, 16),
+	}
 	began := time.Now()
 	client := New(Config{
 		Worker: "s-00000001", Address: address, ConnectTimeout: 5 * time.Second, StreamsPerConnection: 32, IdleTimeout: time.Minute,
@@ -112,7 +119,7 @@
 	conn := newConnection(client)
 	conn.netConn, conn.received = netConn, true
 	client.connections = append(client.connections, conn)
-	client.cfg.Budget.reserve(conn)
+	client.cfg.Budget.reserve(conn, 0)
 	return client, conn
 }
 
