Changes of the endpoint list are taken in a few at a time, drains first

Cause: all changes of one event of the endpoint stream were one step of the event loop. Change: the stream's goroutine hands over 128 at most, and waits until they are handled; responses, requests and timers come in between. Draining and removed workers go first, so that what may get nothing new is known before anything else.

--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/rs/zerolog"
 
+	"havencart/internal/discovery"
 	"havencart/internal/native/muxframe"
 	"havencart/internal/workerconn"
 	"havencart/scheduler"
@@ -34,6 +36,23 @@
 	}
 }
 
+// BenchmarkEndpointsUpdated is the largest step of a change of the endpoint list, before 3,000 workers: all change cell.
+func BenchmarkEndpointsUpdated(b *testing.B) {
+	harness := newHarness(&testing.T{}, 3000, nil)
+	changed := make([]discovery.Worker, maxEndpointChanges)
+	round := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		round++
+		for i := range changed {
+			changed[i] = discovery.Worker{
+				Name: fmt.Sprint("w", i), Address: fmt.Sprint("h:", i+1), Cell: fmt.Sprint("cell", round%2), Scale: 1, State: scheduler.Ready,
+			}
+		}
+		harness.EndpointsUpdated(harness.clock, changed)
+	}
+}
+
 // BenchmarkShed is the event loop's part of a request that is rejected because of its queue delay.
 func BenchmarkShed(b *testing.B) {
 	harness := newHarness(&testing.T{}, 8, nil)
--- a/internal/gateway/endpoint_steps_test.go
+++ b/internal/gateway/endpoint_steps_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,7 +54,7 @@
 
 // A release of thousands of workers is no single step: requests, responses and timers come in between.
 func TestEndpointsUpdated_ThousandsOfChanges_StepsAreBounded(t *testing.T) {
-	const workers, most = 3000, 128
+	const workers = 3000
 	var changed []discovery.Worker
 	for i := range workers {
 		changed = append(changed, discovery.Worker{Name: fmt.Sprint("w", i), Address: fmt.Sprint("h:", i+1), Scale: 1, State: scheduler.Ready})
@@ -64,8 +65,24 @@
 		t.Errorf("%d workers are listed, want %d", snapshot.Workers, workers)
 	}
 	for step, count := range perStep {
-		if count > most {
-			t.Errorf("step %d took in %d changes, want %d at most", step, count, most)
+		if count > 128 {
+			t.Errorf("step %d took in %d changes, want 128 at most", step, count)
 		}
 	}
 }
+
+// What may get nothing new is known first, however many others are added with it.
+func TestReadyLast_DrainingAndRemovedComeFirst(t *testing.T) {
+	var names []string
+	for _, worker := range readyLast([]discovery.Worker{
+		{Name: "new", State: scheduler.Ready},
+		{Name: "draining", State: scheduler.Draining},
+		{Name: "newer", State: scheduler.Ready},
+		{Name: "removed", State: scheduler.Removed},
+	}) {
+		names = append(names, worker.Name)
+	}
+	if want := []string{"draining", "removed", "new", "newer"}; !slices.Equal(names, want) {
+		t.Errorf("%v, want %v", names, want)
+	}
+}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -185,6 +185,19 @@
 	}
 }
 
+// postAndWait queues an event, and returns once it is handled or the loop has ended.
+func (l *EventLoop) postAndWait(step loopStep, handle func(now time.Duration)) {
+	handled := make(chan struct{})
+	l.post(step, func(now time.Duration) {
+		handle(now)
+		close(handled)
+	})
+	select {
+	case <-handled:
+	case <-l.done:
+	}
+}
+
 // Run serves until ctx ends. Then it rejects what is received, waits for what is in flight, ShutdownTimeout at most,
 // and gives the rest its final response. It returns the totals, and whether all ended in time. When it returns, the
 // goroutines of its worker clients and of the endpoint watch have ended.
