Consul and file: a whole list is compared with the one before, its changes pass on

Change: a comparer before the sink passes the first list on whole, then what changed; a list that is as it was is still reported, as the retry after a failed watch ends by it. It runs in the source's goroutine. Tests: property test that the reports give each list; the sources' test now builds the list from the reports, and checks each report as well, in place of whole lists that are no longer reported.

--- a/internal/discovery/consul.go
+++ b/internal/discovery/consul.go
@@ -58,6 +58,7 @@
 // Run implements Source.
 func (c *Consul) Run(ctx context.Context, sink Sink) {
 	defer c.client.CloseIdleConnections()
+	sink = &listComparer{Sink: sink}
 	index := uint64(0)
 	for ctx.Err() == nil {
 		list, next, err := c.query(ctx, index)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -32,10 +32,11 @@
 
 // Sink receives what a source observes. A source calls it from the goroutine of its Run, one call at a time.
 type Sink interface {
-	// EndpointsChanged is called with each whole list. The sink may keep it.
+	// EndpointsChanged is called with the first list, which is whole. The sink may keep it.
 	EndpointsChanged(list []Worker)
-	// EndpointsUpdated is called, after a whole list, with the workers that were added or changed since the last call, and
-	// with those that were removed, as they were listed last but in state Removed. The sink may keep them.
+	// EndpointsUpdated is called, after the first list, with the workers that were added or changed since the last call, and
+	// with those that were removed, as they were listed last but in state Removed. Without any it says that the list could
+	// be had and is as it was. The sink may keep them.
 	EndpointsUpdated(changed []Worker)
 	// WatchFailed is called each time that no usable list could be had; the list before it stays in force.
 	WatchFailed(err error)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -23,14 +25,34 @@
 
 const waitLimit = 20 * time.Second
 
+// recordingSink records each report, and the list after it, in the order of the workers' names.
 type recordingSink struct {
+	reports  chan []discovery.Worker
 	lists    chan []discovery.Worker
 	failures chan error
+	listed   map[string]discovery.Worker // of the source's goroutine
 }
 
-func (sink recordingSink) EndpointsChanged(l []discovery.Worker) { sink.lists <- l }
-func (sink recordingSink) EndpointsUpdated([]discovery.Worker)   {} // the sources tested here report whole lists
-func (sink recordingSink) WatchFailed(err error)                 { sink.failures <- err }
+func (sink recordingSink) EndpointsChanged(l []discovery.Worker) {
+	clear(sink.listed)
+	sink.EndpointsUpdated(l)
+}
+
+func (sink recordingSink) EndpointsUpdated(changed []discovery.Worker) {
+	for _, worker := range changed {
+		if sink.listed[worker.Name] = worker; worker.State == scheduler.Removed {
+			delete(sink.listed, worker.Name)
+		}
+	}
+	var list []discovery.Worker
+	for _, name := range slices.Sorted(maps.Keys(sink.listed)) {
+		list = append(list, sink.listed[name])
+	}
+	sink.reports <- changed
+	sink.lists <- list
+}
+
+func (sink recordingSink) WatchFailed(err error) { sink.failures <- err }
 
 func (sink recordingSink) list(t *testing.T) []discovery.Worker {
 	t.Helper()
@@ -56,7 +78,9 @@
 
 func follow(t *testing.T, source discovery.Source) recordingSink {
 	t.Helper()
-	sink := recordingSink{make(chan []discovery.Worker, 100), make(chan error, 100)}
+	sink := recordingSink{
+		make(chan []discovery.Worker, 100), make(chan []discovery.Worker, 100), make(chan error, 100), map[string]discovery.Worker{},
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); source.Run(ctx, sink) }()
@@ -110,9 +134,14 @@
 	critical := entry(2, scheduler.Removed)
 	critical.Critical = true
 	server.Set(critical)
-	if got := summary(sink.list(t)); got != "w2:3" {
+	if got := summary(sink.list(t)); got != "" {
 		t.Error(got)
 	}
+	for _, want := range []string{"w1:1 w2:1", "w1:2", "w1:3", "w2:3"} {
+		if got := summary(<-sink.reports); got != want {
+			t.Errorf("reported %s, want %s", got, want)
+		}
+	}
 }
 
 func TestConsul_PartialList_ReportedThenReversed(t *testing.T) {
--- a/internal/discovery/file.go
+++ b/internal/discovery/file.go
@@ -29,6 +29,7 @@
 
 // Run implements Source.
 func (f *File) Run(ctx context.Context, sink Sink) {
+	sink = &listComparer{Sink: sink}
 	for ctx.Err() == nil {
 		if err := f.watch(ctx, sink); err != nil && ctx.Err() == nil {
 			sink.WatchFailed(err)
--- /dev/null
+++ b/internal/discovery/list_comparer_test.go
@@ -0,0 +1,81 @@
+package discovery
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"havencart/scheduler"
+)
+
+// reportSink keeps what was reported last.
+type reportSink struct {
+	whole, changed []Worker
+	reports        int
+}
+
+func (r *reportSink) EndpointsChanged(list []Worker)    { r.whole, r.reports = list, r.reports+1 }
+func (r *reportSink) EndpointsUpdated(changed []Worker) { r.changed, r.reports = changed, r.reports+1 }
+func (r *reportSink) WatchFailed(error)                 {}
+
+func TestListComparer_SecondList_ReportsChangesOnly(t *testing.T) {
+	sink := &reportSink{}
+	comparer := &listComparer{Sink: sink}
+	began := time.UnixMilli(1000)
+	worker := func(name string) Worker { return Worker{Name: name, Scale: 1, State: scheduler.Ready, Started: began} }
+	first := []Worker{worker("a"), worker("b"), worker("c")}
+	comparer.EndpointsChanged(first)
+	if sink.reports != 1 || len(sink.whole) != 3 {
+		t.Fatalf("first list: %d reports, the list has %d", sink.reports, len(sink.whole))
+	}
+	again := worker("a")
+	again.Started = began.UTC() // the same instant
+	restarted := worker("b")
+	restarted.Started = began.Add(time.Second)
+	comparer.EndpointsChanged([]Worker{again, restarted, worker("d")})
+	var changes []string
+	for _, w := range sink.changed {
+		changes = append(changes, fmt.Sprint(w.Name, w.State))
+	}
+	want := []string{fmt.Sprint("c", scheduler.Removed), fmt.Sprint("b", scheduler.Ready), fmt.Sprint("d", scheduler.Ready)}
+	if !slices.Equal(changes, want) {
+		t.Errorf("changes %v, want %v", changes, want)
+	}
+	comparer.EndpointsChanged([]Worker{worker("d"), restarted, worker("a")})
+	if sink.reports != 3 || len(sink.changed) != 0 {
+		t.Errorf("the same list in another order: %d reports, the last one changes %v", sink.reports, sink.changed)
+	}
+}
+
+// Applied one after the other, the reports give each list.
+func TestListComparer_AnyLists_ReportsGiveTheList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sink := &reportSink{}
+		comparer := &listComparer{Sink: sink}
+		listed := map[string]Worker{}
+		for range rapid.IntRange(1, 8).Draw(t, "lists") {
+			var list []Worker
+			for _, number := range rapid.SliceOfNDistinct(rapid.IntRange(0, 9), 0, 10, rapid.ID[int]).Draw(t, "workers") {
+				list = append(list, Worker{Name: fmt.Sprint(number), Scale: float64(1 + rapid.IntRange(0, 1).Draw(t, "scale"))})
+			}
+			sink.whole, sink.changed = nil, nil
+			comparer.EndpointsChanged(list)
+			for _, worker := range slices.Concat(sink.whole, sink.changed) {
+				if listed[worker.Name] = worker; worker.State == scheduler.Removed {
+					delete(listed, worker.Name)
+				}
+			}
+			if len(listed) != len(list) {
+				t.Fatalf("%d workers are listed, want %d", len(listed), len(list))
+			}
+			for _, worker := range list {
+				if listed[worker.Name] != worker {
+					t.Fatalf("listed %+v, want %+v", listed[worker.Name], worker)
+				}
+			}
+		}
+	})
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -24,11 +24,18 @@
 // EndpointsUpdated implements discovery.Sink. It hands the changes over a few at a time, and waits for each: what else the
 // loop has to do comes in between, however many workers a release replaces. Workers that may get nothing new come first.
 func (e discoveryEvents) EndpointsUpdated(changed []discovery.Worker) {
+	if len(changed) == 0 {
+		e.updateEndpoints(nil)
+	}
 	for part := range slices.Chunk(readyLast(changed), maxEndpointChanges) {
-		e.loop.postAndWait(stepEndpoints, func(now time.Duration) { e.loop.frontEnd.EndpointsUpdated(now, part) })
+		e.updateEndpoints(part)
 	}
 }
 
+func (e discoveryEvents) updateEndpoints(changed []discovery.Worker) {
+	e.loop.postAndWait(stepEndpoints, func(now time.Duration) { e.loop.frontEnd.EndpointsUpdated(now, changed) })
+}
+
 // readyLast returns workers with those that are ready behind the others, else in their order.
 func readyLast(workers []discovery.Worker) []discovery.Worker {
 	ordered := make([]discovery.Worker, 0, len(workers))
