--- a/internal/discovery/list_comparer.go
+++ b/internal/discovery/list_comparer.go
@@ -27,7 +27,7 @@
 		c.Sink.EndpointsChanged(list)
 		return
 	}
-	c.Sink.EndpointsUpdated(c.changes(before, list))
+	c.EndpointsUpdated(c.changes(before, list))
 }
 
 // changes returns the workers of a list that were not as they are, and those that it lacks as removed.
