Functions of which nothing is left cost nothing

Change: functions with a request, replica or query left are active, in the order of before (weight, then age of the record); the others wait to be forgotten, in the order of their last request. Decisions are as before. Tests: random requests against a scan; the time for which an idle function is kept.

--- a/scheduler/aggregates_test.go
+++ b/scheduler/aggregates_test.go
@@ -43,7 +43,7 @@
 	for class := range s.settings.Classes {
 		verifyClass(t, s, class)
 	}
-	for _, function := range s.functions.byPriority {
+	for _, function := range s.functions.active {
 		verifyRendezvousOrder(t, s, function)
 	}
 }
--- a/scheduler/clone.go
+++ b/scheduler/clone.go
@@ -32,7 +32,8 @@
 		clone.delay.contacts[i].worker = c.worker(s.delay.contacts[i].worker)
 	}
 	clone.functions.byID = cloneValues(s.functions.byID, c.function)
-	clone.functions.byPriority = cloneElements(s.functions.byPriority, c.function)
+	clone.functions.active = cloneElements(s.functions.active, c.function)
+	clone.functions.idle = cloneElements(s.functions.idle, c.function)
 	clone.requests = cloneValues(s.requests, c.request)
 	clone.loadOrders = maps.Clone(s.loadOrders)
 	clone.latency.runTimeByClass = slices.Clone(s.latency.runTimeByClass)
--- a/scheduler/clone_test.go
+++ b/scheduler/clone_test.go
@@ -112,7 +112,7 @@
 		}
 		checker.compare(field.Name, reflect.ValueOf(original).Elem().Field(i), reflect.ValueOf(clone).Elem().Field(i))
 	}
-	if len(original.requests) == 0 || len(original.endpoints.list) == 0 || len(original.functions.byPriority) == 0 {
+	if len(original.requests) == 0 || len(original.endpoints.list) == 0 || len(original.functions.active) == 0 {
 		t.Error("the random events left no request, worker or function to clone")
 	}
 	if checker.reached[reflect.Pointer] < 20 || checker.reached[reflect.Slice] < 20 || checker.reached[reflect.Map] < 4 {
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -13,9 +13,11 @@
 const crossZoneCost = 0.5 // of a worker in another zone, in requests in flight
 
 // comparePriority orders functions by the priority weight of their class: headroom that comes free goes to
-// the highest that is queued.
+// the highest that is queued, and among equals to the function that was requested first.
 func (s *Scheduler) comparePriority(a, b *functionRecord) int {
-	return cmp.Compare(s.settings.Classes[b.class].PriorityWeight, s.settings.Classes[a.class].PriorityWeight)
+	classes := s.settings.Classes
+	byWeight := cmp.Compare(classes[b.class].PriorityWeight, classes[a.class].PriorityWeight)
+	return cmp.Or(byWeight, cmp.Compare(a.sequence, b.sequence))
 }
 
 // dispatch sends queued requests of a function to its warm replicas as far as these have headroom, and
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -54,16 +54,16 @@
 		return
 	}
 	if replica := function.replicaOn(worker); ordered == residencyQuery {
-		function.recordResidency(worker, result.Replicas, now)
+		s.recordResidency(function, worker, result.Replicas)
 	} else if replica != nil && replica.loadOrdered {
 		s.recordLoadOrder(replica, result)
 	}
 	s.dispatch(function)
 }
 
-// dispatchAll dispatches the queues of all functions, highest priority first.
+// dispatchAll dispatches the queues of all functions that have one, highest priority first.
 func (s *Scheduler) dispatchAll() {
-	for _, function := range s.functions.byPriority {
+	for _, function := range s.functions.active {
 		s.dispatch(function)
 	}
 }
--- /dev/null
+++ b/scheduler/function_table_test.go
@@ -0,0 +1,120 @@
+package scheduler
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// verifyFunctions compares what is kept of the functions with a look at all of them.
+func verifyFunctions(t *testing.T, s *Scheduler) {
+	t.Helper()
+	table := &s.functions
+	if len(table.active)+len(table.idle) != len(table.byID) {
+		t.Errorf("%d functions are active and %d idle, of %d", len(table.active), len(table.idle), len(table.byID))
+	}
+	for id, function := range table.byID {
+		if function.id != id {
+			t.Errorf("function %d is known as %d", function.id, id)
+		}
+		if function.isReferenced() && !function.active {
+			t.Errorf("function %d has something left and is idle", id)
+		}
+		if isActive := slices.Contains(table.active, function); isActive != function.active {
+			t.Errorf("function %d is active: %t, noted as %t", id, isActive, function.active)
+		}
+	}
+	if !slices.IsSortedFunc(table.active, s.comparePriority) {
+		t.Error("the active functions are not in the order of their priority")
+	}
+	if !slices.IsSortedFunc(table.idle, compareLastUsed) {
+		t.Error("the idle functions are not in the order of their last requests")
+	}
+}
+
+// answerOrders answers every load order: the replica is loaded.
+func (script *harness) answerOrders() {
+	for _, order := range script.orders {
+		script.scheduler.LoadEnded(script.now, LoadResult{Worker: order.worker, Function: order.function, Status: OK, Latency: 100 * ms, Replicas: 1})
+	}
+	script.orders = nil
+}
+
+// Requests for functions that come again and for others that come once: what is kept equals a scan, and nothing is kept
+// for long of what is requested no longer.
+func TestFunctionTable_RandomRequests_EqualsScan(t *testing.T) {
+	script := newHarness(t, testSettings(), 6)
+	rng := rand.New(rand.NewPCG(1, 7))
+	answered := map[RequestID]bool{}
+	for range 2000 {
+		id := FunctionID(rng.IntN(12))
+		if rng.IntN(4) == 0 {
+			id = FunctionID(1000 + rng.IntN(1_000_000))
+		}
+		script.request(id, rng.IntN(3))
+		script.answerQueries(WorkerID(1 + rng.IntN(6)))
+		script.answerOrders()
+		for _, request := range slices.Sorted(maps.Keys(script.sentTo)) {
+			if !answered[request] && rng.IntN(3) > 0 {
+				answered[request] = true
+				script.endAttempt(request, OK, WarmStart)
+			}
+		}
+		script.advance(time.Duration(rng.IntN(200)) * ms)
+		verifyFunctions(t, script.scheduler)
+	}
+	for _, request := range slices.Sorted(maps.Keys(script.sentTo)) {
+		if !answered[request] {
+			script.endAttempt(request, OK, WarmStart)
+		}
+	}
+	for end := script.now + 2*functionIdleTime + script.scheduler.settings.ReplicaIdleTimeout; script.now < end; {
+		script.answerQueries() // of what still waited when the requests ended
+		script.answerOrders()
+		script.advance(time.Second)
+	}
+	verifyFunctions(t, script.scheduler)
+	if left := len(script.scheduler.functions.byID); left > 0 {
+		t.Errorf("%d functions are known long after their last request", left)
+	}
+}
+
+// A function of which something is left is forgotten no sooner than functionIdleTime after its last request.
+func TestFunctionTable_Idle_IsForgottenAfterItsTime(t *testing.T) {
+	script := newHarness(t, testSettings(), 2)
+	s := script.scheduler
+	request, requestedAt := script.request(1, 0), script.now
+	script.answerQueries()
+	script.endAttempt(request, OK, WarmStart)
+	for s.functions.byID[1] != nil && script.now < requestedAt+2*functionIdleTime {
+		script.advance(tickInterval)
+	}
+	if kept := script.now - requestedAt; kept < functionIdleTime || kept > functionIdleTime+2*tickInterval {
+		t.Errorf("kept for %v, want %v", kept, functionIdleTime)
+	}
+}
+
+// BenchmarkManyFunctions are the costs of one event where 12,000 functions were requested once within two minutes.
+func BenchmarkManyFunctions(b *testing.B) {
+	script := newHarness(&testing.T{}, testSettings(), 3000)
+	s := script.scheduler
+	for i := range 12000 {
+		s.trackFunction(FunctionID(i), i%3).lastUsed = script.now
+	}
+	s.TimerFired(script.now, tickTimer) // they become idle
+	next := FunctionID(1_000_000)
+	for name, event := range map[string]func(){
+		"new function":   func() { next++; s.trackFunction(next, 0); s.expireFunctions() },
+		"tick":           func() { s.TimerFired(script.now, tickTimer) },
+		"response":       s.dispatchAll,
+		"worker changed": func() { s.forgetReplicas(s.endpoints.list[5]) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				event()
+			}
+		})
+	}
+}
--- a/scheduler/replicas.go
+++ b/scheduler/replicas.go
@@ -32,16 +32,12 @@
 	allBacklogs                     // all front ends', as the queue delays at the workers tell
 )
 
-// functionTable holds the functions that were requested lately.
-type functionTable struct {
-	byID       map[FunctionID]*functionRecord
-	byPriority []*functionRecord // in the order of comparePriority
-}
-
 // functionRecord is what is known of a function, and its requests that wait here.
 type functionRecord struct {
 	id                 FunctionID
 	class              int
+	sequence           uint64        // of its addition to the table
+	active             bool          // it is in functionTable.active, else in idle
 	concurrency        int           // requests that one replica executes at a time
 	advertisedLoadTime time.Duration // usual load time, 0 if not advertised
 	queue              []*requestRecord
@@ -78,32 +74,9 @@
 	function FunctionID
 }
 
-// trackFunction returns the record of a function, made if there is none.
-func (s *Scheduler) trackFunction(id FunctionID, class int) *functionRecord {
-	function := s.functions.byID[id]
-	if function == nil {
-		function = &functionRecord{id: id, class: class, queriedAt: -never}
-		s.functions.byID[id] = function
-		s.functions.byPriority = append(s.functions.byPriority, function)
-		slices.SortStableFunc(s.functions.byPriority, s.comparePriority)
-	}
-	return function
-}
-
-// expire drops the idle replicas and hopeless requests of a function; it reports whether nothing is left.
-func (s *Scheduler) expire(function *functionRecord) bool {
-	function.dropIdleReplicas(s.now - s.settings.ReplicaIdleTimeout)
-	s.finishHopeless(function)
-	if function.isReferenced() || s.now-function.lastUsed <= functionIdleTime {
-		return false
-	}
-	delete(s.functions.byID, function.id)
-	return true
-}
-
 // forgetReplicas drops every belief about what a worker holds.
 func (s *Scheduler) forgetReplicas(worker *workerRecord) {
-	for _, function := range s.functions.byPriority {
+	for _, function := range s.functions.active {
 		if replica := function.replicaOn(worker); replica != nil {
 			function.dropReplica(replica)
 		}
@@ -112,7 +85,7 @@
 
 // countLoadsInFlight counts the replicas that are loading for this front end.
 func (s *Scheduler) countLoadsInFlight() (count int) {
-	for _, function := range s.functions.byPriority {
+	for _, function := range s.functions.active {
 		for _, replica := range function.replicas {
 			if replica.loading {
 				count++
@@ -143,10 +116,11 @@
 }
 
 // recordResidency takes the answer to a residency query.
-func (f *functionRecord) recordResidency(worker *workerRecord, loaded int, now time.Duration) {
-	f.pendingQueries = max(0, f.pendingQueries-1)
-	if loaded > 0 && f.replicaOn(worker) == nil && worker.State == Ready {
-		f.replicas = append(f.replicas, &replicaBelief{worker: worker, function: f, lastUsed: now})
+func (s *Scheduler) recordResidency(function *functionRecord, worker *workerRecord, loaded int) {
+	function.pendingQueries = max(0, function.pendingQueries-1)
+	if loaded > 0 && function.replicaOn(worker) == nil && worker.State == Ready {
+		s.activate(function)
+		function.replicas = append(function.replicas, &replicaBelief{worker: worker, function: function, lastUsed: s.now})
 	}
 }
 
--- a/scheduler/residency.go
+++ b/scheduler/residency.go
@@ -50,6 +50,7 @@
 			continue
 		}
 		if !worker.isEjected(function.class) && function.replicaOn(worker) == nil {
+			s.activate(function)
 			function.pendingQueries++
 			s.loadOrders[key] = residencyQuery
 			s.actions.Load(worker.ID, function.id, residencyQuery)
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -20,6 +20,7 @@
 	case s.missesDeadline(request, 0):
 		s.rejectOrFail(request, DeadlineTooClose)
 	default:
+		s.activate(request.function)
 		request.function.queue = append([]*requestRecord{request}, request.function.queue...)
 	}
 }
--- a/scheduler/scale_out.go
+++ b/scheduler/scale_out.go
@@ -108,5 +108,6 @@
 	}
 	s.breaker.loadsInFlight++
 	s.evictions.startedLoads.Add(s.now, evictionMemory, 1)
+	s.activate(function)
 	function.replicas = append(function.replicas, replica)
 }
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -1,9 +1,6 @@
 package scheduler
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Tuned values. Here and in the other policy files none belongs to one deployment.
 const (
@@ -40,6 +37,6 @@
 	}
 	s.updateQueueDelays()
 	s.breaker.loadsInFlight = s.countLoadsInFlight()
-	s.functions.byPriority = slices.DeleteFunc(s.functions.byPriority, s.expire)
+	s.expireFunctions()
 	s.dispatchAll()
 }
