Failing test: stopped twice in a row, a request counts from the second stop

Cause: StallTracker notes the begin of the last stall only. A second one that begins before what came during the first was read hides it.

--- a/internal/decide/looplag/stall_test.go
+++ b/internal/decide/looplag/stall_test.go
@@ -40,3 +40,29 @@
 		t.Error("read before the stall, and does not count from then")
 	}
 }
+
+// A process that is stopped again before it has caught up still has requests to read that arrived during the first stop.
+func TestStallTracker_StalledAgainBeforeCaughtUp_CountsFromTheFirstBegin(t *testing.T) {
+	var tracker StallTracker
+	const began, stall, between = 100 * ms, 880 * ms, 15 * ms
+	for now := 0 * ms; now <= began; now += sendLease / 3 {
+		tracker.MayRenewLease(now)
+	}
+	lastPass := tracker.lastPass
+	resumed := began + stall
+	tracker.MayRenewLease(resumed)
+	tracker.MayRenewLease(resumed + between)
+	resumedAgain := resumed + between + stall
+	if tracker.MayRenewLease(resumedAgain) {
+		t.Error("renewed at once after the second stall")
+	}
+	if got := tracker.EarliestArrival(resumedAgain + ms); got != lastPass {
+		t.Errorf("read after the second stall counts from %v, want %v, the last pass before the first one", got, lastPass)
+	}
+	caughtUp := tracker.NextRenewal()
+	tracker.MayRenewLease(caughtUp)
+	tracker.MayRenewLease(caughtUp + stall)
+	if got := tracker.EarliestArrival(caughtUp + stall + ms); got != caughtUp {
+		t.Errorf("read after a stall that began once it had caught up counts from %v, want %v", got, caughtUp)
+	}
+}
