A second stall before the first was caught up does not hide when it began

Change: the begin of a stall stands until the loop has caught up with it; the time to catch up follows from the whole of it.

--- a/internal/decide/looplag/stall.go
+++ b/internal/decide/looplag/stall.go
@@ -22,8 +22,8 @@
 // apart. It decides what is still known after that: it belongs to the loop's goroutine.
 type StallTracker struct {
 	lastPass   time.Duration
-	stalledAt  time.Duration // when the last stall began
-	caughtUpAt time.Duration // from when on what was received during the last stall is handled
+	stalledAt  time.Duration // when the last stall began, or the first of several that followed before it had caught up
+	caughtUpAt time.Duration // from when on what was received during the stall is handled
 }
 
 // MayRenewLease takes a pass of the event loop at now, and reports whether the lease on sending new work may be renewed:
@@ -31,9 +31,11 @@
 // guards against work that is sent on what was known before the stall. It would harm where each pass of the loop takes
 // longer than a lease: new work is then sent a little later.
 func (t *StallTracker) MayRenewLease(now time.Duration) bool {
-	if stall := now - t.lastPass; stall > sendLease {
-		t.stalledAt = t.lastPass
-		t.caughtUpAt = now + min(maxCatchUpTime, catchUpTime+stall/catchUpPart)
+	if now-t.lastPass > sendLease {
+		if t.lastPass >= t.caughtUpAt {
+			t.stalledAt = t.lastPass
+		}
+		t.caughtUpAt = now + min(maxCatchUpTime, catchUpTime+(now-t.stalledAt)/catchUpPart)
 	}
 	t.lastPass = now
 	return now >= t.caughtUpAt
