--- a/internal/decide/looplag/stall_test.go
+++ b/internal/decide/looplag/stall_test.go
@@ -60,6 +60,9 @@
 		t.Errorf("read after the second stall counts from %v, want %v, the last pass before the first one", got, lastPass)
 	}
 	caughtUp := tracker.NextRenewal()
+	for now := resumedAgain; now < caughtUp; now += sendLease / 3 {
+		tracker.MayRenewLease(now)
+	}
 	tracker.MayRenewLease(caughtUp)
 	tracker.MayRenewLease(caughtUp + stall)
 	if got := tracker.EarliestArrival(caughtUp + stall + ms); got != caughtUp {
