Rendezvous ranks are finite: the search for the first places ends whatever the weights are

Found by reading: a worker whose weight is next to nothing beside the mean's had an infinite rank, below no limit, and the search doubled its limit for ever.

--- a/scheduler/aggregates_test.go
+++ b/scheduler/aggregates_test.go
@@ -184,6 +184,34 @@
 	}
 }
 
+// TestRendezvousOrder_ExtremeCapacities_RanksAll holds that the search for the first places ends whatever the weights are.
+func TestRendezvousOrder_ExtremeCapacities_RanksAll(t *testing.T) {
+	const workers = 200
+	settings := testSettings()
+	settings.ScaleIsCapacity = true
+	script := newHarness(t, settings, 0)
+	var list []WorkerInfo
+	for i := range workers {
+		scale := math.SmallestNonzeroFloat64
+		if i < 3 {
+			scale = math.MaxFloat64 / workers
+		}
+		list = append(list, WorkerInfo{ID: WorkerID(i + 1), Scale: scale, Started: UnknownStart, State: Ready})
+	}
+	script.scheduler.WorkersChanged(script.now, list, true)
+	function := &functionRecord{id: 7}
+	for _, count := range []int{1, 10, workers} {
+		if order := script.scheduler.rendezvousOrder(function, count); len(order) < count {
+			t.Errorf("%d workers are ranked, want %d", len(order), count)
+		}
+	}
+	for _, worker := range script.scheduler.rendezvousOrder(function, workers)[:3] {
+		if worker.ID > 3 {
+			t.Errorf("worker %d of next to no capacity is one of the first three", worker.ID)
+		}
+	}
+}
+
 // BenchmarkTick is a tick of a Scheduler whose workers are idle but for a few.
 func BenchmarkTick(b *testing.B) {
 	for _, workers := range []int{120, 1920, 3200} {
--- a/scheduler/rendezvous.go
+++ b/scheduler/rendezvous.go
@@ -97,10 +97,14 @@
 //
 // Thaler, Ravishankar: "Using name-based mappings to increase hit rates", IEEE/ACM Transactions on Networking, 1998;
 // with weights: Schindelhauer, Schomaker: "Weighted distributed hash tables", SPAA 2005.
-func rendezvousRank(draw, capacity float64) float64 { return -math.Log1p(-draw) / capacity }
+//
+// It is finite, so that each worker has a rank below some limit, also one whose capacity is next to nothing.
+func rendezvousRank(draw, capacity float64) float64 {
+	return min(-math.Log1p(-draw)/capacity, math.MaxFloat64)
+}
 
 // leastRank is not above rendezvousRank, and costs no logarithm: -ln(1-x) >= x.
-func leastRank(draw, capacity float64) float64 { return draw / capacity }
+func leastRank(draw, capacity float64) float64 { return min(draw/capacity, math.MaxFloat64) }
 
 // rankWorkers takes a change of the workers or their capacities.
 func (s *Scheduler) rankWorkers() {
