--- a/lab/fleet/scenario_test.go
+++ b/lab/fleet/scenario_test.go
@@ -25,22 +25,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := Demo{
+	demo := Demo{
 		Workers: 12, FrontEnds: 3, Mix: DemoMix(120), Duration: lasts, Scenario: string(text), Seed: 7,
 		Log: zerolog.Nop(), Report: func(s string) { t.Log(s) },
 	}
-	r, err := d.Run(context.Background())
+	report, err := demo.Run(context.Background())
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Log(r.Tally, r.Outcomes)
-	for _, b := range r.Violations {
-		t.Errorf("rule %s broken: %s", b.Rule, b.Detail)
+	tally := report.Tally
+	t.Log(tally, report.Outcomes)
+	for _, violation := range report.Violations {
+		t.Errorf("rule %s broken: %s", violation.Rule, violation.Detail)
 	}
-	if !r.Tally.Balanced() {
-		t.Error("not every call is accounted for")
+	if !tally.Balanced() {
+		t.Error("not every request is accounted for")
 	}
-	if tl := r.Tally; tl.Served < tl.Sent/2 || tl.Disconnected+tl.Rejected == 0 {
-		t.Errorf("%v: a scenario in which next to nothing was served, or no fault showed, proves nothing", tl)
+	if tally.Served < tally.Sent/2 || tally.Disconnected+tally.Rejected == 0 {
+		t.Errorf("%v: a scenario in which next to nothing was served, or no fault showed, proves nothing", tally)
 	}
 }
