Endpoint changes wait beside the loop's queue: the stream is read without waiting for the loop

Of a worker that changes again while it waits the last state counts. Tests: steps are bounded as before; drains come before what was reported earlier; any changes give the last state (property test).

--- a/internal/gateway/endpoint_steps_test.go
+++ b/internal/gateway/endpoint_steps_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
 
 	"havencart/internal/discovery"
 	"havencart/scheduler"
@@ -47,6 +49,9 @@
 	}()
 	<-source.reported
 	snapshot := loop.Snapshot()
+	for snapshot.Workers < len(changed) {
+		snapshot = loop.Snapshot()
+	}
 	cancel()
 	<-ended
 	return snapshot
@@ -71,18 +76,63 @@
 	}
 }
 
-// What may get nothing new is known first, however many others are added with it.
-func TestReadyLast_DrainingAndRemovedComeFirst(t *testing.T) {
-	var names []string
-	for _, worker := range readyLast([]discovery.Worker{
-		{Name: "new", State: scheduler.Ready},
-		{Name: "draining", State: scheduler.Draining},
-		{Name: "newer", State: scheduler.Ready},
-		{Name: "removed", State: scheduler.Removed},
-	}) {
-		names = append(names, worker.Name)
+// What may get nothing new is known first, however many others are added with it or before.
+func TestEndpointChanges_NotReadyComeFirst(t *testing.T) {
+	changes := newEndpointChanges()
+	var many []discovery.Worker
+	for i := range maxEndpointChanges {
+		many = append(many, discovery.Worker{Name: fmt.Sprint("new", i), State: scheduler.Ready})
+	}
+	changes.add(many)
+	changes.add([]discovery.Worker{{Name: "draining", State: scheduler.Draining}, {Name: "removed", State: scheduler.Removed}})
+	changes.add([]discovery.Worker{{Name: "new5", State: scheduler.Removed}})
+	var first []string
+	taken, _ := changes.take()
+	for _, worker := range taken[:4] {
+		first = append(first, worker.Name)
+	}
+	if want := []string{"new5", "draining", "removed", "new0"}; !slices.Equal(first, want) {
+		t.Errorf("%v are taken first, want %v", first, want)
 	}
-	if want := []string{"draining", "removed", "new", "newer"}; !slices.Equal(names, want) {
-		t.Errorf("%v, want %v", names, want)
+	if len(taken) != maxEndpointChanges {
+		t.Errorf("%d are taken at a time, want %d", len(taken), maxEndpointChanges)
 	}
 }
+
+// Whatever changes while others wait: applied one after the other, what is taken gives the last state of each worker.
+func TestEndpointChanges_AnyChanges_LastStateCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		changes := newEndpointChanges()
+		reported, applied := map[string]discovery.Worker{}, map[string]discovery.Worker{}
+		take := func() bool {
+			taken, isReported := changes.take()
+			for _, worker := range taken {
+				applied[worker.Name] = worker
+			}
+			return isReported
+		}
+		for range rapid.IntRange(1, 20).Draw(t, "reports") {
+			var changed []discovery.Worker
+			for range rapid.IntRange(0, 2*maxEndpointChanges).Draw(t, "changes") {
+				worker := discovery.Worker{
+					Name:  fmt.Sprint(rapid.IntRange(0, 400).Draw(t, "name")),
+					State: scheduler.WorkerState(rapid.IntRange(int(scheduler.Ready), int(scheduler.Removed)).Draw(t, "state")),
+				}
+				changed = append(changed, worker)
+				reported[worker.Name] = worker
+			}
+			changes.add(changed)
+			if rapid.Bool().Draw(t, "taken meanwhile") {
+				take()
+			}
+		}
+		for take() {
+		}
+		if !maps.Equal(applied, reported) {
+			t.Fatalf("applied %v, reported %v", applied, reported)
+		}
+		if len(changes.byName)+len(changes.inOrder) > 0 {
+			t.Fatalf("%d and %d still wait", len(changes.byName), len(changes.inOrder))
+		}
+	})
+}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -41,6 +41,8 @@
 	guard         *workerconn.Guard    // shared with the worker clients
 	stalls        looplag.StallTracker // the loop's goroutine only
 	times         LoopTimes            // the loop's goroutine only
+
+	endpointChanges *endpointChanges
 }
 
 // loopEvent is something for the loop to do, in its goroutine.
@@ -59,6 +61,8 @@
 		kill:     make(chan struct{}),
 		done:     make(chan struct{}),
 		guard:    &workerconn.Guard{},
+
+		endpointChanges: newEndpointChanges(),
 	}
 	l.cfg.Guard = l.guard
 	l.gate.setLimit(math.MaxInt)
@@ -163,8 +167,8 @@
 	}
 }
 
-// postAndWait queues an event, and returns once it is handled or the loop has ended.
-func (l *EventLoop) postAndWait(step loopStep, handle func(now time.Duration)) {
+// postAndWait queues an event, and returns true once it is handled, or false if the loop has ended.
+func (l *EventLoop) postAndWait(step loopStep, handle func(now time.Duration)) bool {
 	handled := make(chan struct{})
 	l.post(step, func(now time.Duration) {
 		handle(now)
@@ -172,7 +176,9 @@
 	})
 	select {
 	case <-handled:
+		return true
 	case <-l.done:
+		return false
 	}
 }
 
@@ -209,6 +215,7 @@
 		now := l.Now()
 		l.renewLease(now)
 		l.prepare(now)
+		l.takeEndpointChanges()
 		if shutdown == nil && l.idle() {
 			return true
 		}
@@ -218,6 +225,7 @@
 			l.receive(request)
 		case event := <-l.events:
 			l.handle(event)
+		case <-l.endpointChanges.added:
 		case <-timer.C:
 		case <-shutdown:
 			l.frontEnd.StopAdmitting(l.Now())
