After a stall a request counts from when its connection was last seen empty

Cause: what is read within 100 ms of a stall's end counted from its begin; where there is much else to read it takes longer. A time stood in for something that can be known. Change: the reading goroutine notes when its connection was last seen without anything to read. A request arrived after that; the stall tracker remembers the last stalls and counts it from the begin of the first one that ended since, for as long after it as it lasted, a second at most. Requests over HTTP tell nothing, as before. Tests: the reader, the tracker with one and with many stalls, the event loop.

--- a/internal/decide/looplag/stall_test.go
+++ b/internal/decide/looplag/stall_test.go
@@ -1,6 +1,9 @@
 package looplag
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func TestStallTracker_AfterStall_LeaseIsRenewedOnceCaughtUp(t *testing.T) {
 	var tracker StallTracker
@@ -25,18 +28,18 @@
 	for now := 0 * ms; now <= before; now += sendLease / 3 {
 		tracker.MayRenewLease(now)
 	}
-	if got := tracker.EarliestArrival(before - ms); got != before-ms {
+	if got := tracker.EarliestArrival(before-ms, UnknownArrival); got != before-ms {
 		t.Errorf("without a stall a request read at %v counts from %v", before-ms, got)
 	}
 	resumed := before + 10*sendLease
 	tracker.MayRenewLease(resumed)
-	if got := tracker.EarliestArrival(resumed + catchUpTime + sendLease/2); got != tracker.stalledAt || got > before {
+	if got := tracker.EarliestArrival(resumed+catchUpTime+sendLease/2, UnknownArrival); got != tracker.stalledAt || got > before {
 		t.Errorf("read just after the stall counts from %v, want the last pass before it", got)
 	}
-	if late := resumed + maxCatchUpTime + ms; tracker.EarliestArrival(late) != late {
+	if late := resumed + maxCatchUpTime + ms; tracker.EarliestArrival(late, UnknownArrival) != late {
 		t.Error("read once caughtUp, and does not count from then")
 	}
-	if early := tracker.stalledAt; tracker.EarliestArrival(early-ms) != early-ms {
+	if early := tracker.stalledAt; tracker.EarliestArrival(early-ms, UnknownArrival) != early-ms {
 		t.Error("read before the stall, and does not count from then")
 	}
 }
@@ -56,7 +59,7 @@
 	if tracker.MayRenewLease(resumedAgain) {
 		t.Error("renewed at once after the second stall")
 	}
-	if got := tracker.EarliestArrival(resumedAgain + ms); got != lastPass {
+	if got := tracker.EarliestArrival(resumedAgain+ms, UnknownArrival); got != lastPass {
 		t.Errorf("read after the second stall counts from %v, want %v, the last pass before the first one", got, lastPass)
 	}
 	caughtUp := tracker.NextRenewal()
@@ -65,7 +68,55 @@
 	}
 	tracker.MayRenewLease(caughtUp)
 	tracker.MayRenewLease(caughtUp + stall)
-	if got := tracker.EarliestArrival(caughtUp + stall + ms); got != caughtUp {
+	if got := tracker.EarliestArrival(caughtUp+stall+ms, UnknownArrival); got != caughtUp {
 		t.Errorf("read after a stall that began once it had caught up counts from %v, want %v", got, caughtUp)
 	}
 }
+
+// What is known of a connection tells more than the time that has passed since a stall.
+func TestStallTracker_ConnectionSeenEmpty_RequestArrivedLater(t *testing.T) {
+	var tracker StallTracker
+	const began, length = 100 * ms, 900 * ms
+	for now := 0 * ms; now <= began; now += 20 * ms {
+		tracker.MayRenewLease(now)
+	}
+	resumed := began + length
+	for now := resumed; now <= resumed+length; now += 20 * ms {
+		tracker.MayRenewLease(now)
+	}
+	for name, c := range map[string]struct{ readAt, arrivedAfter, want time.Duration }{
+		"read first long after the stall":             {resumed + length, 50 * ms, began},
+		"first request of a connection":               {resumed + length, AnyArrival, began},
+		"seen empty in the stall, before it was seen": {resumed + 30*ms, resumed - 10*ms, resumed - 10*ms},
+		"seen empty since the stall":                  {resumed + 30*ms, resumed + 10*ms, resumed + 30*ms},
+		"first read once all have been read":          {resumed + length + ms, 50 * ms, resumed + length + ms},
+		"read before the stall":                       {began - 10*ms, AnyArrival, began - 10*ms},
+	} {
+		if got := tracker.EarliestArrival(c.readAt, c.arrivedAfter); got != c.want {
+			t.Errorf("%s: counts from %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// Of several stalls in which a connection was not read the first one counts, however far apart they are.
+func TestStallTracker_SeveralStalls_CountsFromTheFirstNotRead(t *testing.T) {
+	var tracker StallTracker
+	const length, between = 400 * ms, 200 * ms
+	now := 0 * ms
+	var ends []time.Duration
+	for range 2 * maxRecentStalls {
+		for resumed := now; now <= resumed+between; now += 20 * ms {
+			tracker.MayRenewLease(now)
+		}
+		now += length
+		tracker.MayRenewLease(now)
+		ends = append(ends, now)
+	}
+	last := len(ends) - 1
+	if got, want := tracker.EarliestArrival(now+ms, ends[last-2]), ends[last-1]-length-20*ms; got != want {
+		t.Errorf("not read since two stalls: counts from %v, want %v", got, want)
+	}
+	if len(tracker.recent) > maxRecentStalls {
+		t.Errorf("%d stalls are remembered", len(tracker.recent))
+	}
+}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -259,7 +259,7 @@
 // what the loop sees first.
 func (l *EventLoop) receive(request *Request) {
 	l.renewLease(l.Now())
-	request.StartedAt = l.stalls.EarliestArrival(request.StartedAt)
+	request.StartedAt = l.stalls.EarliestArrival(request.StartedAt, request.ArrivedAfter)
 	now := l.Now()
 	l.times.LongestWait = max(l.times.LongestWait, now-request.queuedAt)
 	l.frontEnd.RequestReceived(now, request)
--- a/internal/gateway/event_loop_test.go
+++ b/internal/gateway/event_loop_test.go
@@ -68,6 +68,24 @@
 	}
 }
 
+// A request that is read a while after a stall, as there was much to read, on a connection that was not read since.
+func TestReceive_ReadWhileAfterStall_CountsFromItsBegin(t *testing.T) {
+	loop := NewEventLoop(EventLoopConfig{Settings: Settings{ClockStart: time.Now().Add(-time.Hour)}}, zerolog.Nop())
+	loop.frontEnd = NewFrontEnd(loop.Now(), Settings{Scheduler: testScheduler(), Classes: []string{"safe", "keyed", "unsafe"}, MaxInFlight: 1}, loop, zerolog.Nop())
+	now := loop.Now()
+	for pass := now - 1500*time.Millisecond; pass < now; pass += 20 * time.Millisecond {
+		if pass < now-1400*time.Millisecond || pass > now-400*time.Millisecond { // it stands still in between
+			loop.renewLease(pass)
+		}
+	}
+	request := NewRequest()
+	request.StartedAt, request.ArrivedAfter, request.Timeout = now, now-time.Minute, time.Second
+	loop.receive(request)
+	if response := <-request.Response(); response.Kind != Rejected || response.Reason != DeadlineExceeded.String() {
+		t.Errorf("%+v; want a rejection, as no time may be left", response)
+	}
+}
+
 // newIdleLoop returns an event loop that the test runs by hand.
 func newIdleLoop(events int) *EventLoop {
 	loop := NewEventLoop(EventLoopConfig{Settings: Settings{ClockStart: time.Now()}, EventQueue: events}, zerolog.Nop())
--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -15,6 +15,7 @@
 
 	"havencart/internal/config/platformconfig"
 	"havencart/internal/decide/connadmission"
+	"havencart/internal/decide/looplag"
 	"havencart/internal/discovery"
 	"havencart/internal/native/muxframe"
 	"havencart/internal/periodic"
@@ -193,6 +194,10 @@
 	request.Body = received.Body
 	request.Timeout = received.Timeout
 	request.StartedAt = received.ReceivedAt.Sub(p.loop.cfg.ClockStart)
+	request.ArrivedAfter = looplag.AnyArrival
+	if !received.ArrivedAfter.IsZero() {
+		request.ArrivedAfter = received.ArrivedAfter.Sub(p.loop.cfg.ClockStart)
+	}
 	request.Replica = muxframe.ReplicaSpec{
 		Function:    received.Function,
 		MemoryMB:    received.MemoryMB,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -20,6 +20,7 @@
 	Body           []byte
 	Timeout        time.Duration // until the client gives up, counted from StartedAt
 	StartedAt      time.Duration // when the client began, on the event loop's clock
+	ArrivedAfter   time.Duration // see looplag.StallTracker.EarliestArrival
 
 	queuedAt    time.Duration // when it entered the event loop's queue; 0: it waited in none
 	response    chan FinalResponse
--- a/internal/platform/rpcserver/conn.go
+++ b/internal/platform/rpcserver/conn.go
@@ -23,9 +23,10 @@
 // conn is one client's connection. Its reading goroutine starts when it is admitted and ends with the input; a writing
 // goroutine lives while there are responses to write.
 type conn struct {
-	server *Server
-	net    net.Conn
-	in     *bufio.Reader
+	server   *Server
+	net      net.Conn
+	received *input        // owned by the reading goroutine, as in
+	in       *bufio.Reader // of received
 	// consecutiveRejections are requests in a row that the Handler rejected. The reading goroutine owns it.
 	consecutiveRejections int
 
@@ -64,8 +65,9 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
+	received := &input{Conn: nc}
 	return &conn{
-		server: s, net: nc, in: bufio.NewReaderSize(nc, readBufferSize), inFlight: map[uint32]*pendingRequest{},
+		server: s, net: nc, received: received, in: bufio.NewReaderSize(received, readBufferSize), inFlight: map[uint32]*pendingRequest{},
 		stateSince: time.Now(),
 	}
 }
@@ -216,6 +218,7 @@
 		return err
 	}
 	request.ReceivedAt = time.Now()
+	request.ArrivedAfter = c.received.arrivedAfter
 	pending, err := c.addInFlight(message.Number)
 	if err != nil {
 		return err
--- a/internal/platform/rpcserver/handler.go
+++ b/internal/platform/rpcserver/handler.go
@@ -22,6 +22,7 @@
 	WorkEstimate   time.Duration // expected execution time, 0 if unknown
 	Body           []byte
 	ReceivedAt     time.Time // when its last byte was read
+	ArrivedAfter   time.Time // its last byte arrived after that; the zero time if it may have arrived at any time
 }
 
 // ResponseKind is the kind of a final response.
