A pass of the loop takes endpoint changes before timers, which may send something new

Read once more: since changes of the list wait beside the loop's queue, they were taken after the timers of the same pass; as events they had come before. What has been received comes first again, and the lease on new work is renewed after it. The test fails with the order of before.

--- a/internal/gateway/endpoint_steps_test.go
+++ b/internal/gateway/endpoint_steps_test.go
@@ -136,3 +136,33 @@
 		}
 	})
 }
+
+// orderingScheduler notes the order in which it is called.
+type orderingScheduler struct {
+	Scheduler
+	calls *[]string
+}
+
+func (s orderingScheduler) WorkersChanged(now time.Duration, list []scheduler.WorkerInfo, whole bool) {
+	*s.calls = append(*s.calls, "workers changed")
+	s.Scheduler.WorkersChanged(now, list, whole)
+}
+
+func (s orderingScheduler) TimerFired(now time.Duration, token uint64) {
+	*s.calls = append(*s.calls, "timer")
+	s.Scheduler.TimerFired(now, token)
+}
+
+// A drain that waits is known before a timer that is due can send something new.
+func TestBeginPass_DrainAndTimerDue_DrainFirst(t *testing.T) {
+	loop := newIdleLoop(4)
+	var calls []string
+	loop.frontEnd.scheduler = orderingScheduler{loop.frontEnd.scheduler, &calls}
+	loop.newTestClient = func(*EventLoop) WorkerClient { return &fakeWorkerClient{} }
+	loop.endpointChanges.add([]discovery.Worker{{Name: "w", Address: "h:1", Scale: 1, State: scheduler.Draining}})
+	loop.frontEnd.timers.add(&timer{kind: schedulerTimer, due: 0})
+	loop.beginPass()
+	if want := []string{"workers changed", "timer"}; len(calls) < 2 || !slices.Equal(calls[:2], want) {
+		t.Errorf("%v, want %v first", calls, want)
+	}
+}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -211,11 +211,7 @@
 	var shutdownTimeout <-chan time.Time
 	shutdown := ctx.Done() // nil once the shutdown has begun
 	for {
-		l.drainEvents()
-		now := l.Now()
-		l.renewLease(now)
-		l.prepare(now)
-		l.takeEndpointChanges()
+		now := l.beginPass()
 		if shutdown == nil && l.idle() {
 			return true
 		}
@@ -239,6 +235,17 @@
 	}
 }
 
+// beginPass handles what has been received, and then what is due: timers may send something new, which workers that drain
+// are not to get. It returns the time of the pass.
+func (l *EventLoop) beginPass() time.Duration {
+	l.drainEvents()
+	l.takeEndpointChanges()
+	now := l.Now()
+	l.renewLease(now)
+	l.prepare(now)
+	return now
+}
+
 // renewLease lets worker clients send new work for another while, if the loop is up to date.
 func (l *EventLoop) renewLease(now time.Duration) {
 	if l.stalls.MayRenewLease(now) {
