Endpoint list: when it was last confirmed is known and logged, load orders that fail are logged

Nothing is decided by it yet.

internal/decide/endpointlease is the pure part. A frame of the stream confirms the list as of when the connection was last seen empty, as after a stall it may be old (rpcserver's input is shared for that, as socket.ArrivalConn). Tests of discovery, gateway and platform packages pass; the whole script was not run.

--- /dev/null
+++ b/internal/decide/endpointlease/endpointlease_test.go
@@ -0,0 +1,79 @@
+package endpointlease
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+var platformRules = Rules{Silence: 4 * time.Second, Outage: 2 * time.Second, Grace: 500 * ms}
+
+// margin is half of the grace and of the slack.
+const margin = 275 * ms
+
+func TestLease_EachEvent_EndsWithTheNotice(t *testing.T) {
+	const start = 10 * time.Second
+	cases := map[string]struct {
+		observe func(*Lease)
+		want    time.Duration // after the start
+	}{
+		"never confirmed":           {func(*Lease) {}, 0},
+		"confirmed":                 {func(l *Lease) { l.Confirm(start + time.Second) }, 5 * time.Second},
+		"confirmed, then silent":    {func(l *Lease) { l.Confirm(start); l.Confirm(start + time.Second) }, 5 * time.Second},
+		"an older confirmation":     {func(l *Lease) { l.Confirm(start + time.Second); l.Confirm(start) }, 5 * time.Second},
+		"broke off":                 {func(l *Lease) { l.Confirm(start); l.Interrupt() }, 2 * time.Second},
+		"broke off twice":           {func(l *Lease) { l.Confirm(start); l.Interrupt(); l.Interrupt() }, 2 * time.Second},
+		"requested again":           {func(l *Lease) { l.Confirm(start); l.Interrupt(); l.Request(start + time.Second) }, time.Second},
+		"requested when it is over": {func(l *Lease) { l.Confirm(start); l.Interrupt(); l.Request(start + time.Minute) }, 2 * time.Second},
+		"confirmed after a request": {func(l *Lease) { l.Request(start); l.Confirm(start + time.Second) }, 5 * time.Second},
+	}
+	for name, c := range cases {
+		lease := New(platformRules, start)
+		c.observe(&lease)
+		if got, want := lease.Until(), start+c.want+margin; got != want {
+			t.Errorf("%s: until %v, want %v", name, got, want)
+		}
+	}
+}
+
+func TestLease_WithoutRules_NeverEnds(t *testing.T) {
+	lease := New(Rules{Grace: time.Second}, time.Minute)
+	lease.Interrupt()
+	lease.Request(time.Minute)
+	if lease.Until() != Unlimited || (Rules{}).AcceptedUntil(time.Minute) != Unlimited {
+		t.Errorf("until %v", lease.Until())
+	}
+}
+
+// Whenever the outage began after the last confirmation, and whenever a worker began to drain in it, nothing new may begin
+// later than the rules allow.
+func TestLease_AnyOutage_EndsBeforeWhatTheRulesAllow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) time.Duration { return time.Duration(rapid.IntRange(0, 8000).Draw(t, name)) * ms }
+		lease := New(platformRules, 0)
+		confirmedAt := draw("confirmed")
+		lease.Confirm(confirmedAt)
+		outageAt := confirmedAt + draw("outage after")
+		drainAt := outageAt + draw("drain after")
+		notified := max(drainAt, outageAt+platformRules.Silence)
+		if rapid.Bool().Draw(t, "broke off") {
+			lease.Interrupt()
+			notified = max(drainAt, outageAt+platformRules.Outage)
+		}
+		if rapid.Bool().Draw(t, "requested") {
+			requestedAt := outageAt + draw("requested after")
+			lease.Request(requestedAt)
+			notified = max(drainAt, min(notified, requestedAt))
+		}
+		if end := notified + platformRules.Grace; lease.Until() > end {
+			t.Fatalf("new work may begin until %v, the rules allow it until %v", lease.Until(), end)
+		}
+		accepted := outageAt + draw("accepted after")
+		if accepted <= drainAt && platformRules.AcceptedUntil(accepted) > drainAt+platformRules.Grace {
+			t.Fatalf("a worker that accepted at %v and drained at %v may be sent new work until %v", accepted, drainAt, platformRules.AcceptedUntil(accepted))
+		}
+	})
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -54,6 +54,10 @@
 
 func (sink recordingSink) WatchFailed(err error) { sink.failures <- err }
 
+func (recordingSink) ListRequested(time.Time) {}
+
+func (recordingSink) ListConfirmed(time.Time) {}
+
 func (sink recordingSink) list(t *testing.T) []discovery.Worker {
 	t.Helper()
 	select {
--- a/internal/discovery/endpointstream.go
+++ b/internal/discovery/endpointstream.go
@@ -14,6 +14,7 @@
 
 	"havencart/internal/decide/reconnect"
 	"havencart/internal/platform/endpointstream"
+	"havencart/internal/socket"
 	"havencart/scheduler"
 )
 
@@ -145,10 +146,12 @@
 	defer closeConn()
 	stop := context.AfterFunc(ctx, closeConn) // interrupts a read or write in progress
 	defer stop()
+	requestedAt := time.Now()
+	sink.ListRequested(requestedAt)
 	if _, err := conn.Write(endpointstream.AppendHello(nil, s.lastEvent)); err != nil {
 		return false, fmt.Errorf("write to the endpoint stream: %w", err)
 	}
-	return s.receive(conn, sink)
+	return s.receive(conn, requestedAt, sink)
 }
 
 // cancelWhenClosed calls cancel once signal is closed. It returns then, or when ctx ends.
@@ -160,9 +163,12 @@
 	}
 }
 
-// receive applies the events of a connection until it fails; the error is never nil.
-func (s *EndpointStream) receive(conn net.Conn, sink Sink) (received bool, err error) {
-	reader := bufio.NewReader(conn)
+// receive applies the events of a connection until it fails; the error is never nil. Each event says that the service had
+// nothing else when it was sent, which was after the request and after the connection was last seen empty: after a stall of
+// this process it may have waited to be read while the service has long been out of reach.
+func (s *EndpointStream) receive(conn net.Conn, requestedAt time.Time, sink Sink) (received bool, err error) {
+	source := &socket.ArrivalConn{Conn: conn}
+	reader := bufio.NewReader(source)
 	silenceTimeout := reconnect.WatchSilenceTimeout(s.rng.Float64())
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(silenceTimeout)) // fails on a closed connection only
@@ -174,9 +180,18 @@
 		if s.isNew(event) {
 			sink.EndpointsUpdated(s.apply(event))
 		}
+		sink.ListConfirmed(later(requestedAt, source.ArrivedAfter()))
 	}
 }
 
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // isNew reports whether an event changes the list. Events up to the last one applied are repeated after a reconnect, and
 // now and then on one connection; they change nothing.
 func (s *EndpointStream) isNew(event endpointstream.Event) bool {
--- a/internal/discovery/endpointstream_test.go
+++ b/internal/discovery/endpointstream_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 
@@ -46,6 +47,10 @@
 
 func (listSink) WatchFailed(error) {}
 
+func (listSink) ListRequested(time.Time) {}
+
+func (listSink) ListConfirmed(time.Time) {}
+
 func entry(id uint32, port uint16, state endpointstream.State) endpointstream.Entry {
 	return endpointstream.Entry{ID: id, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port), State: state, Weight: 1.5}
 }
@@ -163,6 +168,8 @@
 func (u updateSink) EndpointsChanged(list []Worker)    { u.lists <- list }
 func (u updateSink) EndpointsUpdated(changed []Worker) { u.updates <- changed }
 func (updateSink) WatchFailed(error)                   {}
+func (updateSink) ListRequested(time.Time)             {}
+func (updateSink) ListConfirmed(time.Time)             {}
 
 // What a whole list does not change is not reported, and neither are the other workers of an event.
 func TestEndpointStream_WholeList_ReportsChangesOnly(t *testing.T) {
--- a/internal/discovery/list_comparer_test.go
+++ b/internal/discovery/list_comparer_test.go
@@ -20,6 +20,8 @@
 func (r *reportSink) EndpointsChanged(list []Worker)    { r.whole, r.reports = list, r.reports+1 }
 func (r *reportSink) EndpointsUpdated(changed []Worker) { r.changed, r.reports = changed, r.reports+1 }
 func (r *reportSink) WatchFailed(error)                 {}
+func (r *reportSink) ListRequested(time.Time)           {}
+func (r *reportSink) ListConfirmed(time.Time)           {}
 
 func TestListComparer_SecondList_ReportsChangesOnly(t *testing.T) {
 	sink := &reportSink{}
--- a/internal/gateway/endpoint_changes.go
+++ b/internal/gateway/endpoint_changes.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"havencart/internal/decide/endpointlease"
 	"havencart/internal/discovery"
 	"havencart/internal/workerconn"
 	"havencart/scheduler"
@@ -27,10 +28,21 @@
 	byName   map[string]*discovery.Worker // those that wait
 	inOrder  []*discovery.Worker          // the same, by when they first changed
 	reported bool                         // something was reported, if only that the list is as it was
+
+	lease        endpointlease.Lease // on the list with all that was reported
+	leaseChanged bool                // since it was last taken
+}
+
+// endpointStep is what one step of the event loop takes in of what was reported of the endpoint list.
+type endpointStep struct {
+	changed  []discovery.Worker
+	reported bool // the list was reported, if only as it was
+	lease    endpointlease.Lease
+	isWhole  bool // nothing that was reported waits any longer: the lease is on the list as it is after this step
 }
 
-func newEndpointChanges() *endpointChanges {
-	return &endpointChanges{added: workerconn.NewSignal(), byName: map[string]*discovery.Worker{}}
+func newEndpointChanges(lease endpointlease.Lease) *endpointChanges {
+	return &endpointChanges{added: workerconn.NewSignal(), byName: map[string]*discovery.Worker{}, lease: lease}
 }
 
 // add adds changes, and returns how many workers wait.
@@ -50,21 +62,33 @@
 	return len(c.byName)
 }
 
+// observe changes the lease.
+func (c *endpointChanges) observe(change func(lease *endpointlease.Lease)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.lease)
+	c.leaseChanged = true
+	c.added.Notify()
+}
+
 // take takes out what one step of the loop handles. It returns false if nothing was reported since the last call.
-func (c *endpointChanges) take() (changed []discovery.Worker, reported bool) {
+func (c *endpointChanges) take() (step endpointStep, isNews bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.reported {
-		return nil, false
+	if !c.reported && !c.leaseChanged {
+		return step, false
 	}
+	step.reported = c.reported
 	isReady := func(worker *discovery.Worker) bool { return worker.State == scheduler.Ready }
-	changed = c.takeWhere(changed, func(worker *discovery.Worker) bool { return !isReady(worker) })
-	changed = c.takeWhere(changed, isReady)
+	step.changed = c.takeWhere(step.changed, func(worker *discovery.Worker) bool { return !isReady(worker) })
+	step.changed = c.takeWhere(step.changed, isReady)
 	c.reported = len(c.byName) > 0
+	step.lease, step.isWhole = c.lease, !c.reported
+	c.leaseChanged = false
 	if c.reported {
 		c.added.Notify()
 	}
-	return changed, true
+	return step, true
 }
 
 // takeWhere adds the workers for which a condition holds to those taken, as long as a step has room for them.
@@ -82,12 +106,15 @@
 
 // takeEndpointChanges hands some changes of the endpoint list to the FrontEnd.
 func (l *EventLoop) takeEndpointChanges() {
-	changed, reported := l.endpointChanges.take()
-	if !reported {
+	step, isNews := l.endpointChanges.take()
+	if !isNews {
 		return
 	}
 	now := l.Now()
-	l.frontEnd.EndpointsUpdated(now, changed)
+	if step.reported {
+		l.frontEnd.EndpointsUpdated(now, step.changed)
+	}
+	l.frontEnd.EndpointLeaseChanged(now, step.lease, step.isWhole)
 	l.endStep(stepEndpoints, now)
 }
 
@@ -110,5 +137,21 @@
 
 // WatchFailed implements discovery.Sink.
 func (e discoveryEvents) WatchFailed(err error) {
+	e.loop.endpointChanges.observe((*endpointlease.Lease).Interrupt)
 	e.loop.post(stepEndpoints, func(now time.Duration) { e.loop.frontEnd.WatchFailed(now, err) })
 }
+
+// ListRequested implements discovery.Sink.
+func (e discoveryEvents) ListRequested(at time.Time) {
+	e.loop.endpointChanges.observe(func(lease *endpointlease.Lease) { lease.Request(e.onLoopClock(at)) })
+}
+
+// ListConfirmed implements discovery.Sink.
+func (e discoveryEvents) ListConfirmed(asOf time.Time) {
+	e.loop.endpointChanges.observe(func(lease *endpointlease.Lease) { lease.Confirm(e.onLoopClock(asOf)) })
+}
+
+// onLoopClock is a time of this process on the event loop's clock.
+func (e discoveryEvents) onLoopClock(at time.Time) time.Duration {
+	return at.Sub(e.loop.cfg.ClockStart)
+}
--- a/internal/gateway/endpoint_steps_test.go
+++ b/internal/gateway/endpoint_steps_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
+	"havencart/internal/decide/endpointlease"
 	"havencart/internal/discovery"
 	"havencart/scheduler"
 )
@@ -78,7 +79,7 @@
 
 // What may get nothing new is known first, however many others are added with it or before.
 func TestEndpointChanges_NotReadyComeFirst(t *testing.T) {
-	changes := newEndpointChanges()
+	changes := newEndpointChanges(endpointlease.Lease{})
 	var many []discovery.Worker
 	for i := range maxEndpointChanges {
 		many = append(many, discovery.Worker{Name: fmt.Sprint("new", i), State: scheduler.Ready})
@@ -87,7 +88,8 @@
 	changes.add([]discovery.Worker{{Name: "draining", State: scheduler.Draining}, {Name: "removed", State: scheduler.Removed}})
 	changes.add([]discovery.Worker{{Name: "new5", State: scheduler.Removed}})
 	var first []string
-	taken, _ := changes.take()
+	step, _ := changes.take()
+	taken := step.changed
 	for _, worker := range taken[:4] {
 		first = append(first, worker.Name)
 	}
@@ -102,11 +104,11 @@
 // Whatever changes while others wait: applied one after the other, what is taken gives the last state of each worker.
 func TestEndpointChanges_AnyChanges_LastStateCounts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		changes := newEndpointChanges()
+		changes := newEndpointChanges(endpointlease.Lease{})
 		reported, applied := map[string]discovery.Worker{}, map[string]discovery.Worker{}
 		take := func() bool {
-			taken, isReported := changes.take()
-			for _, worker := range taken {
+			step, isReported := changes.take()
+			for _, worker := range step.changed {
 				applied[worker.Name] = worker
 			}
 			return isReported
@@ -137,6 +139,27 @@
 	})
 }
 
+// The lease becomes longer only with the last of the changes that were reported before it.
+func TestEndpointChanges_ManyWait_LeaseIsOnTheWholeList(t *testing.T) {
+	rules := endpointlease.Rules{Silence: time.Second}
+	changes := newEndpointChanges(endpointlease.New(rules, 0))
+	var many []discovery.Worker
+	for i := range maxEndpointChanges + 1 {
+		many = append(many, discovery.Worker{Name: fmt.Sprint("w", i), State: scheduler.Draining})
+	}
+	changes.add(many)
+	changes.observe(func(lease *endpointlease.Lease) { lease.Confirm(time.Minute) })
+	for _, wantWhole := range []bool{false, true} {
+		step, isNews := changes.take()
+		if !isNews || step.isWhole != wantWhole || step.lease.ConfirmedAt() != time.Minute {
+			t.Errorf("news %t, whole %t, want %t", isNews, step.isWhole, wantWhole)
+		}
+	}
+	if _, isNews := changes.take(); isNews {
+		t.Error("the same lease is taken twice")
+	}
+}
+
 // orderingScheduler notes the order in which it is called.
 type orderingScheduler struct {
 	Scheduler
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -154,6 +154,7 @@
 
 // sweep stops clients that nothing needs any longer and forgets functions without requests.
 func (f *FrontEnd) sweep() {
+	f.traceLease()
 	for _, id := range sortedKeys(f.retiring) {
 		f.sweepWorker(f.retiring[id])
 	}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"havencart/internal/decide/endpointlease"
 	"havencart/internal/decide/looplag"
 	"havencart/internal/discovery"
 	"havencart/internal/native/muxclient"
@@ -62,7 +63,7 @@
 		done:     make(chan struct{}),
 		guard:    &workerconn.Guard{},
 
-		endpointChanges: newEndpointChanges(),
+		endpointChanges: newEndpointChanges(endpointlease.New(cfg.EndpointRules, time.Since(cfg.ClockStart))),
 	}
 	l.cfg.Guard = l.guard
 	l.gate.setLimit(math.MaxInt)
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"havencart/internal/decide/endpointlease"
 	"havencart/internal/decide/incarnation"
 	"havencart/internal/decide/loadshed"
 	"havencart/internal/decide/looplag"
@@ -25,6 +26,7 @@
 	Tenants        []string // names, in the order of Scheduler.Tenants
 	Zones          []string // names; Scheduler.Zone is an index into them
 	Tenancy        tenancy.Settings
+	EndpointRules  endpointlease.Rules
 	DeadlineMargin time.Duration // the final response is due this long before the client gives up
 	MaxInFlight    int           // requests in flight; more are rejected at once
 	ClockStart     time.Time     // wall time at 0 of the clock
@@ -106,6 +108,8 @@
 	scheduler    Scheduler
 	shadow       *shadow.Scheduler // the scheduler, where shadow settings are evaluated; else nil
 	incarnations *incarnation.Tracker
+	lease        endpointlease.Lease // on the endpoint list
+	leaseEnded   bool                // the log has that it ended
 	shedder      loadshed.Shedder
 	tenancy      *tenancy.Limiter
 	lag          looplag.Estimator
@@ -148,6 +152,7 @@
 		guard:        cmp.Or(settings.Guard, &workerconn.Guard{}),
 		trace:        newTrace(log, settings.Classes),
 		incarnations: incarnation.New(),
+		lease:        endpointlease.New(settings.EndpointRules, now),
 		tenancy:      tenancy.New(settings.Tenancy),
 		lag:          looplag.New(longestTimeout(settings.Scheduler.Classes)),
 		now:          now,
--- a/internal/gateway/load_orders.go
+++ b/internal/gateway/load_orders.go
@@ -77,6 +77,7 @@
 	order.ended = true
 	f.timers.remove(&order.timer)
 	delete(f.loadOrders, &order.LoadOrder)
+	f.trace.loadOrderEnded(f.now, order, status)
 	f.scheduler.LoadEnded(f.now, scheduler.LoadResult{
 		Worker:   order.worker.id,
 		Function: order.function,
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -74,6 +74,17 @@
 	line.Msg("attempt ended")
 }
 
+// loadOrderEnded logs an order to load, or a residency query, that was not carried out.
+func (t *trace) loadOrderEnded(now time.Duration, order *loadOrder, status scheduler.Status) {
+	if status == scheduler.OK {
+		return
+	}
+	if line := t.attempts.Info(); line.Enabled() {
+		line.Str("worker", order.worker.Name).Str("function", order.Load.Replica.Function).Int("replicas", order.Load.Replicas).
+			Stringer("status", status).Dur("duration", now-order.sentAt).Msg("load order ended")
+	}
+}
+
 // responded logs a final response that is not a worker's.
 func (t *trace) responded(now time.Duration, request *Request, response FinalResponse) {
 	if response.Kind == Served {
--- a/internal/platform/rpcserver/conn.go
+++ b/internal/platform/rpcserver/conn.go
@@ -25,8 +25,8 @@
 type conn struct {
 	server   *Server
 	net      net.Conn
-	received *input        // owned by the reading goroutine, as in
-	in       *bufio.Reader // of received
+	received *socket.ArrivalConn // owned by the reading goroutine, as in
+	in       *bufio.Reader       // of received
 	// consecutiveRejections are requests in a row that the Handler rejected. The reading goroutine owns it.
 	consecutiveRejections int
 
@@ -65,7 +65,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	received := &input{Conn: nc}
+	received := &socket.ArrivalConn{Conn: nc}
 	return &conn{
 		server: s, net: nc, received: received, in: bufio.NewReaderSize(received, readBufferSize), inFlight: map[uint32]*pendingRequest{},
 		stateSince: time.Now(),
@@ -218,7 +218,7 @@
 		return err
 	}
 	request.ReceivedAt = time.Now()
-	request.ArrivedAfter = c.received.arrivedAfter
+	request.ArrivedAfter = c.received.ArrivedAfter()
 	pending, err := c.addInFlight(message.Number)
 	if err != nil {
 		return err
--- a/internal/platform/rpcserver/input_test.go
+++ b/internal/socket/arrival_test.go
@@ -1,4 +1,4 @@
-package rpcserver
+package socket
 
 import (
 	"net"
@@ -19,14 +19,14 @@
 }
 
 // A read tells when its bytes cannot have been there yet: not before the last one that left nothing behind.
-func TestInput_ReadsThatFillTheBuffer_ArrivedAfterTheLastThatDidNot(t *testing.T) {
-	in := &input{Conn: &scriptedConn{lengths: []int{8, 3, 8, 8, 5, 1}}}
+func TestArrivalConn_ReadsThatFillTheBuffer_ArrivedAfterTheLastThatDidNot(t *testing.T) {
+	in := &ArrivalConn{Conn: &scriptedConn{lengths: []int{8, 3, 8, 8, 5, 1}}}
 	var arrivedAfter []time.Time
 	for range 6 {
 		if _, err := in.Read(make([]byte, 8)); err != nil {
 			t.Fatal(err)
 		}
-		arrivedAfter = append(arrivedAfter, in.arrivedAfter)
+		arrivedAfter = append(arrivedAfter, in.ArrivedAfter())
 	}
 	if !arrivedAfter[0].IsZero() || !arrivedAfter[1].IsZero() {
 		t.Errorf("%v, %v: nothing was seen empty yet", arrivedAfter[0], arrivedAfter[1])
