Failing test: workers that drain while discovery is out of reach are sent new work

One front end in a process of its own, twelve workers of which two groups of three drain during an outage of discovery (silent, or unreachable).

The stand-ins follow the protocol for it: discovery sends its event without changes each second and can be silent or unreachable; workers answer health checks and, while they drain, reject new work but answer residency queries.

--- /dev/null
+++ b/cmd/havencart/incident_discovery_outage_test.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"havencart/internal/platform/endpointstream"
+	"havencart/internal/platform/workerframe"
+	"havencart/lab/platformdiscovery"
+	"havencart/lab/platformworker"
+)
+
+// Seen: discovery was out of reach of every front end. Busy workers began to drain just after the outage began and stayed
+// up. Front ends went on sending them attempts and orders to load for as long as the outage lasted; the workers turned them
+// away, the requests were served elsewhere, and no client noticed.
+//
+// How it came about: by the platform's rules a front end counts as notified of a drain some seconds after discovery fell
+// silent, whether it was told or not; after that and the grace, nothing new may begin there.
+//
+// Cause: the last list stayed in force without end. A worker that it had as ready was ready for as long as nothing was
+// heard, and a draining worker that turns work away was taken for one that is full.
+//
+// Proof: new work arrives here at workers of both groups until the outage ends, while the front end's own log has the list as
+// no longer confirmed.
+
+// The installation that is played. Of its workers one group begins to drain just after the outage began, and another one
+// when the front end counts as notified at once.
+const (
+	outageWorkers     = 12
+	drainsPerGroup    = 3
+	outageFunctions   = 24
+	outageRequestGap  = 15 * time.Millisecond
+	outageRequestWait = 1200 * time.Millisecond
+	outageDrainGrace  = 500 * time.Millisecond
+	noticeInSilence   = 4 * time.Second
+	outageWarmUp      = 2500 * time.Millisecond // so that the list is confirmed
+	outageLength      = 7 * time.Second
+	firstDrainsAfter  = 100 * time.Millisecond // of the begin of the outage
+	secondDrainsAfter = 5 * time.Second
+	outageLeastServed = 0.95 // of the requests
+)
+
+// TestIncidentDiscoveryOutage_WorkersDrainMeanwhile_GetNothingNew holds that nothing new begins at workers that drain while
+// discovery is out of reach, and that the others serve on.
+func TestIncidentDiscoveryOutage_WorkersDrainMeanwhile_GetNothingNew(t *testing.T) {
+	for name, reach := range map[string]platformdiscovery.Reach{
+		"discovery silent":      platformdiscovery.Silent,
+		"discovery unreachable": platformdiscovery.Unreachable,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			playDiscoveryOutage(t, reach)
+		})
+	}
+}
+
+func playDiscoveryOutage(t *testing.T, reach platformdiscovery.Reach) {
+	t.Helper()
+	installation := startOutageInstallation(t)
+	frontEnd := startProcess(t, installation.config())
+	address := frontEnd.waitForLog("running")["listen"].(string)
+	logged := make(chan []string, 1)
+	go func() { logged <- frontEnd.collectLog("endpoint list", "violation", "stopped") }()
+	<-installation.discovery.Resumed()
+	var client sync.WaitGroup
+	log := &responseLog{}
+	warm := make(chan struct{})
+	client.Go(func() { installation.send(address, log, warm) })
+	<-warm
+	installation.discovery.SetReach(reach)
+	outageAt := time.Now()
+	installation.drainAt(outageAt, firstDrainsAfter, installation.workers[:drainsPerGroup])
+	installation.drainAt(outageAt, secondDrainsAfter, installation.workers[drainsPerGroup:2*drainsPerGroup])
+	client.Wait()
+	frontEnd.signal(syscall.SIGTERM)
+	lines := <-logged
+	if code := frontEnd.waitForExit(); code != 0 {
+		t.Errorf("the front end ended with code %d", code)
+	}
+	t.Logf("%d served, %d rejected, %d failed, %d lost", log.served, log.rejected, log.failed, len(log.lost))
+	for _, line := range lines {
+		t.Log(line)
+	}
+	for _, worker := range installation.workers {
+		worker.verify(t, outageAt)
+	}
+	if sent := log.served + log.rejected + log.failed + len(log.lost); float64(log.served) < outageLeastServed*float64(sent) {
+		t.Errorf("%d of %d requests were served", log.served, sent)
+	}
+	if len(log.lost) > 0 {
+		t.Errorf("%d requests were lost, the first one: %s", len(log.lost), log.lost[0])
+	}
+}
+
+// drainingWorker is a worker that notes when new work arrives and when it begins to drain.
+type drainingWorker struct {
+	*emulatedWorker
+	arrivals arrivals
+	drainsAt atomic.Pointer[time.Time] // nil: it does not drain
+}
+
+// verify reports new work that arrived after the front end counted as notified of the drain, and the grace.
+func (w *drainingWorker) verify(t *testing.T, outageAt time.Time) {
+	t.Helper()
+	drainsAt := w.drainsAt.Load()
+	if drainsAt == nil {
+		return
+	}
+	notified := *drainsAt
+	if inSilence := outageAt.Add(noticeInSilence); inSilence.After(notified) {
+		notified = inSilence
+	}
+	late, last := w.arrivals.after(notified.Add(outageDrainGrace + ruleSlack))
+	if late > 0 {
+		t.Errorf("%s drains since %v and was sent new work %d times after the notice and the grace, the last time %v after the outage began",
+			w.entry(endpointstream.Draining).Name(), drainsAt.Sub(outageAt), late, last.Sub(outageAt))
+	}
+}
+
+// after returns how many arrivals there were after a time, and the last one.
+func (a *arrivals) after(limit time.Time) (count int, last time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, at := range a.times {
+		if at.After(limit) {
+			count++
+			last = at
+		}
+	}
+	return count, last
+}
+
+// outageInstallation is what a front end meets in these tests.
+type outageInstallation struct {
+	*testing.T
+	discovery *platformdiscovery.Server
+	workers   []*drainingWorker
+}
+
+func startOutageInstallation(t *testing.T) *outageInstallation {
+	t.Helper()
+	installation := &outageInstallation{T: t}
+	var err error
+	if installation.discovery, err = platformdiscovery.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(installation.discovery.Close)
+	for i := range outageWorkers {
+		worker := &drainingWorker{emulatedWorker: &emulatedWorker{id: uint32(i + 1), loaded: map[string]time.Time{}}}
+		worker.Server, err = platformworker.StartObserved(worker.handle, worker.note)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(worker.Close)
+		installation.workers = append(installation.workers, worker)
+	}
+	return installation
+}
+
+// note notes new work, whatever becomes of it.
+func (w *drainingWorker) note(f workerframe.Frame) {
+	if platformworker.IsNewWork(f) {
+		w.arrivals.add()
+	}
+}
+
+// drainAt has workers begin to drain some time after the outage began.
+func (o *outageInstallation) drainAt(outageAt time.Time, after time.Duration, workers []*drainingWorker) {
+	timer := time.AfterFunc(time.Until(outageAt.Add(after)), func() {
+		for _, worker := range workers {
+			worker.SetDraining(true)
+			now := time.Now()
+			worker.drainsAt.Store(&now)
+		}
+	})
+	o.Cleanup(func() { timer.Stop() })
+}
+
+// send sends requests for the warm-up and the outage, and closes warm in between.
+func (o *outageInstallation) send(address string, log *responseLog, warm chan<- struct{}) {
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		o.Error(err)
+		close(warm)
+		return
+	}
+	client := &steadyClient{Conn: connection, rng: rand.New(rand.NewPCG(1, 4)), log: log, open: map[int]openRequest{}, cancelled: map[int]bool{}}
+	ended := make(chan struct{})
+	go func() { defer close(ended); client.read() }()
+	warmUp := int(outageWarmUp / outageRequestGap)
+	next := time.Now()
+	inOutage := int(outageLength / outageRequestGap)
+	for i := range warmUp + inOutage {
+		if i == warmUp {
+			close(warm)
+		}
+		time.Sleep(time.Until(next)) // the client's own pace is what is emulated
+		next = next.Add(outageRequestGap)
+		function := fmt.Sprintf("%016x", 1+client.rng.IntN(outageFunctions))
+		client.sendRequest(i+1, fmt.Sprintf("%016x", i+1), "quote", outageRequestWait, map[string]string{"key": function})
+	}
+	time.Sleep(outageRequestWait + 2*lateResponse) // all have ended then
+	_ = client.Close()
+	<-ended
+}
+
+// config is the configuration of the front end.
+func (o *outageInstallation) config() string {
+	o.Helper()
+	var hosts []map[string]any
+	for _, worker := range o.workers {
+		hosts = append(hosts, map[string]any{
+			"host": worker.entry(endpointstream.Ready).Name(), "dial": worker.Address(), "site": "room", "class": "std",
+			"block": 0, "health": "up", "share": 1.0, "born_ms": 0,
+		})
+	}
+	list := map[string]any{"no": 1, "roster": map[string]any{"seq": 1, "whole": true, "hosts": hosts}}
+	config, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bulletin": o.discovery.Address(),
+		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 576},
+		"known":  map[string]any{"no": 1, "items": []any{list}},
+		"settings": map[string]any{
+			"balancers": 1, "ordinal": 0, "azs": []string{"room"}, "skus": []string{"std"}, "resolution": 2.0, "weights": "rough",
+			"limits": map[string]any{
+				"streamsPerConn": 32, "connectTimeout": 250.0, "connIdle": 30000.0, "maxAttempts": 5, "mayCancel": true, "probes": true,
+				"retryAfter": true, "maxRetryAfter": 500.0,
+			},
+			"rules":      map[string]any{"stopSendingWithin": float64(outageDrainGrace.Milliseconds())},
+			"familyInfo": map[string]any{"keep": 8000.0, "mayLoad": true, "loadWait": 2000.0, "whenAbsent": "load"},
+			"classes":    []map[string]any{{"name": "quote", "deadline": 1200.0, "onTime": 600.0, "repeat": "retryable", "worth": 2.0}},
+		},
+	})
+	if err != nil {
+		o.Fatal(err)
+	}
+	return string(config)
+}
--- a/cmd/havencart/steady_client_test.go
+++ b/cmd/havencart/steady_client_test.go
@@ -55,16 +55,22 @@
 func (c *steadyClient) send(number int, id string) {
 	class := []string{"quote", "quote", "status", "charge"}[c.rng.IntN(4)]
 	function := int(float64(largeFleetFunctions) * c.rng.Float64() * c.rng.Float64())
-	fields := map[string]string{"id": id, "wait": strconv.Itoa(largeFleetWaits[class]), "key": fmt.Sprintf("%016x", 1+function)}
+	fields := map[string]string{"key": fmt.Sprintf("%016x", 1+function)}
 	if class == "status" {
 		fields["once"] = fmt.Sprintf("%032s", id)
 	}
+	c.sendRequest(number, id, class, time.Duration(largeFleetWaits[class])*time.Millisecond, fields)
+}
+
+// sendRequest sends a request with the fields that belong to its class and function.
+func (c *steadyClient) sendRequest(number int, id, class string, wait time.Duration, fields map[string]string) {
+	fields["id"] = id
+	fields["wait"] = strconv.FormatInt(wait.Milliseconds(), 10)
 	raw, err := msgpack.Marshal([]any{0, number, class, []any{fields, []byte(id)}})
 	if err != nil {
 		panic(err)
 	}
 	c.mu.Lock()
-	wait := time.Duration(largeFleetWaits[class]) * time.Millisecond
 	c.open[number] = openRequest{id: id, sentAt: time.Now(), wait: wait}
 	c.mu.Unlock()
 	time.AfterFunc(wait+lateResponse, func() { c.giveUp(number) })
--- a/internal/platform/workerclient/connection_budget_test.go
+++ b/internal/platform/workerclient/connection_budget_test.go
@@ -31,7 +31,7 @@
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	fleet := &fleetOfClients{budget: NewConnectionBudget(connections), held: make(chan func(), 64)}
 	for range workers {
-		server, err := platformworker.Start(func(c *platformworker.Conn, f workerframe.Frame) {
+		server, err := platformworker.StartScripted(func(c *platformworker.Conn, f workerframe.Frame) {
 			respond := func() { c.Respond(workerframe.Frame{Code: workerframe.OK, ID: f.ID}) }
 			if holds {
 				fleet.held <- respond
--- a/lab/platformdiscovery/server.go
+++ b/lab/platformdiscovery/server.go
@@ -2,21 +2,40 @@
 package platformdiscovery
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
+	"havencart/internal/periodic"
 	"havencart/internal/platform/endpointstream"
 )
 
-// Server sends its events to each front end that connects, from the event on with which it resumes.
+// heartbeatInterval is the time between two events without changes.
+const heartbeatInterval = time.Second
+
+// Reach is how far front ends get.
+type Reach int
+
+// The kinds of reach.
+const (
+	Reachable   Reach = iota
+	Silent            // connections are accepted and stay open, and nothing is sent
+	Unreachable       // connections are closed
+)
+
+// Server sends its events to each front end that connects, from the event on with which it resumes, and an event without
+// changes each second.
 type Server struct {
 	listener    net.Listener
 	mu          sync.Mutex
+	reach       Reach
 	events      []endpointstream.Event
-	connections map[net.Conn]bool
+	connections map[net.Conn]uint64 // by number of the last event sent
 	resumed     chan uint64
 	tasks       sync.WaitGroup
+	stop        context.CancelFunc // ends the heartbeats
 }
 
 // Start starts a server on loopback.
@@ -25,8 +44,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("bulletin: %w", err)
 	}
-	s := &Server{listener: l, connections: map[net.Conn]bool{}, resumed: make(chan uint64, 64)}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{listener: l, connections: map[net.Conn]uint64{}, resumed: make(chan uint64, 64), stop: cancel}
 	s.tasks.Go(s.accept)
+	s.tasks.Go(func() { periodic.Run(ctx, heartbeatInterval, s.sendHeartbeats) })
 	return s, nil
 }
 
@@ -55,12 +76,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.connections[c] = true
-	for _, e := range s.events {
-		if e.Number > last {
-			write(c, endpointstream.AppendEvent(nil, e))
-		}
+	if s.reach == Unreachable {
+		_ = c.Close()
+		return
 	}
+	s.connections[c] = last
+	s.sendEvents()
 	select {
 	case s.resumed <- last:
 	default: // nobody receives them
@@ -70,12 +91,50 @@
 // write writes; a connection that broke is noticed by its other side.
 func write(c net.Conn, raw []byte) { _, _ = c.Write(raw) }
 
-// Publish adds an event and sends it to all that are connected.
+// sendEvents sends what is new to all that are connected. The lock is held.
+func (s *Server) sendEvents() {
+	if s.reach != Reachable {
+		return
+	}
+	for c, last := range s.connections {
+		for _, e := range s.events {
+			if e.Number > last {
+				write(c, endpointstream.AppendEvent(nil, e))
+				s.connections[c] = e.Number
+			}
+		}
+	}
+}
+
+// sendHeartbeats sends an event without changes to all that are connected.
+func (s *Server) sendHeartbeats() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reach != Reachable {
+		return
+	}
+	for c, last := range s.connections {
+		write(c, endpointstream.AppendEvent(nil, endpointstream.Event{Number: last, Kind: endpointstream.NoChange}))
+	}
+}
+
+// Publish adds an event. It is sent to all that are connected, at once or when the server is reachable again.
 func (s *Server) Publish(e endpointstream.Event) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.events = append(s.events, e)
-	s.mu.Unlock()
-	s.WriteRaw(endpointstream.AppendEvent(nil, e))
+	s.sendEvents()
+}
+
+// SetReach begins or ends an outage.
+func (s *Server) SetReach(reach Reach) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reach = reach
+	if reach == Unreachable {
+		s.closeConnections()
+	}
+	s.sendEvents()
 }
 
 // WriteRaw writes bytes as they are to all that are connected.
@@ -91,6 +150,11 @@
 func (s *Server) CloseConnections() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closeConnections()
+}
+
+// closeConnections is CloseConnections for a caller that holds the lock.
+func (s *Server) closeConnections() {
 	for c := range s.connections {
 		_ = c.Close()
 		delete(s.connections, c)
@@ -99,6 +163,7 @@
 
 // Close ends the server and its connections.
 func (s *Server) Close() {
+	s.stop()
 	_ = s.listener.Close()
 	s.CloseConnections()
 	s.tasks.Wait()
--- a/lab/platformworker/server.go
+++ b/lab/platformworker/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"havencart/internal/platform/workerframe"
 )
@@ -46,18 +47,74 @@
 	mu              sync.Mutex
 	connections     map[*Conn]bool
 	connectionCount int
+	draining        atomic.Bool
 	tasks           sync.WaitGroup
 }
 
-// Start starts a worker on loopback.
+// Start starts a worker on loopback that drains when it is told to: it then says so to health checks and rejects new work,
+// and its script gets neither. Residency queries go to the script, as a draining worker answers them like any other.
 func Start(script Script) (*Server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("executor: %w", err)
+	return StartObserved(script, func(workerframe.Frame) {})
+}
+
+// StartObserved is Start with an observer that is called with each frame before it is handled.
+func StartObserved(script Script, observe func(workerframe.Frame)) (*Server, error) {
+	s := newServer(script)
+	s.script = func(c *Conn, f workerframe.Frame) {
+		observe(f)
+		if response, isGiven := s.ownResponse(f); isGiven {
+			c.Respond(response)
+		} else {
+			script(c, f)
+		}
+	}
+	return s, s.listen()
+}
+
+// ownResponse returns the response that the worker gives without its script.
+func (s *Server) ownResponse(f workerframe.Frame) (response workerframe.Frame, isGiven bool) {
+	draining := s.draining.Load()
+	switch {
+	case isHealthCheck(f) && draining:
+		return workerframe.Frame{Code: workerframe.Unhealthy, ID: f.ID}, true
+	case isHealthCheck(f):
+		return workerframe.Frame{Code: workerframe.Healthy, ID: f.ID}, true
+	case IsNewWork(f) && draining:
+		return workerframe.Frame{Code: workerframe.Overloaded, ID: f.ID}, true
+	}
+	return response, false
+}
+
+func isHealthCheck(f workerframe.Frame) bool {
+	return f.Code == workerframe.HealthCheck || f.Code == workerframe.LoadReport
+}
+
+// IsNewWork reports whether a frame makes a worker execute or load something.
+func IsNewWork(f workerframe.Frame) bool {
+	if f.Code == workerframe.Load {
+		replicas, _ := workerframe.Count(f.Fields, "replicas", 0)
+		return replicas > 0
+	}
+	return f.Code == workerframe.Request
+}
+
+// SetDraining has the worker drain, or accept new work again.
+func (s *Server) SetDraining(draining bool) { s.draining.Store(draining) }
+
+// StartScripted starts a worker on loopback whose script handles each frame.
+func StartScripted(script Script) (*Server, error) {
+	s := newServer(script)
+	return s, s.listen()
+}
+
+func newServer(script Script) *Server { return &Server{script: script, connections: map[*Conn]bool{}} }
+
+func (s *Server) listen() (err error) {
+	if s.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return fmt.Errorf("executor: %w", err)
 	}
-	s := &Server{listener: l, script: script, connections: map[*Conn]bool{}}
 	s.tasks.Go(s.accept)
-	return s, nil
+	return nil
 }
 
 // Address is where the worker listens.
