The endpoint list has a lease: once it ended, workers are asked before they get new work

Cause: the last list received stayed in force without end, so a worker that it had as ready stayed ready for as long as nothing was heard; a draining worker that rejects work was taken for one that is full. Class: knowledge that is acted on without a bound on its age.

A worker that says it drains is taken as draining until the list is confirmed again. Worker clients have the same lease: what waits for a connection when it ends is not written.

Where settings forbid health checks, only what a worker accepted lately counts, and the rest is rejected at once.

--- a/cmd/havencart/incident_discovery_outage_test.go
+++ b/cmd/havencart/incident_discovery_outage_test.go
@@ -27,8 +27,8 @@
 // Cause: the last list stayed in force without end. A worker that it had as ready was ready for as long as nothing was
 // heard, and a draining worker that turns work away was taken for one that is full.
 //
-// Proof: new work arrives here at workers of both groups until the outage ends, while the front end's own log has the list as
-// no longer confirmed.
+// Proof: before the repair, new work arrived at workers of both groups until the outage ended, while the front end's own log had the
+// list as no longer confirmed. With the repair none arrives, and as many requests are served.
 
 // The installation that is played. Of its workers one group begins to drain just after the outage began, and another one
 // when the front end counts as notified at once.
--- a/internal/discovery/endpointstream.go
+++ b/internal/discovery/endpointstream.go
@@ -23,7 +23,8 @@
 
 // EndpointStream is a Source that follows the platform's endpoint list: numbered events over TCP, the first of which
 // come with the configuration. A connection that breaks or falls silent is replaced at once, and the platform continues
-// after the last event received. The list stays in force meanwhile; events that are repeated change nothing.
+// after the last event received. The list stays as it is meanwhile, for as long as its lease lasts (see ListConfirmed); events
+// that are repeated change nothing.
 //
 // Its fields belong to the goroutine of Run, but for those below mu.
 type EndpointStream struct {
--- a/internal/discovery/endpointstream_reconnect_test.go
+++ b/internal/discovery/endpointstream_reconnect_test.go
@@ -198,3 +198,42 @@
 		})
 	}
 }
+
+// confirmationSink is a Sink that records as of when the list was confirmed, since it was requested.
+type confirmationSink struct {
+	listSink
+	requestedAt time.Time
+	confirmed   chan time.Duration
+}
+
+func (s confirmationSink) ListConfirmed(asOf time.Time) { s.confirmed <- asOf.Sub(s.requestedAt) }
+
+// What an event confirms is as old as the last moment at which the connection had nothing to read: after a stall of this
+// process it may have waited for as long.
+func TestEndpointStream_Events_ConfirmListAsOfEmptyConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stream, err := NewEndpointStream("one", nil, []string{"room"}, []string{"std"}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ours, theirs := net.Pipe()
+		sink := confirmationSink{newListSink(), time.Now(), make(chan time.Duration, 8)}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_, _ = stream.receive(ours, sink.requestedAt, sink) // until the connection ends
+		}()
+		heartbeat := endpointstream.AppendEvent(nil, event(0, endpointstream.NoChange))
+		for _, want := range []time.Duration{0, time.Second, 2 * time.Second} {
+			time.Sleep(time.Second)
+			if _, err := theirs.Write(heartbeat); err != nil {
+				t.Fatal(err)
+			}
+			if got := <-sink.confirmed; got != want {
+				t.Errorf("confirmed as of %v after the request, want %v", got, want)
+			}
+		}
+		_ = theirs.Close()
+		<-ended
+	})
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -27,7 +27,8 @@
 type attemptState uint8
 
 const (
-	attemptPending   attemptState = iota // queued, or sent and without a response
+	attemptHeld      attemptState = iota // its worker has not confirmed that it accepts new work
+	attemptPending                       // queued, or sent and without a response
 	attemptStreaming                     // its response has started and is passed on to the client
 	attemptEnded                         // final: its outcome was reported to the scheduler
 )
@@ -70,9 +71,7 @@
 	f.attempts[&attempt.Attempt] = attempt
 	attempt.timer = timer{kind: attemptTimer, due: min(until, attempt.NotAfter), attempt: attempt}
 	f.timers.add(&attempt.timer)
-	if result := attempt.worker.client.Send(&attempt.Attempt); result != nil {
-		f.deferred = append(f.deferred, func() { f.endAttempt(attempt, *result) })
-	}
+	f.begin(attempt)
 }
 
 // permit has the guard permit an attempt, and reports whether it did. What it forbids is a fault of the scheduler's
@@ -175,6 +174,9 @@
 func (f *FrontEnd) AttemptEnded(now time.Duration, sent *workerconn.Attempt, result workerconn.Result) {
 	f.now = now
 	if attempt := f.attempts[sent]; attempt != nil {
+		if result.Status == scheduler.OK {
+			attempt.worker.accepted(sent.WriteStartedAt())
+		}
 		f.endAttempt(attempt, result)
 	}
 	f.runDeferred()
--- a/internal/gateway/deadlines.go
+++ b/internal/gateway/deadlines.go
@@ -70,6 +70,8 @@
 			t.loadOrder.worker.client.AbandonLoad(&t.loadOrder.LoadOrder)
 			f.endLoadOrder(t.loadOrder, scheduler.Timeout, 0)
 		}
+	case healthCheckTimer:
+		f.healthCheckTimedOut(t.healthCheck)
 	case requestTimer:
 		if t.request.state == requestInFlight {
 			f.answerPastDeadline(t.request)
@@ -80,10 +82,10 @@
 // attemptDue ends an attempt that is out of time, or one that is still unsent when its permit ends.
 func (f *FrontEnd) attemptDue(attempt *requestAttempt) {
 	switch {
-	case attempt.state != attemptPending:
+	case attempt.state > attemptPending:
 	case f.now >= attempt.Deadline:
 		f.abandonAttempt(attempt, scheduler.Timeout, attemptTimedOut)
-	case attempt.worker.cancelUnsent(attempt):
+	case attempt.state == attemptHeld || attempt.worker.cancelUnsent(attempt):
 		f.endAttempt(attempt, abandonedResult(scheduler.NotSent, attemptNotSentInTime))
 	default: // it was sent in time, and its response is waited for
 		attempt.timer.due = attempt.Deadline
--- a/internal/gateway/endpoint_lease.go
+++ b/internal/gateway/endpoint_lease.go
@@ -12,8 +12,13 @@
 	f.now = now
 	if isWhole || lease.Until() < f.lease.Until() {
 		f.lease = lease
+		f.guard.SetEndpointLease(lease.Until())
 	}
 	f.traceLease()
+	if f.listIsConfirmed() {
+		f.endSelfDraining()
+		f.runDeferred()
+	}
 }
 
 // listIsConfirmed reports whether workers may be sent new work because the endpoint list has them as ready.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -92,9 +92,11 @@
 		f.workers[id] = w
 	}
 	f.trace.listed(f.now, w, entry, f.startTime(entry.Started))
+	delete(f.selfDraining, id)
 	if w.client == nil || w.Address != entry.Address {
 		if w.client != nil {
 			f.drainClient(w)
+			f.forgetReadiness(w)
 			w.previousClients = append(w.previousClients, w.client)
 			f.retiring[id] = w
 		}
@@ -139,6 +141,7 @@
 
 // drainClient closes a worker's client for new work; what was not sent yet ends as that.
 func (f *FrontEnd) drainClient(w *worker) {
+	f.deferred = append(f.deferred, func() { f.endHeld(w, scheduler.NotSent) })
 	attempts, orders := w.client.Drain(f.settings.Scheduler.DrainGrace)
 	for _, unsent := range attempts {
 		if attempt := f.attempts[unsent]; attempt != nil {
@@ -195,10 +198,10 @@
 // idle reports whether nothing is in flight at the worker.
 func (w *worker) idle() bool { return len(w.previousClients) == 0 && !w.client.Busy() }
 
-// WatchFailed takes the failure to receive the list: the previous one stays in force.
+// WatchFailed takes the failure to receive the list: the previous one stays in force until its lease ends.
 func (f *FrontEnd) WatchFailed(now time.Duration, cause error) {
 	f.now = now
-	f.log.Warn().Err(cause).Msg("endpoint watch failed, the previous endpoint list stays in force")
+	f.log.Warn().Err(cause).Msg("endpoint watch failed, the endpoint list stays in force until its lease ends")
 	f.scheduler.WatchFailed(now)
 	f.runDeferred()
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -30,8 +30,8 @@
 }
 
 // HealthChecked implements muxclient.Events.
-func (e workerEvents) HealthChecked(status scheduler.Status, loadReport []float64) {
-	e.loop.post(stepWorker, func(now time.Duration) { e.loop.frontEnd.HealthChecked(now, e.worker, status, loadReport) })
+func (e workerEvents) HealthChecked(check *workerconn.HealthCheck, status scheduler.Status, loadReport []float64) {
+	e.loop.post(stepWorker, func(now time.Duration) { e.loop.frontEnd.HealthChecked(now, check, status, loadReport) })
 }
 
 // Connected implements muxclient.Events.
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -77,8 +77,10 @@
 	AbandonLoad(*workerconn.LoadOrder)
 	// Unload asks for the idle replicas of a function to be unloaded. It has no response.
 	Unload(function string)
-	// CheckHealth sends a health check; its result is an event.
-	CheckHealth()
+	// CheckHealth sends a health check. A status other than 0 is its outcome: no event follows.
+	CheckHealth(*workerconn.HealthCheck) scheduler.Status
+	// AbandonHealthCheck gives a health check up.
+	AbandonHealthCheck(*workerconn.HealthCheck)
 	// Drain admits nothing new until Resume, and returns what was not sent yet.
 	Drain(grace time.Duration) ([]*workerconn.Attempt, []*workerconn.LoadOrder)
 	// Resume ends a drain.
@@ -123,8 +125,10 @@
 	lastRequestID scheduler.RequestID
 	attempts      map[*workerconn.Attempt]*requestAttempt
 	loadOrders    map[*workerconn.LoadOrder]*loadOrder
+	healthChecks  map[*workerconn.HealthCheck]*healthCheck
 	workers       map[scheduler.WorkerID]*worker
 	retiring      map[scheduler.WorkerID]*worker // those with clients that sweep is to stop
+	selfDraining  map[scheduler.WorkerID]*worker // those that drain by their own word, while the list is not confirmed
 	functions     map[scheduler.FunctionID]*function
 
 	// Numbers of names for the scheduler, in the order in which they were first seen.
@@ -159,6 +163,8 @@
 		requests:     map[scheduler.RequestID]*Request{},
 		attempts:     map[*workerconn.Attempt]*requestAttempt{},
 		loadOrders:   map[*workerconn.LoadOrder]*loadOrder{},
+		healthChecks: map[*workerconn.HealthCheck]*healthCheck{},
+		selfDraining: map[scheduler.WorkerID]*worker{},
 		workers:      map[scheduler.WorkerID]*worker{},
 		retiring:     map[scheduler.WorkerID]*worker{},
 		functions:    map[scheduler.FunctionID]*function{},
@@ -166,6 +172,7 @@
 		cells:        map[string]int{},
 		kinds:        map[string]int{},
 	}
+	frontEnd.guard.SetEndpointLease(frontEnd.lease.Until())
 	for _, zone := range settings.Zones {
 		intern(frontEnd.zones, zone)
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -25,7 +25,7 @@
 	canceled     []*workerconn.Attempt
 	drained      bool
 	stopped      bool
-	healthChecks int
+	healthChecks []*workerconn.HealthCheck // without a response
 	unloads      int
 	holdsWrites  bool // attempts stay in the write buffer
 	rejection    *workerconn.Result
@@ -76,7 +76,15 @@
 
 func (worker *fakeWorkerClient) Unload(string) { worker.unloads++ }
 
-func (worker *fakeWorkerClient) CheckHealth() { worker.healthChecks++ }
+func (worker *fakeWorkerClient) CheckHealth(check *workerconn.HealthCheck) scheduler.Status {
+	worker.healthChecks = append(worker.healthChecks, check)
+	return 0
+}
+
+func (worker *fakeWorkerClient) AbandonHealthCheck(check *workerconn.HealthCheck) {
+	match := func(x *workerconn.HealthCheck) bool { return x == check }
+	worker.healthChecks = slices.DeleteFunc(worker.healthChecks, match)
+}
 
 func (worker *fakeWorkerClient) Resume() { worker.drained = false }
 
--- a/internal/gateway/load_orders.go
+++ b/internal/gateway/load_orders.go
@@ -46,8 +46,10 @@
 	f.loadOrders[&order.LoadOrder] = order
 	order.timer = timer{kind: loadOrderTimer, due: f.now + f.settings.Scheduler.LoadOrderTimeout, loadOrder: order}
 	f.timers.add(&order.timer)
-	if status := worker.client.Load(&order.LoadOrder); status != 0 {
-		f.deferred = append(f.deferred, func() { f.endLoadOrder(order, status, 0) })
+	if replicas > 0 {
+		f.beginLoad(order)
+	} else {
+		f.sendLoadOrder(order)
 	}
 }
 
@@ -64,6 +66,9 @@
 func (f *FrontEnd) LoadEnded(now time.Duration, sent *workerconn.LoadOrder, status scheduler.Status, replicas int) {
 	f.now = now
 	if order := f.loadOrders[sent]; order != nil {
+		if status == scheduler.OK && order.Load.Replicas > 0 {
+			order.worker.accepted(sent.WriteStartedAt())
+		}
 		f.endLoadOrder(order, status, replicas)
 	}
 	f.runDeferred()
--- /dev/null
+++ b/internal/gateway/readiness.go
@@ -0,0 +1,240 @@
+package gateway
+
+import (
+	"time"
+
+	"havencart/internal/workerconn"
+	"havencart/scheduler"
+)
+
+// This file lets new work begin at a worker only where the endpoint list or the worker itself says that it accepts some.
+
+// The bounds of the time for the response to a health check, which else is the time to connect.
+const (
+	minHealthCheckTimeout = 50 * time.Millisecond
+	maxHealthCheckTimeout = time.Second
+)
+
+// readiness is what a worker itself says of whether it accepts new work. It counts while the endpoint list is not confirmed.
+type readiness struct {
+	acceptedAt time.Duration // when it last accepted some, or said that it would; 0: never
+	check      *healthCheck  // in flight; nil: there is none
+	held       heldWork
+}
+
+// heldWork is new work that waits for the response to a health check.
+type heldWork struct {
+	attempts []*requestAttempt // some of them may have ended meanwhile
+	orders   []*loadOrder
+}
+
+// takeHeld takes out the work that waits.
+func (r *readiness) takeHeld() heldWork {
+	held := r.held
+	r.held = heldWork{}
+	return held
+}
+
+// endHeld ends the work that waits for a worker's confirmation: it was never sent.
+func (f *FrontEnd) endHeld(w *worker, status scheduler.Status) {
+	held := w.readiness.takeHeld()
+	for _, attempt := range held.attempts {
+		f.endAttempt(attempt, abandonedResult(status, attemptUnconfirmed))
+	}
+	for _, order := range held.orders {
+		f.endLoadOrder(order, status, 0)
+	}
+}
+
+// accepted notes that new work was accepted that was sent at a time.
+func (w *worker) accepted(at time.Duration) { w.readiness.acceptedAt = max(w.readiness.acceptedAt, at) }
+
+// healthCheck is a health check without a response.
+type healthCheck struct {
+	workerconn.HealthCheck
+	worker *worker
+	timer  timer // its timeout
+}
+
+// mayBeginAt reports whether new work may begin at a worker now, and until when by the worker's own word. It guards against
+// work for a worker that drains while discovery is out of reach: what discovery would tell counts as told all the same.
+func (f *FrontEnd) mayBeginAt(w *worker) (confirmedUntil time.Duration, may bool) {
+	confirmedUntil = f.settings.EndpointRules.AcceptedUntil(w.readiness.acceptedAt)
+	return confirmedUntil, f.listIsConfirmed() || f.now <= confirmedUntil
+}
+
+// begin hands an attempt to its worker's client, or holds it until the worker confirms that it accepts new work.
+func (f *FrontEnd) begin(attempt *requestAttempt) {
+	w := attempt.worker
+	confirmedUntil, may := f.mayBeginAt(w)
+	if !may {
+		w.readiness.held.attempts = append(w.readiness.held.attempts, attempt)
+		f.confirm(w)
+		return
+	}
+	attempt.enter(attemptPending)
+	attempt.ConfirmedUntil = confirmedUntil
+	if result := w.client.Send(&attempt.Attempt); result != nil {
+		f.deferred = append(f.deferred, func() { f.endAttempt(attempt, *result) })
+	}
+}
+
+// beginLoad sends an order to load, or holds it as begin does an attempt.
+func (f *FrontEnd) beginLoad(order *loadOrder) {
+	w := order.worker
+	confirmedUntil, may := f.mayBeginAt(w)
+	if !may {
+		w.readiness.held.orders = append(w.readiness.held.orders, order)
+		f.confirm(w)
+		return
+	}
+	order.ConfirmedUntil = confirmedUntil
+	f.sendLoadOrder(order)
+}
+
+// sendLoadOrder hands a load order or a residency query to its worker's client.
+func (f *FrontEnd) sendLoadOrder(order *loadOrder) {
+	if status := order.worker.client.Load(&order.LoadOrder); status != 0 {
+		f.deferred = append(f.deferred, func() { f.endLoadOrder(order, status, 0) })
+	}
+}
+
+// confirm has a worker say whether it accepts new work. Where it may not be asked, what waits for it is not sent.
+func (f *FrontEnd) confirm(w *worker) {
+	if f.settings.Scheduler.HealthChecksAllowed {
+		f.checkHealth(w)
+		return
+	}
+	f.deferred = append(f.deferred, func() { f.endHeld(w, scheduler.NotSent) })
+}
+
+// CheckHealth implements scheduler.Actions: it asks a worker for its load.
+func (f *FrontEnd) CheckHealth(id scheduler.WorkerID) {
+	if w := f.workers[id]; w != nil {
+		f.checkHealth(w)
+	}
+}
+
+// checkHealth sends a health check, unless one is in flight.
+func (f *FrontEnd) checkHealth(w *worker) {
+	if w.readiness.check != nil {
+		return
+	}
+	check := &healthCheck{worker: w}
+	check.AskedAt = f.now
+	w.readiness.check = check
+	f.healthChecks[&check.HealthCheck] = check
+	timeout := min(maxHealthCheckTimeout, max(minHealthCheckTimeout, f.settings.Scheduler.ConnectTimeout))
+	check.timer = timer{kind: healthCheckTimer, due: f.now + timeout, healthCheck: check}
+	f.timers.add(&check.timer)
+	f.counts.HealthChecks++
+	if status := w.client.CheckHealth(&check.HealthCheck); status != 0 {
+		f.deferred = append(f.deferred, func() { f.endHealthCheck(check, status, nil) })
+	}
+}
+
+// HealthChecked takes the response to a health check. One that has ended already is ignored.
+func (f *FrontEnd) HealthChecked(now time.Duration, sent *workerconn.HealthCheck, status scheduler.Status, loadReport []float64) {
+	f.now = now
+	if check := f.healthChecks[sent]; check != nil {
+		f.endHealthCheck(check, status, loadReport)
+	}
+	f.runDeferred()
+}
+
+// healthCheckTimedOut ends a health check without a response.
+func (f *FrontEnd) healthCheckTimedOut(check *healthCheck) {
+	check.worker.client.AbandonHealthCheck(&check.HealthCheck)
+	f.endHealthCheck(check, scheduler.Timeout, nil)
+}
+
+// endHealthCheck takes the result of a health check, and lets the work begin that waited for it, or ends it.
+func (f *FrontEnd) endHealthCheck(check *healthCheck, status scheduler.Status, loadReport []float64) {
+	if !f.removeHealthCheck(check) {
+		return
+	}
+	w := check.worker
+	f.scheduler.HealthChecked(f.now, scheduler.HealthCheckResult{
+		Worker:     w.id,
+		Status:     status,
+		Latency:    f.now - check.AskedAt,
+		LoadReport: loadReport,
+	})
+	f.trace.healthChecked(f.now, check, status)
+	switch status {
+	case scheduler.OK:
+		w.accepted(check.SentAfter())
+		f.release(w)
+	case scheduler.Error:
+		f.takeAsDraining(w)
+	case scheduler.NotSent:
+		f.endHeld(w, scheduler.NotSent)
+	default: // no connection, or no response: the worker is not there
+		f.endHeld(w, scheduler.ConnectFailed)
+	}
+}
+
+// removeHealthCheck removes a health check, and reports whether it was still waited for.
+func (f *FrontEnd) removeHealthCheck(check *healthCheck) bool {
+	if f.healthChecks[&check.HealthCheck] == nil {
+		return false
+	}
+	delete(f.healthChecks, &check.HealthCheck)
+	f.timers.remove(&check.timer)
+	check.worker.readiness.check = nil
+	return true
+}
+
+// release lets the work begin that waited for a worker's confirmation. What came too late for it waits for another one.
+func (f *FrontEnd) release(w *worker) {
+	held := w.readiness.takeHeld()
+	for _, attempt := range held.attempts {
+		if attempt.state == attemptHeld {
+			f.begin(attempt)
+		}
+	}
+	for _, order := range held.orders {
+		if !order.ended {
+			f.beginLoad(order)
+		}
+	}
+}
+
+// takeAsDraining takes a worker by its own word for one that drains, until the list says otherwise. A list that is
+// confirmed goes before: it is by what the list says that a front end counts as notified.
+func (f *FrontEnd) takeAsDraining(w *worker) {
+	switch {
+	case f.listIsConfirmed():
+		f.release(w)
+	case w.state == scheduler.Ready:
+		f.selfDraining[w.id] = w
+		f.changeState(w, scheduler.Draining)
+	}
+}
+
+// endSelfDraining takes workers again for what the list has them as, which is confirmed.
+func (f *FrontEnd) endSelfDraining() {
+	for _, id := range sortedKeys(f.selfDraining) {
+		w := f.selfDraining[id]
+		delete(f.selfDraining, id)
+		f.changeState(w, w.State)
+	}
+}
+
+// changeState changes a worker's state, and reports it to the scheduler.
+func (f *FrontEnd) changeState(w *worker, state scheduler.WorkerState) {
+	f.setWorkerState(w, state)
+	info := f.workerInfo(w.id, w.Worker)
+	info.State = state
+	changed := f.incarnations.ObserveChanges(f.now, []scheduler.WorkerInfo{info}, len(f.workers))
+	f.scheduler.WorkersChanged(f.now, changed, false)
+}
+
+// forgetReadiness forgets what a worker said at an address that it has left.
+func (f *FrontEnd) forgetReadiness(w *worker) {
+	if check := w.readiness.check; check != nil {
+		w.client.AbandonHealthCheck(&check.HealthCheck)
+		f.removeHealthCheck(check)
+	}
+	w.readiness.acceptedAt = 0
+}
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -33,6 +33,7 @@
 	attemptDrained       // its worker drains, and it was not sent yet
 	attemptUnwanted      // its request has its final response already
 	attemptNotSentInTime // still unsent when its time was over
+	attemptUnconfirmed   // its worker did not confirm that it accepts new work
 )
 
 // reasonTexts are the texts that clients receive: they are part of the protocol and stay as they are.
@@ -57,6 +58,7 @@
 	attemptDrained:        "the worker drains",
 	attemptUnwanted:       "nobody waits",
 	attemptNotSentInTime:  "not sent in time",
+	attemptUnconfirmed:    "the worker did not confirm that it accepts work",
 }
 
 // String returns the text that clients receive.
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -9,11 +9,12 @@
 type timerKind uint8
 
 const (
-	schedulerTimer timerKind = iota + 1 // the scheduler's, with schedulerToken
-	sweepTimer                          // the next sweep
-	attemptTimer                        // the response timeout of attempt
-	loadOrderTimer                      // the timeout of loadOrder
-	requestTimer                        // the final response of request is past its deadline
+	schedulerTimer   timerKind = iota + 1 // the scheduler's, with schedulerToken
+	sweepTimer                            // the next sweep
+	attemptTimer                          // the response timeout of attempt
+	loadOrderTimer                        // the timeout of loadOrder
+	requestTimer                          // the final response of request is past its deadline
+	healthCheckTimer                      // the timeout of healthCheck
 )
 
 // timer is something that is due at a time. It is not copied while it is in a heap.
@@ -24,6 +25,7 @@
 	position       int    // in the heap, from 1; 0: in none
 	attempt        *requestAttempt
 	loadOrder      *loadOrder
+	healthCheck    *healthCheck
 	request        *Request
 	schedulerToken uint64
 }
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -85,6 +85,17 @@
 	}
 }
 
+// healthChecked logs a health check that does not say that the worker accepts new work.
+func (t *trace) healthChecked(now time.Duration, check *healthCheck, status scheduler.Status) {
+	if status == scheduler.OK {
+		return
+	}
+	if line := t.attempts.Info(); line.Enabled() {
+		line.Str("worker", check.worker.Name).Stringer("status", status).Dur("duration", now-check.AskedAt).
+			Int("held", len(check.worker.readiness.held.attempts)).Msg("health check ended")
+	}
+}
+
 // responded logs a final response that is not a worker's.
 func (t *trace) responded(now time.Duration, request *Request, response FinalResponse) {
 	if response.Kind == Served {
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -20,8 +20,8 @@
 	client          WorkerClient
 	previousClients []WorkerClient // of its previous addresses, with something in flight
 	state           scheduler.WorkerState
-	healthChecks    []time.Duration // when those in flight were sent, oldest first
-	disconnected    bool            // reported since it was last connected
+	disconnected    bool // reported since it was last connected
+	readiness       readiness
 }
 
 // location is where the worker stands, as the scope of an idempotency key has it.
@@ -78,32 +78,3 @@
 	w.disconnected = true
 	w.named(f.log.Warn()).Err(cause).Msg("worker disconnected")
 }
-
-// CheckHealth implements scheduler.Actions: it asks a worker for its load.
-func (f *FrontEnd) CheckHealth(id scheduler.WorkerID) {
-	w := f.workers[id]
-	if w == nil {
-		return
-	}
-	f.counts.HealthChecks++
-	w.healthChecks = append(w.healthChecks, f.now)
-	w.client.CheckHealth()
-}
-
-// HealthChecked takes the response to a worker's oldest health check.
-func (f *FrontEnd) HealthChecked(now time.Duration, id scheduler.WorkerID, status scheduler.Status, loadReport []float64) {
-	f.now = now
-	w := f.workers[id]
-	if w == nil || len(w.healthChecks) == 0 {
-		return
-	}
-	sentAt := w.healthChecks[0]
-	w.healthChecks = w.healthChecks[1:]
-	f.scheduler.HealthChecked(now, scheduler.HealthCheckResult{
-		Worker:     id,
-		Status:     status,
-		Latency:    now - sentAt,
-		LoadReport: loadReport,
-	})
-	f.runDeferred()
-}
--- a/internal/gateway/workers_test.go
+++ b/internal/gateway/workers_test.go
@@ -44,10 +44,10 @@
 	id, worker := WorkerID("w0"), harness.clients["w0"]
 	harness.CheckHealth(id)
 	harness.Unload(id, FunctionID("f"))
-	if worker.healthChecks != 1 || worker.unloads != 1 || harness.Counts().HealthChecks != 1 {
-		t.Errorf("%d health checks, %d unloads", worker.healthChecks, worker.unloads)
+	if len(worker.healthChecks) != 1 || worker.unloads != 1 || harness.Counts().HealthChecks != 1 {
+		t.Fatalf("%d health checks, %d unloads", len(worker.healthChecks), worker.unloads)
 	}
-	harness.HealthChecked(harness.clock, id, scheduler.OK, nil)
-	harness.HealthChecked(harness.clock, id, scheduler.OK, nil) // a response without a health check
+	harness.HealthChecked(harness.clock, worker.healthChecks[0], scheduler.OK, nil)
+	harness.HealthChecked(harness.clock, worker.healthChecks[0], scheduler.OK, nil) // a response without a health check
 	harness.endWith(request, scheduler.OK)
 }
--- a/internal/native/muxclient/client.go
+++ b/internal/native/muxclient/client.go
@@ -39,7 +39,7 @@
 	mu           sync.Mutex // guards what follows
 	queue        workerconn.SendQueue[controlFrame]
 	started      map[*workerconn.Attempt]*workerconn.Result // responses that have started and not ended, as they started
-	healthChecks int                                        // that were sent or queued and have no response
+	healthChecks []*workerconn.HealthCheck                  // that were sent or queued and have no response, oldest first
 	lastStreamID uint32                                     // given last
 	conn         net.Conn                                   // nil while there is none
 	keepalive    *reconnect.Keepalive                       // of conn
@@ -149,14 +149,18 @@
 	c.push(controlFrame{kind: muxframe.TypeUnload, header: muxframe.Unload{Function: function}})
 }
 
-// CheckHealth asks the worker for a load report; Events reports the response.
-func (c *Client) CheckHealth() {
+// CheckHealth asks the worker for a load report and returns 0; Events reports the response.
+func (c *Client) CheckHealth(check *workerconn.HealthCheck) scheduler.Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.healthChecks++
+	c.healthChecks = append(c.healthChecks, check)
 	c.push(controlFrame{kind: muxframe.TypeHealthCheck})
+	return 0
 }
 
+// AbandonHealthCheck does nothing: responses are in the order of the checks, and a late one is reported all the same.
+func (c *Client) AbandonHealthCheck(*workerconn.HealthCheck) {}
+
 // Drain removes and returns the new work that was not sent, which was never executed, and refuses more until Resume. What
 // is being written has until the grace period is over. What was sent goes on.
 func (c *Client) Drain(grace time.Duration) (attempts []*workerconn.Attempt, orders []*workerconn.LoadOrder) {
--- a/internal/native/muxclient/client_test.go
+++ b/internal/native/muxclient/client_test.go
@@ -57,7 +57,7 @@
 	if s := await(t, "the load order's end", recorder.loadEnds); s != scheduler.OK {
 		t.Errorf("%v", s)
 	}
-	client.CheckHealth()
+	client.CheckHealth(&workerconn.HealthCheck{})
 	for worker.readFrame().Type != muxframe.TypeHealthCheck {
 		continue // pings may come before it
 	}
@@ -65,7 +65,7 @@
 	if s := await(t, "the health check's end", recorder.healthChecks); s != scheduler.OK {
 		t.Errorf("%v", s)
 	}
-	client.CheckHealth()
+	client.CheckHealth(&workerconn.HealthCheck{})
 	worker.reset()
 	if s := await(t, "the health check's end", recorder.healthChecks); s != scheduler.ConnectFailed {
 		t.Errorf("%v", s)
--- a/internal/native/muxclient/connection.go
+++ b/internal/native/muxclient/connection.go
@@ -173,15 +173,15 @@
 	started := c.started
 	c.started = map[*workerconn.Attempt]*workerconn.Result{}
 	healthChecks := c.healthChecks
-	c.healthChecks = 0
+	c.healthChecks = nil
 	c.mu.Unlock()
 	for _, response := range started {
 		response.Response.Stream.End(fmt.Errorf("%w: %w", workerconn.ErrIncomplete, reason))
 	}
 	workerconn.NotifyEnded(c.events, unsent, scheduler.ConnectFailed, scheduler.ConnectFailed, reason.Error())
 	workerconn.NotifyEnded(c.events, lost, scheduler.Reset, scheduler.Reset, reason.Error())
-	for range healthChecks {
-		c.events.HealthChecked(scheduler.ConnectFailed, nil)
+	for _, check := range healthChecks {
+		c.events.HealthChecked(check, scheduler.ConnectFailed, nil)
 	}
 	c.events.Disconnected(reason)
 }
--- a/internal/native/muxclient/connection_read.go
+++ b/internal/native/muxclient/connection_read.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"havencart/internal/native/muxframe"
+	"havencart/internal/workerconn"
 )
 
 // read handles frames until the connection breaks.
@@ -77,13 +78,14 @@
 		return err
 	}
 	c.mu.Lock()
-	expected := c.healthChecks > 0
-	if expected {
-		c.healthChecks--
+	var check *workerconn.HealthCheck
+	if len(c.healthChecks) > 0 {
+		check = c.healthChecks[0]
+		c.healthChecks = c.healthChecks[1:]
 	}
 	c.mu.Unlock()
-	if expected {
-		c.events.HealthChecked(statuses[report.Status], report.LoadReport)
+	if check != nil {
+		c.events.HealthChecked(check, statuses[report.Status], report.LoadReport)
 	}
 	return nil
 }
--- a/internal/native/muxclient/helpers_test.go
+++ b/internal/native/muxclient/helpers_test.go
@@ -38,7 +38,9 @@
 	e.loadEnds <- s
 }
 
-func (e *eventRecorder) HealthChecked(s scheduler.Status, _ []float64) { e.healthChecks <- s }
+func (e *eventRecorder) HealthChecked(_ *workerconn.HealthCheck, s scheduler.Status, _ []float64) {
+	e.healthChecks <- s
+}
 
 func (e *eventRecorder) Connected(w muxframe.Welcome) { e.connects <- w }
 
--- a/internal/platform/workerclient/client.go
+++ b/internal/platform/workerclient/client.go
@@ -296,26 +296,36 @@
 	}
 }
 
-// CheckHealth asks the worker for a load report; Events reports the response.
-func (c *Client) CheckHealth() {
-	if !c.sendHealthCheck() {
-		go c.events.HealthChecked(scheduler.NotSent, nil) // Events is never called from within a method of the client
-	}
-}
-
-// sendHealthCheck returns false if no connection has room.
-func (c *Client) sendHealthCheck() bool {
+// CheckHealth asks the worker whether it accepts new work, and for a load report, and returns 0; Events reports the
+// response. If the check cannot be queued, CheckHealth returns its status at once.
+func (c *Client) CheckHealth(check *workerconn.HealthCheck) scheduler.Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	number := c.randomNumber()
 	conn := c.selectConnection(number)
 	if conn == nil {
-		return false
+		return scheduler.NotSent
 	}
-	conn.healthChecks[number] = true
+	conn.healthChecks[number] = check
 	conn.queue.Push(workerframe.Frame{Code: workerframe.LoadReport, ID: number})
 	conn.wakeUp()
-	return true
+	return 0
+}
+
+// AbandonHealthCheck gives a health check up: its response is not reported after this. Its connection is used for nothing
+// new, as the worker may not read it any longer.
+func (c *Client) AbandonHealthCheck(check *workerconn.HealthCheck) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.connections {
+		for number, waiting := range conn.healthChecks {
+			if waiting == check {
+				delete(conn.healthChecks, number)
+				conn.drainAfterCancel()
+				conn.wakeUp()
+			}
+		}
+	}
 }
 
 // Drain removes and returns the new work that was not sent, which was never executed, and refuses more until Resume. What
--- a/internal/platform/workerclient/client_test.go
+++ b/internal/platform/workerclient/client_test.go
@@ -56,7 +56,7 @@
 	if end := <-recorder.loadEnds; end != fmt.Sprint(scheduler.OK, " ", 2) {
 		t.Errorf("the load order ended as %s", end)
 	}
-	client.CheckHealth()
+	client.CheckHealth(&workerconn.HealthCheck{})
 	if f, s := <-got, <-recorder.healthChecks; f.Code != workerframe.LoadReport || s != scheduler.OK {
 		t.Errorf("the health check %+v ended as %v", f, s)
 	}
--- a/internal/platform/workerclient/connection.go
+++ b/internal/platform/workerclient/connection.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"syscall"
@@ -29,9 +30,10 @@
 
 	// Guarded by client.mu.
 	queue        workerconn.SendQueue[workerframe.Frame]
-	healthChecks map[uint64]bool // numbers of those without a response; bounded by how often the scheduler checks
-	netConn      net.Conn        // nil while there is none
-	draining     bool            // accepts nothing new; closed once nothing is unfinished on it
+	healthChecks map[uint64]*workerconn.HealthCheck // without a response, by number; as many as the caller has at a time
+	connectedAt  time.Duration                      // when netConn was made
+	netConn      net.Conn                           // nil while there is none
+	draining     bool                               // accepts nothing new; closed once nothing is unfinished on it
 	writeLimit   workerconn.WriteLimit
 	received     bool // a frame was received on netConn
 	lastUsed     time.Duration
@@ -44,7 +46,7 @@
 		client:       client,
 		wake:         workerconn.NewSignal(),
 		queue:        workerconn.NewSendQueue[workerframe.Frame](),
-		healthChecks: map[uint64]bool{},
+		healthChecks: map[uint64]*workerconn.HealthCheck{},
 		lastUsed:     client.cfg.Now(),
 	}
 }
@@ -98,7 +100,9 @@
 		}
 		breakReason = c.serve(netConn)
 		var outcome breakOutcome
-		lost, outcome = c.afterBreak(breakReason)
+		var unanswered []*workerconn.HealthCheck
+		lost, unanswered, outcome = c.afterBreak(breakReason)
+		c.notifyUnanswered(unanswered, scheduler.Reset)
 		if outcome.workerAlive || !outcome.reconnect {
 			c.notifyLost(lost, outcome.workerAlive, breakReason)
 			lost = nil
@@ -134,10 +138,11 @@
 }
 
 // afterBreak removes what was in flight on a connection that ended, and decides what follows.
-func (c *connection) afterBreak(reason error) (lost []queueItem, outcome breakOutcome) {
+func (c *connection) afterBreak(reason error) (lost []queueItem, unanswered []*workerconn.HealthCheck, outcome breakOutcome) {
 	c.client.mu.Lock()
 	defer c.client.mu.Unlock()
 	lost = c.queue.RemoveInFlight()
+	unanswered = c.removeHealthChecks()
 	c.client.removeFinished(lost)
 	if c.received {
 		c.silentConnections = 0
@@ -151,7 +156,21 @@
 	mayRetry := c.client.ctx.Err() == nil && connpool.RetryAfterReset(c.silentConnections)
 	outcome.reconnect = needed && mayRetry
 	c.draining = c.draining || !outcome.reconnect
-	return lost, outcome
+	return lost, unanswered, outcome
+}
+
+// removeHealthChecks removes and returns the health checks without a response. The client's lock is held.
+func (c *connection) removeHealthChecks() []*workerconn.HealthCheck {
+	unanswered := slices.Collect(maps.Values(c.healthChecks))
+	clear(c.healthChecks)
+	return unanswered
+}
+
+// notifyUnanswered reports that health checks get no response.
+func (c *connection) notifyUnanswered(checks []*workerconn.HealthCheck, status scheduler.Status) {
+	for _, check := range checks {
+		c.client.events.HealthChecked(check, status, nil)
+	}
 }
 
 // notifyLost reports the end of what was sent on a connection that broke.
@@ -173,14 +192,11 @@
 	c.client.removeConnection(c)
 	unsent := c.queue.RemoveQueued()
 	c.client.removeFinished(unsent)
-	healthChecks := len(c.healthChecks)
-	clear(c.healthChecks)
+	healthChecks := c.removeHealthChecks()
 	c.client.mu.Unlock()
 	status := unsentStatus(reason)
 	workerconn.NotifyEnded(c.client.events, unsent, status, status, fmt.Sprint(reason))
-	for range healthChecks {
-		c.client.events.HealthChecked(status, nil)
-	}
+	c.notifyUnanswered(healthChecks, status)
 	if len(unsent) > 0 && status == scheduler.ConnectFailed {
 		c.client.events.Disconnected(reason)
 	}
@@ -220,6 +236,7 @@
 func (c *connection) serve(netConn net.Conn) error {
 	c.client.mu.Lock()
 	c.netConn = netConn
+	c.connectedAt = c.client.cfg.Now()
 	c.client.mu.Unlock()
 	write := func(readDone <-chan struct{}) error { return c.write(netConn, readDone) }
 	read := func() error { return c.read(netConn) }
--- a/internal/platform/workerclient/connection_read.go
+++ b/internal/platform/workerclient/connection_read.go
@@ -57,7 +57,7 @@
 type awaited struct {
 	attempt     *workerconn.Attempt
 	load        *workerconn.LoadOrder
-	healthCheck bool
+	healthCheck *workerconn.HealthCheck
 }
 
 // handle processes one response. One that nobody waits for is dropped.
@@ -79,10 +79,10 @@
 		})
 	case waiting.load != nil:
 		events.LoadEnded(waiting.load, statuses[frame.Code], fields.Replicas)
-	case waiting.healthCheck && frame.Code == workerframe.Healthy:
-		events.HealthChecked(scheduler.OK, fields.LoadReport)
-	case waiting.healthCheck:
-		events.HealthChecked(scheduler.Error, fields.LoadReport)
+	case waiting.healthCheck != nil && frame.Code == workerframe.Healthy:
+		events.HealthChecked(waiting.healthCheck, scheduler.OK, fields.LoadReport)
+	case waiting.healthCheck != nil:
+		events.HealthChecked(waiting.healthCheck, scheduler.Error, fields.LoadReport)
 	default:
 		events.LateResponse(0)
 	}
@@ -96,9 +96,12 @@
 	c.received = true
 	defer c.wakeUp()
 	if isHealthCode(frame.Code) {
-		waited := c.healthChecks[frame.ID]
+		check := c.healthChecks[frame.ID]
 		delete(c.healthChecks, frame.ID)
-		return awaited{healthCheck: waited}
+		if check != nil {
+			check.ConnectedAt = c.connectedAt
+		}
+		return awaited{healthCheck: check}
 	}
 	if attempt := c.queue.FinishAttempt(frame.ID); attempt != nil {
 		delete(c.client.attempts, attempt)
--- a/internal/platform/workerclient/helpers_test.go
+++ b/internal/platform/workerclient/helpers_test.go
@@ -29,7 +29,7 @@
 	r.attemptEnds <- result
 }
 
-func (r eventRecorder) HealthChecked(s scheduler.Status, _ []float64) {
+func (r eventRecorder) HealthChecked(_ *workerconn.HealthCheck, s scheduler.Status, _ []float64) {
 	r.healthChecks <- s
 }
 
--- a/internal/workerconn/attempt.go
+++ b/internal/workerconn/attempt.go
@@ -14,6 +14,9 @@
 	Body     []byte
 	Deadline time.Duration // nobody waits for the response after this; on the client's monotonic clock
 	NotAfter time.Duration // its write may neither begin nor go on after this; 0: Deadline alone bounds it
+	// ConfirmedUntil is until when its write may begin by the worker's own word, where the lease on the endpoint list ends
+	// before.
+	ConfirmedUntil time.Duration
 
 	delivery delivery
 }
@@ -50,7 +53,8 @@
 // LoadOrder tells a worker to hold so many replicas of a function. An order of zero replicas is a residency query: it
 // only asks how many are loaded.
 type LoadOrder struct {
-	Load muxframe.LoadOrder
+	Load           muxframe.LoadOrder
+	ConfirmedUntil time.Duration // as Attempt has it; a residency query may always be written
 
 	delivery delivery
 }
@@ -58,9 +62,22 @@
 // Reject records that a client refused the order: it was never sent.
 func (o *LoadOrder) Reject() { o.delivery.cancel() }
 
+// WriteStartedAt tells of an order that has ended when its write started, on the client's clock; 0: it never did.
+func (o *LoadOrder) WriteStartedAt() time.Duration { return o.delivery.writeStartedAt }
+
 // isNewWork tells whether the order makes the worker load something, unlike a residency query.
 func (o *LoadOrder) isNewWork() bool { return o.Load.Replicas > 0 }
 
+// HealthCheck asks a worker whether it accepts new work. The caller sets AskedAt, and the client the rest before it reports
+// the response. Both are on the client's monotonic clock.
+type HealthCheck struct {
+	AskedAt     time.Duration
+	ConnectedAt time.Duration // when the connection was made that it was sent on; 0: not known
+}
+
+// SentAfter is a time before which the check was not sent.
+func (h *HealthCheck) SentAfter() time.Duration { return max(h.AskedAt, h.ConnectedAt) }
+
 // Result tells how an attempt ended.
 type Result struct {
 	Status     scheduler.Status
--- a/internal/workerconn/events.go
+++ b/internal/workerconn/events.go
@@ -13,7 +13,7 @@
 	// LoadEnded reports the response to a load order, once, unless it was abandoned. Replicas are loaded now.
 	LoadEnded(o *LoadOrder, s scheduler.Status, replicas int)
 	// HealthChecked reports the response to a health check, or that none can arrive.
-	HealthChecked(s scheduler.Status, report []float64)
+	HealthChecked(c *HealthCheck, s scheduler.Status, report []float64)
 	// Disconnected reports that there is no connection, and why.
 	Disconnected(why error)
 	// LateResponse reports a response that nobody waits for any longer. The number is its stream ID, 0 if the protocol
--- a/internal/workerconn/guard.go
+++ b/internal/workerconn/guard.go
@@ -12,14 +12,19 @@
 const LeaseRetryInterval = 5 * time.Millisecond
 
 // Guard is what an event loop and its worker clients share so that nothing is written that the loop would no longer allow:
-// a lease on writing new work, and the violations that were counted. New work is attempts and orders to load.
+// the leases on writing new work, and the violations that were counted. New work is attempts and orders to load.
+//
+// The loop's lease guards against a process that stood still: its writers run again before the loop has received which
+// workers drain and which clients left meanwhile. The loop renews the lease when it has; without one, new work stays queued.
+//
+// The lease on the endpoint list guards against work that waited for its connection while the list, by which it was decided,
+// ceased to hold. Without one, new work is not sent unless its worker has confirmed that it accepts some.
 //
-// The lease guards against a process that stood still: its writers run again before the loop has received which workers
-// drain and which clients left meanwhile. The loop renews the lease when it has; without one, new work stays queued.
 // A nil Guard holds nothing back and counts nothing. Its methods may be called from any goroutine.
 type Guard struct {
-	renewedAt  atomic.Int64 // on the clock of the loop and its clients
-	violations [execution.Violations]atomic.Uint64
+	renewedAt      atomic.Int64 // on the clock of the loop and its clients
+	endpointsUntil atomic.Int64 // end of the lease on the endpoint list, on the same clock; 0: it never ends
+	violations     [execution.Violations]atomic.Uint64
 }
 
 // Renew extends the lease from now.
@@ -30,6 +35,18 @@
 	return g == nil || now-time.Duration(g.renewedAt.Load()) <= looplag.SendLease()
 }
 
+// SetEndpointLease sets until when new work may be sent to workers that the endpoint list has as ready.
+func (g *Guard) SetEndpointLease(until time.Duration) { g.endpointsUntil.Store(int64(until)) }
+
+// mayBegin reports whether new work may begin at now at a worker that has confirmed until a time that it accepts some.
+func (g *Guard) mayBegin(now, confirmedUntil time.Duration) bool {
+	if g == nil || now <= confirmedUntil {
+		return true
+	}
+	until := time.Duration(g.endpointsUntil.Load())
+	return until == 0 || now <= until
+}
+
 // Count counts a violation.
 func (g *Guard) Count(violation execution.Violation) {
 	if g != nil {
--- a/internal/workerconn/send_queue.go
+++ b/internal/workerconn/send_queue.go
@@ -70,6 +70,17 @@
 	return end > 0 && now > end+lateWriteTolerance
 }
 
+// confirmedUntil is until when the worker has confirmed that it accepts the item.
+func (i QueueItem[Frame]) confirmedUntil() time.Duration {
+	switch {
+	case i.Attempt != nil:
+		return i.Attempt.ConfirmedUntil
+	case i.Load != nil:
+		return i.Load.ConfirmedUntil
+	}
+	return 0
+}
+
 // isNewWork tells whether the item makes the worker execute or load something.
 func (i QueueItem[Frame]) isNewWork() bool {
 	return i.Attempt != nil || i.Load != nil && i.Load.isNewWork()
--- a/internal/workerconn/write_batch.go
+++ b/internal/workerconn/write_batch.go
@@ -22,7 +22,7 @@
 type WriteBatch[Frame any] struct {
 	Bytes           []byte             // the encoded frames
 	Unencodable     []QueueItem[Frame] // items whose frame cannot be encoded: they were never sent
-	Expired         []QueueItem[Frame] // attempts that may not be written any longer: they were never sent
+	Expired         []QueueItem[Frame] // new work that may not be written any longer: it was never sent
 	DeferredNewWork bool               // new work stayed in the queue, as the lease does not hold
 	NotAfter        time.Duration      // the write may not go on after this; 0: no permit limits it
 
@@ -70,7 +70,7 @@
 // NextBatch moves items from the front of the queue into batch at now, replacing what that held. The function encode appends
 // an item's frame to a buffer. From now on the items can no longer be cancelled; BatchWritten follows once the bytes
 // were written. This is the one place where a frame goes from the queue to a connection: new work does only while the
-// guard's lease holds, and an attempt only until it may not be written any longer.
+// guard's leases hold, and an attempt only until it may not be written any longer.
 func (q *SendQueue[Frame]) NextBatch(
 	guard *Guard, now time.Duration, batch *WriteBatch[Frame],
 	encode func(buffer []byte, item QueueItem[Frame]) ([]byte, error),
@@ -84,7 +84,7 @@
 			break
 		}
 		switch {
-		case item.isExpired(now):
+		case item.isExpired(now), item.isNewWork() && !guard.mayBegin(now, item.confirmedUntil()):
 			item.delivery().cancel()
 			batch.Expired = append(batch.Expired, item)
 		case item.isNewWork() && !mayWriteNewWork:
--- a/lab/simulation/worker_client.go
+++ b/lab/simulation/worker_client.go
@@ -123,17 +123,21 @@
 }
 
 // CheckHealth asks for a load report.
-func (c *workerClient) CheckHealth() {
+func (c *workerClient) CheckHealth(check *workerconn.HealthCheck) scheduler.Status {
 	c.send(outgoing{call: func() {
 		loadReport := []float64{float64(c.worker.QueueLength())}
 		c.sendToFrontEnd(func() {
 			c.frontEnd.do(func(now time.Duration) {
-				c.frontEnd.gateway.HealthChecked(now, c.id, scheduler.OK, loadReport)
+				c.frontEnd.gateway.HealthChecked(now, check, scheduler.OK, loadReport)
 			})
 		})
 	}})
+	return 0
 }
 
+// AbandonHealthCheck does nothing: the response of one that was given up is ignored.
+func (c *workerClient) AbandonHealthCheck(*workerconn.HealthCheck) {}
+
 // Drain takes back what waits for a connection. In virtual time nothing waits once there is one.
 func (c *workerClient) Drain(time.Duration) (attempts []*workerconn.Attempt, orders []*workerconn.LoadOrder) {
 	c.draining = true
