A worker that may have restarted while discovery was out of reach is in slow start

What waited for it is decided anew; an attempt that never reached its worker no longer takes from the budget of its slow start (a worker's own 'had ended' still does).

Also: a health check whose connection ends unanswered is sent again on the next one, and an idle connection that the worker closed is noticed before a health check is written to it, as before a request (the count of what is in flight took control frames for requests).

Tests that failed before: TestSend_WorkerMayHaveRestarted_IsInSlowStart (12 requests were sent where 4 may be), TestHealthCheck_ConnectionEndsUnanswered_IsSentAgain (ended as reset).

--- a/internal/decide/endpointlease/endpointlease.go
+++ b/internal/decide/endpointlease/endpointlease.go
@@ -68,6 +68,13 @@
 // ConfirmedAt is when the list was last known to be what the service has.
 func (l *Lease) ConfirmedAt() time.Duration { return l.confirmedAt }
 
+// MayHaveRestarted reports whether a worker may have restarted without that this front end was told, while by the rules it
+// counts as notified. Its process is that of before if the connection is older than the list's last confirmation.
+func (l *Lease) MayHaveRestarted(now, connectedAt time.Duration) bool {
+	isSilentForLong := l.rules.Silence > 0 && now > l.confirmedAt+l.rules.Silence
+	return isSilentForLong && connectedAt > l.confirmedAt
+}
+
 // Until is until when new work may begin at workers that the list has as ready.
 func (l *Lease) Until() time.Duration {
 	if l.rules.Silence == 0 {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -233,6 +233,7 @@
 		Status:        result.Status,
 		Latency:       f.latency(attempt, result),
 		RequestClosed: request.state != requestInFlight,
+		ReachedWorker: result.ReceivedAt > 0,
 		ColdStart:     result.ColdStart,
 		QueueDepth:    result.QueueDepth,
 		LoadReport:    result.LoadReport,
--- a/internal/gateway/endpoint_lease.go
+++ b/internal/gateway/endpoint_lease.go
@@ -16,7 +16,7 @@
 	}
 	f.traceLease()
 	if f.listIsConfirmed() {
-		f.endSelfDraining()
+		f.endOverrides()
 		f.runDeferred()
 	}
 }
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -92,7 +92,7 @@
 		f.workers[id] = w
 	}
 	f.trace.listed(f.now, w, entry, f.startTime(entry.Started))
-	delete(f.selfDraining, id)
+	delete(f.overridden, id)
 	if w.client == nil || w.Address != entry.Address {
 		if w.client != nil {
 			f.drainClient(w)
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -128,7 +128,7 @@
 	healthChecks  map[*workerconn.HealthCheck]*healthCheck
 	workers       map[scheduler.WorkerID]*worker
 	retiring      map[scheduler.WorkerID]*worker // those with clients that sweep is to stop
-	selfDraining  map[scheduler.WorkerID]*worker // those that drain by their own word, while the list is not confirmed
+	overridden    map[scheduler.WorkerID]*worker // those taken for other than the list, which is not confirmed, has them
 	functions     map[scheduler.FunctionID]*function
 
 	// Numbers of names for the scheduler, in the order in which they were first seen.
@@ -164,7 +164,7 @@
 		attempts:     map[*workerconn.Attempt]*requestAttempt{},
 		loadOrders:   map[*workerconn.LoadOrder]*loadOrder{},
 		healthChecks: map[*workerconn.HealthCheck]*healthCheck{},
-		selfDraining: map[scheduler.WorkerID]*worker{},
+		overridden:   map[scheduler.WorkerID]*worker{},
 		workers:      map[scheduler.WorkerID]*worker{},
 		retiring:     map[scheduler.WorkerID]*worker{},
 		functions:    map[scheduler.FunctionID]*function{},
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -172,6 +172,17 @@
 	return request
 }
 
+// submitConcurrent submits an idempotent request of a function whose replicas execute many at a time.
+func (harness *testHarness) submitConcurrent() *Request {
+	request := NewRequest()
+	request.Class = idempotentClass
+	request.StartedAt = harness.clock
+	request.Timeout = 2 * time.Second
+	request.Replica = muxframe.ReplicaSpec{Function: "f", MemoryMB: 100, Concurrency: 50}
+	harness.RequestReceived(harness.clock, request)
+	return request
+}
+
 func (harness *testHarness) advance(d time.Duration) {
 	for end := harness.clock + d; harness.clock < end; {
 		harness.clock = min(end, max(harness.clock, harness.NextTimer()))
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -17,9 +17,10 @@
 
 // readiness is what a worker itself says of whether it accepts new work. It counts while the endpoint list is not confirmed.
 type readiness struct {
-	acceptedAt time.Duration // when it last accepted some, or said that it would; 0: never
-	check      *healthCheck  // in flight; nil: there is none
-	held       heldWork
+	acceptedAt  time.Duration // when it last accepted some, or said that it would; 0: never
+	connectedAt time.Duration // of the last connection to a process that it was taken to have restarted as
+	check       *healthCheck  // in flight; nil: there is none
+	held        heldWork
 }
 
 // heldWork is new work that waits for the response to a health check.
@@ -164,6 +165,7 @@
 	switch status {
 	case scheduler.OK:
 		w.accepted(check.SentAfter())
+		f.takeAsRestarted(w, check.ConnectedAt)
 		f.release(w)
 	case scheduler.Error:
 		f.takeAsDraining(w)
@@ -207,16 +209,31 @@
 	case f.listIsConfirmed():
 		f.release(w)
 	case w.state == scheduler.Ready:
-		f.selfDraining[w.id] = w
+		f.overridden[w.id] = w
 		f.changeState(w, scheduler.Draining)
 	}
 }
 
-// endSelfDraining takes workers again for what the list has them as, which is confirmed.
-func (f *FrontEnd) endSelfDraining() {
-	for _, id := range sortedKeys(f.selfDraining) {
-		w := f.selfDraining[id]
-		delete(f.selfDraining, id)
+// takeAsRestarted takes a worker for one that has just started, where it may have restarted without that discovery could
+// tell. It guards against overloading it in its slow start.
+func (f *FrontEnd) takeAsRestarted(w *worker, connectedAt time.Duration) {
+	isKnownProcess := connectedAt <= w.readiness.connectedAt
+	if isKnownProcess || !f.lease.MayHaveRestarted(f.now, connectedAt) {
+		return
+	}
+	w.readiness.connectedAt = connectedAt
+	f.overridden[w.id] = w
+	info := f.listedInfo(w)
+	info.Started = f.now
+	f.scheduler.WorkersChanged(f.now, []scheduler.WorkerInfo{info}, false)
+	f.endHeld(w, scheduler.NotSent) // more may wait than a worker may be sent in its slow start: it is decided anew
+}
+
+// endOverrides takes workers again for what the list has them as, which is confirmed.
+func (f *FrontEnd) endOverrides() {
+	for _, id := range sortedKeys(f.overridden) {
+		w := f.overridden[id]
+		delete(f.overridden, id)
 		f.changeState(w, w.State)
 	}
 }
@@ -224,10 +241,15 @@
 // changeState changes a worker's state, and reports it to the scheduler.
 func (f *FrontEnd) changeState(w *worker, state scheduler.WorkerState) {
 	f.setWorkerState(w, state)
-	info := f.workerInfo(w.id, w.Worker)
+	info := f.listedInfo(w)
 	info.State = state
-	changed := f.incarnations.ObserveChanges(f.now, []scheduler.WorkerInfo{info}, len(f.workers))
-	f.scheduler.WorkersChanged(f.now, changed, false)
+	f.scheduler.WorkersChanged(f.now, []scheduler.WorkerInfo{info}, false)
+}
+
+// listedInfo is a worker as the list has it, with its effective start.
+func (f *FrontEnd) listedInfo(w *worker) scheduler.WorkerInfo {
+	listed := []scheduler.WorkerInfo{f.workerInfo(w.id, w.Worker)}
+	return f.incarnations.ObserveChanges(f.now, listed, len(f.workers))[0]
 }
 
 // forgetReadiness forgets what a worker said at an address that it has left.
--- a/internal/gateway/readiness_test.go
+++ b/internal/gateway/readiness_test.go
@@ -136,9 +136,11 @@
 
 func TestSend_WorkerDoesNotAnswerHealthCheck_RequestGoesElsewhere(t *testing.T) {
 	for name, end := range map[string]func(*testHarness, *fakeWorkerClient){
-		"no response":   func(harness *testHarness, _ *fakeWorkerClient) { harness.advance(250 * ms) },
-		"no connection": func(harness *testHarness, w *fakeWorkerClient) { harness.respondToHealthCheck(w, scheduler.ConnectFailed) },
-		"no room":       func(harness *testHarness, w *fakeWorkerClient) { harness.respondToHealthCheck(w, scheduler.NotSent) },
+		"no response": func(harness *testHarness, _ *fakeWorkerClient) { harness.advance(250 * ms) },
+		"no connection": func(harness *testHarness, w *fakeWorkerClient) {
+			harness.respondToHealthCheck(w, scheduler.ConnectFailed)
+		},
+		"no room": func(harness *testHarness, w *fakeWorkerClient) { harness.respondToHealthCheck(w, scheduler.NotSent) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			harness := newLeaseHarness(t, 2, nil)
@@ -269,3 +271,44 @@
 		t.Errorf("%d sent and %d not, want the one that its worker confirmed", len(batch.Bytes), len(batch.Expired))
 	}
 }
+
+// While discovery is out of reach a worker may restart without anybody saying so. One that can be reached only on a new
+// connection is sent no more than one that has just started.
+func TestSend_WorkerMayHaveRestarted_IsInSlowStart(t *testing.T) {
+	const submitted, sentWarm, sentCold = 30, 12, 4
+	for name, c := range map[string]struct {
+		connectedAfter time.Duration // after the list was confirmed
+		want           int
+	}{
+		"on the connection of before": {-time.Second, sentWarm},
+		"on a new connection":         {4500 * ms, sentCold},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newLeaseHarness(t, 1, func(set *Settings) {
+				set.Scheduler.SlowStartFraction, set.Scheduler.SlowStartDuration = 0.2, 20*time.Second
+				set.Scheduler.OverloadFactor, set.Scheduler.OverloadWindow = 2, 2*time.Second
+			})
+			confirmedAt := harness.clock
+			harness.endLease()
+			for range submitted {
+				harness.submitConcurrent()
+			}
+			worker := harness.onlyChecked()
+			worker.healthChecks[0].ConnectedAt = confirmedAt + c.connectedAfter
+			harness.respondToHealthCheck(worker, scheduler.OK)
+			harness.advance(20 * ms)
+			for len(harness.checkedWorkers()) > 0 {
+				worker.healthChecks[0].ConnectedAt = confirmedAt + c.connectedAfter
+				harness.respondToHealthCheck(worker, scheduler.OK)
+			}
+			if got := harness.sentAnywhere(); got != c.want {
+				t.Errorf("%d requests were sent, want %d", got, c.want)
+			}
+			harness.confirmList()
+			harness.advance(20 * ms)
+			if got := harness.sentAnywhere(); got != sentWarm {
+				t.Errorf("%d requests were sent once the list was confirmed, want %d", got, sentWarm)
+			}
+		})
+	}
+}
--- a/internal/platform/workerclient/client.go
+++ b/internal/platform/workerclient/client.go
@@ -307,7 +307,7 @@
 		return scheduler.NotSent
 	}
 	conn.healthChecks[number] = check
-	conn.queue.Push(workerframe.Frame{Code: workerframe.LoadReport, ID: number})
+	conn.queue.Push(healthCheckFrame(number))
 	conn.wakeUp()
 	return 0
 }
--- a/internal/platform/workerclient/connection.go
+++ b/internal/platform/workerclient/connection.go
@@ -100,9 +100,7 @@
 		}
 		breakReason = c.serve(netConn)
 		var outcome breakOutcome
-		var unanswered []*workerconn.HealthCheck
-		lost, unanswered, outcome = c.afterBreak(breakReason)
-		c.notifyUnanswered(unanswered, scheduler.Reset)
+		lost, outcome = c.afterBreak(breakReason)
 		if outcome.workerAlive || !outcome.reconnect {
 			c.notifyLost(lost, outcome.workerAlive, breakReason)
 			lost = nil
@@ -138,11 +136,10 @@
 }
 
 // afterBreak removes what was in flight on a connection that ended, and decides what follows.
-func (c *connection) afterBreak(reason error) (lost []queueItem, unanswered []*workerconn.HealthCheck, outcome breakOutcome) {
+func (c *connection) afterBreak(reason error) (lost []queueItem, outcome breakOutcome) {
 	c.client.mu.Lock()
 	defer c.client.mu.Unlock()
 	lost = c.queue.RemoveInFlight()
-	unanswered = c.removeHealthChecks()
 	c.client.removeFinished(lost)
 	if c.received {
 		c.silentConnections = 0
@@ -152,11 +149,27 @@
 	c.netConn = nil
 	c.received = false
 	outcome.workerAlive = errors.Is(reason, workerframe.ErrMalformed) || errors.Is(reason, workerconn.ErrUnneeded)
-	needed := c.queue.Unfinished() > 0 || len(lost) > 0 && !outcome.workerAlive
+	needed := c.queue.Unfinished() > 0 || len(c.healthChecks) > 0 || len(lost) > 0 && !outcome.workerAlive
 	mayRetry := c.client.ctx.Err() == nil && connpool.RetryAfterReset(c.silentConnections)
 	outcome.reconnect = needed && mayRetry
 	c.draining = c.draining || !outcome.reconnect
-	return lost, unanswered, outcome
+	if outcome.reconnect {
+		c.repeatHealthChecks()
+	}
+	return lost, outcome
+}
+
+// repeatHealthChecks queues the health checks without a response again, as their connection may have ended before the worker
+// read them. One that is still queued goes out twice, which does no harm. The client's lock is held.
+func (c *connection) repeatHealthChecks() {
+	for number := range c.healthChecks {
+		c.queue.Push(healthCheckFrame(number))
+	}
+}
+
+// healthCheckFrame is the frame of a health check, which asks for a load report as well.
+func healthCheckFrame(number uint64) workerframe.Frame {
+	return workerframe.Frame{Code: workerframe.LoadReport, ID: number}
 }
 
 // removeHealthChecks removes and returns the health checks without a response. The client's lock is held.
--- a/internal/platform/workerclient/connection_test.go
+++ b/internal/platform/workerclient/connection_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"syscall"
 	"testing"
+	"time"
 
 	"havencart/internal/platform/workerframe"
 	"havencart/internal/workerconn"
@@ -147,3 +148,58 @@
 		t.Errorf("the worker saw %v, want a reset", err)
 	}
 }
+
+// The worker closes the connection on which a health check was written, as it does with one that was idle for long. The check
+// may be repeated, so it goes out again on the next connection; only a worker that accepts none leaves it unanswered.
+func TestHealthCheck_ConnectionEndsUnanswered_IsSentAgain(t *testing.T) {
+	client, recorder, _ := startWorkerAndClient(t, func(c *platformworker.Conn, f workerframe.Frame) {
+		if c.Number == 1 {
+			c.Reset()
+			return
+		}
+		c.Respond(workerframe.Frame{Code: workerframe.Healthy, ID: f.ID})
+	})
+	check := &workerconn.HealthCheck{AskedAt: time.Nanosecond}
+	if status := client.CheckHealth(check); status != 0 {
+		t.Fatal(status)
+	}
+	if status := <-recorder.healthChecks; status != scheduler.OK {
+		t.Errorf("the health check ended as %v", status)
+	}
+	if check.ConnectedAt <= check.AskedAt || check.SentAfter() != check.ConnectedAt {
+		t.Errorf("sent after %v, asked at %v on a connection made at %v", check.SentAfter(), check.AskedAt, check.ConnectedAt)
+	}
+}
+
+func TestHealthCheck_WorkerProcessExited_EndsUnanswered(t *testing.T) {
+	client, recorder, server := startWorkerAndClient(t, func(*platformworker.Conn, workerframe.Frame) {})
+	server.Close()
+	if status := client.CheckHealth(&workerconn.HealthCheck{}); status != 0 {
+		t.Fatal(status)
+	}
+	if status := <-recorder.healthChecks; status != scheduler.ConnectFailed {
+		t.Errorf("the health check ended as %v", status)
+	}
+}
+
+// The worker reads a health check and does not answer. Once it is given up, its connection is used for nothing new.
+func TestAbandonHealthCheck_ConnectionIsNotUsedAgain(t *testing.T) {
+	received := make(chan int, 2)
+	client, recorder, _ := startWorkerAndClient(t, func(c *platformworker.Conn, f workerframe.Frame) {
+		received <- c.Number
+		if c.Number == 2 {
+			c.Respond(workerframe.Frame{Code: workerframe.Healthy, ID: f.ID})
+		}
+	})
+	check := &workerconn.HealthCheck{}
+	client.CheckHealth(check)
+	<-received
+	client.AbandonHealthCheck(check)
+	client.CheckHealth(&workerconn.HealthCheck{})
+	if number := <-received; number != 2 {
+		t.Errorf("the next health check was sent on connection %d", number)
+	}
+	if status := <-recorder.healthChecks; status != scheduler.OK {
+		t.Errorf("the next health check ended as %v", status)
+	}
+}
--- a/internal/platform/workerclient/connection_write.go
+++ b/internal/platform/workerclient/connection_write.go
@@ -83,9 +83,7 @@
 func (c *connection) isLeavingIdle() bool {
 	c.client.mu.Lock()
 	defer c.client.mu.Unlock()
-	hasQueued := c.queue.Queued() > 0
-	hasInFlight := c.queue.Unfinished() != c.queue.Queued()
-	return c.received && hasQueued && !hasInFlight
+	return c.received && c.queue.Queued() > 0 && c.queue.InFlight() == 0
 }
 
 // nextBatch encodes the next batch. If that is empty, it returns whether the connection is not needed any longer, or else
--- a/internal/workerconn/send_queue.go
+++ b/internal/workerconn/send_queue.go
@@ -111,9 +111,12 @@
 // Queued is the number of items that wait to be written.
 func (q *SendQueue[Frame]) Queued() int { return len(q.queue) }
 
+// InFlight is the number of attempts and load orders that were or are being written and have no response.
+func (q *SendQueue[Frame]) InFlight() int { return len(q.inFlightAttempts) + len(q.inFlightLoads) }
+
 // Unfinished is the number of attempts and load orders that are queued or in flight.
 func (q *SendQueue[Frame]) Unfinished() int {
-	count := len(q.inFlightAttempts) + len(q.inFlightLoads)
+	count := q.InFlight()
 	for _, item := range q.queue {
 		if item.delivery() != nil {
 			count++
--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -224,6 +224,13 @@
 	return least + (1-least)*age/float64(s.settings.SlowStartDuration)
 }
 
+// forgetSend takes back that an attempt was sent at a time: it never was.
+func (w *workerRecord) forgetSend(at time.Duration) {
+	if i := slices.Index(w.sendTimes, at); i >= 0 {
+		w.sendTimes = slices.Delete(w.sendTimes, i, i+1)
+	}
+}
+
 // respondedSince is whether the worker responded to a request of any class since a time.
 func (w *workerRecord) respondedSince(from time.Duration) bool {
 	return slices.ContainsFunc(w.healthByClass, func(health workerHealth) bool {
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -37,6 +37,9 @@
 	case Error:
 		s.recordError(request, replica, outcome)
 	case NotSent:
+		if !outcome.ReachedWorker {
+			worker.forgetSend(request.sentAt)
+		}
 		if replica.loading && replica.inFlight == 0 { // what was to trigger its load was never sent
 			function.dropReplica(replica)
 		}
--- a/scheduler/slow_start_test.go
+++ b/scheduler/slow_start_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -142,3 +143,13 @@
 		t.Errorf("a cold worker gets %d requests where the others are long gone, %d where all serve", sent["long gone"], sent["stay"])
 	}
 }
+
+// What was never sent takes nothing from the budget of a worker in slow start.
+func TestSlowStart_AttemptNotSent_LeavesBudget(t *testing.T) {
+	worker := &workerRecord{sendTimes: []time.Duration{time.Second, 2 * time.Second, 2 * time.Second}}
+	worker.forgetSend(2 * time.Second)
+	worker.forgetSend(time.Minute)
+	if want := []time.Duration{time.Second, 2 * time.Second}; !slices.Equal(worker.sendTimes, want) {
+		t.Errorf("sent at %v, want %v", worker.sendTimes, want)
+	}
+}
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -173,6 +173,7 @@
 	Status        Status
 	Latency       time.Duration // from when it was sent
 	RequestClosed bool          // no answer is owed to the client any more
+	ReachedWorker bool          // with NotSent: the worker itself said that the request had ended
 	ColdStart     ColdStart
 	QueueDepth    int       // requests for the function that the worker held on arrival, -1 if not told
 	LoadReport    []float64 // in the order of Settings.LoadReportFields, nil if there is none
