Soak: discovery silent or unreachable for up to 9 s, workers that drain reject new work

Before, an outage of discovery in the soak kept events coming and workers that drained went on serving, so the incident could not be found. Outages and drains are long enough now for front ends to count as notified in the middle of one; the list has a drain up to 0.8 s after it began; one run in four forbids health checks.

TestArrivalConn_StoppedAfterRead_DoesNotCountFromResume failed before.

--- a/internal/socket/arrival.go
+++ b/internal/socket/arrival.go
@@ -13,12 +13,16 @@
 	emptyAt      time.Time // arrivedAfter of the next read
 }
 
-// Read implements io.Reader. A read that does not fill the buffer leaves nothing behind.
+// Read implements io.Reader. A read that does not fill the buffer leaves nothing behind, but when it did is not known: the
+// process may be stopped before it reads the clock. So the clock is read first, and then whether there is nothing to read.
 func (c *ArrivalConn) Read(buffer []byte) (int, error) {
 	c.arrivedAfter = c.emptyAt
 	n, err := c.Conn.Read(buffer)
 	if n < len(buffer) {
-		c.emptyAt = time.Now()
+		now := time.Now()
+		if !HasUnread(c.Conn) {
+			c.emptyAt = now
+		}
 	}
 	return n, err
 }
--- a/internal/socket/arrival_test.go
+++ b/internal/socket/arrival_test.go
@@ -39,3 +39,38 @@
 		t.Errorf("%v after %v: the fifth read left nothing behind", arrivedAfter[5], second)
 	}
 }
+
+// stoppedConn is a connection on which more arrives after each read, before its reader does anything else: its process was
+// stopped in between.
+type stoppedConn struct {
+	*net.TCPConn
+	peer net.Conn
+}
+
+func (c stoppedConn) Read(buffer []byte) (int, error) {
+	n, err := c.TCPConn.Read(buffer)
+	if _, err := c.peer.Write([]byte("more")); err != nil {
+		return n, err
+	}
+	for !HasUnread(c.TCPConn) {
+		continue // until it has arrived
+	}
+	return n, err
+}
+
+// What arrived before the clock was read is not taken for later, however the read and the clock are apart.
+func TestArrivalConn_StoppedAfterRead_DoesNotCountFromResume(t *testing.T) {
+	ours, theirs := connectedPair(t)
+	in := &ArrivalConn{Conn: stoppedConn{ours.(*net.TCPConn), theirs}}
+	if _, err := theirs.Write([]byte("first")); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if _, err := in.Read(make([]byte, 64)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !in.ArrivedAfter().IsZero() {
+		t.Errorf("arrived after %v, but the connection was never seen empty", in.ArrivedAfter())
+	}
+}
--- a/lab/platformworker/server.go
+++ b/lab/platformworker/server.go
@@ -75,20 +75,28 @@
 func (s *Server) ownResponse(f workerframe.Frame) (response workerframe.Frame, isGiven bool) {
 	draining := s.draining.Load()
 	switch {
-	case isHealthCheck(f) && draining:
-		return workerframe.Frame{Code: workerframe.Unhealthy, ID: f.ID}, true
-	case isHealthCheck(f):
-		return workerframe.Frame{Code: workerframe.Healthy, ID: f.ID}, true
+	case IsHealthCheck(f):
+		return Health(f, draining), true
 	case IsNewWork(f) && draining:
 		return workerframe.Frame{Code: workerframe.Overloaded, ID: f.ID}, true
 	}
 	return response, false
 }
 
-func isHealthCheck(f workerframe.Frame) bool {
+// IsHealthCheck reports whether a frame asks a worker for its health.
+func IsHealthCheck(f workerframe.Frame) bool {
 	return f.Code == workerframe.HealthCheck || f.Code == workerframe.LoadReport
 }
 
+// Health is the response to a health check: a worker that drains is not healthy.
+func Health(check workerframe.Frame, draining bool) workerframe.Frame {
+	code := workerframe.Healthy
+	if draining {
+		code = workerframe.Unhealthy
+	}
+	return workerframe.Frame{Code: code, ID: check.ID}
+}
+
 // IsNewWork reports whether a frame makes a worker execute or load something.
 func IsNewWork(f workerframe.Frame) bool {
 	if f.Code == workerframe.Load {
--- a/lab/soak/endpoints.go
+++ b/lab/soak/endpoints.go
@@ -1,21 +1,17 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"net/netip"
 	"sync"
 	"time"
 
-	"havencart/internal/periodic"
 	"havencart/internal/platform/endpointstream"
 	"havencart/lab/platformdiscovery"
 )
 
-// heartbeatInterval is the time between two signs of life of the endpoint stream.
-const heartbeatInterval = time.Second
-
-// notifiedAfterOutage is by when front ends count as notified during an outage of the stream, by the platform's rules.
+// notifiedAfterOutage is how long after an outage of the stream began front ends count as notified of what it would have
+// told since, by the platform's rules.
 const notifiedAfterOutage = 4 * time.Second
 
 var stateNames = map[endpointstream.State]string{
@@ -32,8 +28,8 @@
 	mu       sync.Mutex
 	number   uint64
 	entries  map[uint32]endpointstream.Entry // but removed ones
-	silent   bool
-	outageAt time.Duration // when the stream last had an outage; 0: never
+	inOutage bool
+	outageAt time.Duration // when the last outage began, however short; 0: there was none
 }
 
 func startEndpoints(history *History) (*endpoints, error) {
@@ -44,20 +40,6 @@
 	return &endpoints{history: history, server: server, entries: map[uint32]endpointstream.Entry{}}, nil
 }
 
-// runHeartbeats sends signs of life until ctx ends.
-func (e *endpoints) runHeartbeats(ctx context.Context) {
-	periodic.Run(ctx, heartbeatInterval, e.heartbeat)
-}
-
-func (e *endpoints) heartbeat() {
-	e.mu.Lock()
-	silent, number := e.silent, e.number
-	e.mu.Unlock()
-	if !silent {
-		e.server.WriteRaw(endpointstream.AppendEvent(nil, endpointstream.Event{Number: number, Kind: endpointstream.NoChange}))
-	}
-}
-
 // publish tells of a worker.
 func (e *endpoints) publish(entry endpointstream.Entry) {
 	e.mu.Lock()
@@ -68,30 +50,49 @@
 	} else {
 		e.entries[entry.ID] = entry
 	}
-	within := time.Duration(0)
-	if e.outageAt > 0 && e.history.Now()-e.outageAt < notifiedAfterOutage {
-		within = notifiedAfterOutage
-	}
 	if entry.State != endpointstream.Ready {
-		e.history.Notified(entry.Name(), within)
+		e.history.Notified(entry.Name(), e.notifiedAt())
 	}
 	e.server.Publish(endpointstream.Event{Number: e.number, Kind: endpointstream.Delta, Entries: []endpointstream.Entry{entry}})
 }
 
-// breakOff closes all connections of the stream. What was told shortly before counts as told later.
+// notifiedAt is when front ends count as notified of what is published now. The lock is held.
+func (e *endpoints) notifiedAt() time.Duration {
+	if e.outageAt == 0 {
+		return e.history.Now()
+	}
+	return max(e.history.Now(), e.outageAt+notifiedAfterOutage)
+}
+
+// breakOff closes all connections of the stream.
 func (e *endpoints) breakOff() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.outageAt = e.history.Now()
+	if !e.inOutage {
+		e.outageAt = e.history.Now()
+	}
 	e.server.CloseConnections()
 }
 
-// setSilent has the stream send no signs of life, or again.
-func (e *endpoints) setSilent(silent bool) {
+// beginOutage puts the service out of reach, and reports whether it was within reach before.
+func (e *endpoints) beginOutage(reach platformdiscovery.Reach) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.silent = silent
+	if e.inOutage {
+		return false
+	}
+	e.inOutage = true
 	e.outageAt = e.history.Now()
+	e.server.SetReach(reach)
+	return true
+}
+
+// endOutage has the service within reach again.
+func (e *endpoints) endOutage() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inOutage = false
+	e.server.SetReach(platformdiscovery.Reachable)
 }
 
 // known is the list as a front end is told at its start.
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"havencart/internal/platform/endpointstream"
+	"havencart/lab/platformdiscovery"
 )
 
 // meanFaultGap is the mean time between the beginnings of two faults; each lasts up to maxFault, so that several overlap.
@@ -14,6 +15,9 @@
 	meanFaultGap = 150 * time.Millisecond
 	maxFault     = 1500 * time.Millisecond
 	maxStop      = 1200 * time.Millisecond
+	maxOutage    = 9 * time.Second        // of discovery
+	maxDrain     = 6 * time.Second        // for which a worker drains
+	maxNotice    = 800 * time.Millisecond // until the list has a worker as draining that drains
 
 	// Signals come in series.
 	maxStopsInSeries   = 3
@@ -52,7 +56,8 @@
 	{"crowd", 2, crowdFrontEnd},
 	{"workers released", 1, releaseWorkers},
 	{"endpoint stream breaks off", 1, breakStream},
-	{"endpoint stream silent", 1, silenceStream},
+	{"discovery silent", 2, discoveryOutage(platformdiscovery.Silent)},
+	{"discovery unreachable", 2, discoveryOutage(platformdiscovery.Unreachable)},
 }
 
 // pickFault draws a kind of fault.
@@ -110,8 +115,8 @@
 	w.proxy.ResumeBackward()
 }
 
-// replaceWorker has a worker drain, removes it, and starts another one in its cell; on some draws the worker dies before
-// the stream tells so, or its successor comes first.
+// replaceWorker has a worker drain, which the list has a little later, removes it, and starts another one in its cell; on some
+// draws the worker dies before the stream tells so, or its successor comes first.
 func replaceWorker(ctx context.Context, r *run, draw *draw) {
 	old := r.removeWorker(draw.rng)
 	if old == nil {
@@ -120,10 +125,12 @@
 	startedAt := time.Now().UnixMilli()
 	dies := draw.rng.IntN(3) == 0
 	if !dies {
+		old.draining.Store(true)
+		sleep(ctx, time.Duration(draw.rng.Float64()*float64(maxNotice)))
 		entry := old.entry
 		entry.State = endpointstream.Draining
 		r.endpoints.publish(entry)
-		sleep(ctx, draw.length)
+		sleep(ctx, time.Duration(draw.rng.Float64()*float64(maxDrain)))
 	}
 	if successor := r.addWorker(old.entry.Cell, startedAt, draw.rng); successor != nil {
 		r.endpoints.publish(successor.entry)
@@ -184,8 +191,14 @@
 
 func breakStream(_ context.Context, r *run, _ *draw) { r.endpoints.breakOff() }
 
-func silenceStream(ctx context.Context, r *run, draw *draw) {
-	r.endpoints.setSilent(true)
-	sleep(ctx, 2*draw.length)
-	r.endpoints.setSilent(false)
+// discoveryOutage puts discovery out of reach of all front ends, mostly for longer than until they count as notified.
+func discoveryOutage(reach platformdiscovery.Reach) func(context.Context, *run, *draw) {
+	return func(ctx context.Context, r *run, draw *draw) {
+		if !r.endpoints.beginOutage(reach) {
+			return
+		}
+		sleep(ctx, time.Duration(draw.rng.Float64()*float64(maxOutage)))
+		r.endpoints.endOutage()
+		r.notef("discovery within reach again")
+	}
 }
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -163,12 +163,12 @@
 	h.orders = append(h.orders, LoadOrder{At: h.Now(), Worker: worker})
 }
 
-// Notified notes that front ends are notified within a time that a worker drains or was removed.
-func (h *History) Notified(worker string, within time.Duration) {
+// Notified notes that front ends count as notified, from a time on, that a worker drains or was removed.
+func (h *History) Notified(worker string, at time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.notices[worker] == nil {
-		h.notices[worker] = &Notice{Worker: worker, At: h.Now() + within}
+		h.notices[worker] = &Notice{Worker: worker, At: at}
 	}
 }
 
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -134,7 +134,6 @@
 func (r *run) play(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, r.config.Length)
 	defer cancel()
-	r.tasks.Go(func() { r.endpoints.runHeartbeats(ctx) })
 	r.tasks.Go(func() { r.lag.measure(ctx, r.history) })
 	var clients, faults sync.WaitGroup
 	for i, f := range r.frontEnds {
--- a/lab/soak/settings.go
+++ b/lab/soak/settings.go
@@ -42,7 +42,7 @@
 			"azs": []string{zoneName}, "skus": []string{kindName},
 			"limits": map[string]any{
 				"streamsPerConn": 32, "connectTimeout": millis(connectTimeout), "connIdle": 2000.0, "maxAttempts": maxAttempts,
-				"mayCancel": true, "retryAfter": true, "maxRetryAfter": 300.0,
+				"mayCancel": true, "probes": mayCheckHealth(seed), "retryAfter": true, "maxRetryAfter": 300.0,
 			},
 			"rules":      map[string]any{"stopSendingWithin": millis(drainGrace), "cold": 3000.0, "coldFrom": 0.3, "fall": 1000.0, "tipMultiple": 4.0},
 			"familyInfo": map[string]any{"keep": 4000.0, "mayLoad": true, "loadWait": 2000.0, "whenAbsent": "load"},
@@ -51,6 +51,12 @@
 	})
 }
 
+// noHealthChecks is the part of the runs, one in so many, whose settings forbid health checks.
+const noHealthChecks = 4
+
+// mayCheckHealth is whether the settings of a run allow health checks. The lower bits of a front end's seed are its number.
+func mayCheckHealth(seed uint64) bool { return seed>>16%noHealthChecks != 0 }
+
 // millis is a time as the platform writes it.
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
--- a/lab/soak/worker.go
+++ b/lab/soak/worker.go
@@ -41,6 +41,7 @@
 	server   *platformworker.Server
 	proxy    *faultproxy.Proxy
 	behavior atomic.Int32
+	draining atomic.Bool    // it rejects new work
 	tasks    sync.WaitGroup // answers that are to come
 
 	mu  sync.Mutex
@@ -51,7 +52,7 @@
 func startWorker(history *History, id uint32, cell int, started int64, rng *rand.Rand) (*worker, error) {
 	w := &worker{history: history, rng: rng}
 	var err error
-	if w.server, err = platformworker.Start(w.handle); err != nil {
+	if w.server, err = platformworker.StartScripted(w.handle); err != nil {
 		return nil, err
 	}
 	if w.proxy, err = faultproxy.StartWithTap(w.server.Address(), w.tap); err != nil {
@@ -127,24 +128,36 @@
 
 // handle answers one frame. It is a platformworker.Script.
 func (w *worker) handle(c *platformworker.Conn, frame workerframe.Frame) {
-	switch frame.Code {
-	case workerframe.Request:
+	if behavior(w.behavior.Load()) == isSilent {
+		return
+	}
+	draining := w.draining.Load()
+	switch {
+	case platformworker.IsHealthCheck(frame):
+		c.Respond(platformworker.Health(frame, draining))
+	case draining && platformworker.IsNewWork(frame):
+		w.reject(c, frame)
+	case frame.Code == workerframe.Request:
 		w.handleRequest(c, frame)
-	case workerframe.Load:
+	case frame.Code == workerframe.Load:
 		w.handleLoad(c, frame)
-	case workerframe.HealthCheck, workerframe.LoadReport:
-		c.Respond(workerframe.Frame{Code: workerframe.Healthy, ID: frame.ID})
 	}
 }
 
+// reject answers new work that the worker does not take on.
+func (w *worker) reject(c *platformworker.Conn, frame workerframe.Frame) {
+	if frame.Code == workerframe.Request {
+		w.history.NotRun(requestID(frame.ID), w.entry.Name())
+	}
+	c.Respond(workerframe.Frame{Code: workerframe.Overloaded, ID: frame.ID})
+}
+
 func (w *worker) handleRequest(c *platformworker.Conn, frame workerframe.Frame) {
 	switch behavior(w.behavior.Load()) {
-	case isSilent:
 	case fails:
 		c.Respond(workerframe.Frame{Code: workerframe.Error, ID: frame.ID})
 	case overloaded:
-		w.history.NotRun(requestID(frame.ID), w.entry.Name())
-		c.Respond(workerframe.Frame{Code: workerframe.Overloaded, ID: frame.ID})
+		w.reject(c, frame)
 	case breaksOff:
 		c.Reset()
 	default:
@@ -155,9 +168,6 @@
 }
 
 func (w *worker) handleLoad(c *platformworker.Conn, frame workerframe.Frame) {
-	if behavior(w.behavior.Load()) == isSilent {
-		return
-	}
 	replicas, _ := workerframe.Count(frame.Fields, "replicas", 0)
 	answer := workerframe.Frame{Code: workerframe.OK, ID: frame.ID, Fields: "replicas=" + strconv.Itoa(replicas)}
 	if replicas == 0 {
