A worker that says it drains is asked again after a while; health checks are bounded in one place

A worker may be unhealthy for another reason than a drain (too many health checks at a time are capped by the platform, how is not told), and a long outage would have lost it for good. The time for a response and the delays are decided in endpointlease. Names: waiting work, not held.

--- a/internal/decide/endpointlease/endpointlease.go
+++ b/internal/decide/endpointlease/endpointlease.go
@@ -21,6 +21,19 @@
 // between its last look at the clock and the write.
 const graceDivisor = 2
 
+// A worker that says it drains is asked again after firstRecheck, and then after twice as long each time, up to maxRecheck.
+const (
+	firstRecheck       = time.Second
+	maxRecheck         = 8 * time.Second
+	maxRecheckDoubling = 3
+)
+
+// The bounds of HealthCheckTimeout.
+const (
+	minHealthCheckTimeout = 50 * time.Millisecond
+	maxHealthCheckTimeout = time.Second
+)
+
 // Rules are the times after which a front end counts as notified. Without a Silence, lists hold without end.
 type Rules struct {
 	Silence time.Duration // after the service fell silent
@@ -28,6 +41,18 @@
 	Grace   time.Duration // for which new work may begin at a worker after the notice that it drains
 }
 
+// HealthCheckTimeout is how long new work waits for a worker's response to a health check: as long as a connect may take,
+// within bounds that leave the work time to go elsewhere.
+func HealthCheckTimeout(connectTimeout time.Duration) time.Duration {
+	return min(maxHealthCheckTimeout, max(minHealthCheckTimeout, connectTimeout))
+}
+
+// RecheckDelay is how long a worker is avoided that said for so many times in a row that it drains. It guards against taking
+// one for good for what it may have said for another reason, such as too many health checks at a time.
+func RecheckDelay(times int) time.Duration {
+	return min(maxRecheck, firstRecheck<<min(max(0, times-1), maxRecheckDoubling))
+}
+
 // startMargin is for how long after a notice new work may begin.
 func (r Rules) startMargin() time.Duration { return (r.Grace + ruleSlack) / graceDivisor }
 
--- a/internal/decide/endpointlease/endpointlease_test.go
+++ b/internal/decide/endpointlease/endpointlease_test.go
@@ -48,6 +48,22 @@
 	}
 }
 
+func TestRecheckDelay_Doubles(t *testing.T) {
+	for times, want := range map[int]time.Duration{0: time.Second, 1: time.Second, 2: 2 * time.Second, 4: 8 * time.Second, 100: 8 * time.Second} {
+		if got := RecheckDelay(times); got != want {
+			t.Errorf("after %d times %v, want %v", times, got, want)
+		}
+	}
+}
+
+func TestHealthCheckTimeout_IsTimeToConnectWithinBounds(t *testing.T) {
+	for connect, want := range map[time.Duration]time.Duration{0: 50 * ms, 250 * ms: 250 * ms, time.Minute: time.Second} {
+		if got := HealthCheckTimeout(connect); got != want {
+			t.Errorf("with %v to connect %v, want %v", connect, got, want)
+		}
+	}
+}
+
 // Whenever the outage began after the last confirmation, and whenever a worker began to drain in it, nothing new may begin
 // later than the rules allow.
 func TestLease_AnyOutage_EndsBeforeWhatTheRulesAllow(t *testing.T) {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -27,10 +27,10 @@
 type attemptState uint8
 
 const (
-	attemptHeld      attemptState = iota // its worker has not confirmed that it accepts new work
-	attemptPending                       // queued, or sent and without a response
-	attemptStreaming                     // its response has started and is passed on to the client
-	attemptEnded                         // final: its outcome was reported to the scheduler
+	attemptAwaitingWorker attemptState = iota // its worker has not confirmed that it accepts new work
+	attemptPending                            // queued, or sent and without a response
+	attemptStreaming                          // its response has started and is passed on to the client
+	attemptEnded                              // final: its outcome was reported to the scheduler
 )
 
 // enter moves the attempt to its next state and reports whether it did. The state only moves forward, so that the
--- a/internal/gateway/deadlines.go
+++ b/internal/gateway/deadlines.go
@@ -71,7 +71,7 @@
 			f.endLoadOrder(t.loadOrder, scheduler.Timeout, 0)
 		}
 	case healthCheckTimer:
-		f.healthCheckTimedOut(t.healthCheck)
+		f.expireHealthCheck(t.healthCheck)
 	case requestTimer:
 		if t.request.state == requestInFlight {
 			f.answerPastDeadline(t.request)
@@ -85,7 +85,7 @@
 	case attempt.state > attemptPending:
 	case f.now >= attempt.Deadline:
 		f.abandonAttempt(attempt, scheduler.Timeout, attemptTimedOut)
-	case attempt.state == attemptHeld || attempt.worker.cancelUnsent(attempt):
+	case attempt.state == attemptAwaitingWorker || attempt.worker.cancelUnsent(attempt):
 		f.endAttempt(attempt, abandonedResult(scheduler.NotSent, attemptNotSentInTime))
 	default: // it was sent in time, and its response is waited for
 		attempt.timer.due = attempt.Deadline
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -22,6 +22,7 @@
 	infos, listed := f.applyEntries(list)
 	for _, id := range sortedKeys(f.workers) {
 		if !listed[id] {
+			delete(f.overridden, id)
 			f.setWorkerState(f.workers[id], scheduler.Removed)
 		}
 	}
@@ -141,7 +142,7 @@
 
 // drainClient closes a worker's client for new work; what was not sent yet ends as that.
 func (f *FrontEnd) drainClient(w *worker) {
-	f.deferred = append(f.deferred, func() { f.endHeld(w, scheduler.NotSent) })
+	f.deferred = append(f.deferred, func() { f.endWaiting(w, scheduler.NotSent) })
 	attempts, orders := w.client.Drain(f.settings.Scheduler.DrainGrace)
 	for _, unsent := range attempts {
 		if attempt := f.attempts[unsent]; attempt != nil {
@@ -158,6 +159,7 @@
 // sweep stops clients that nothing needs any longer and forgets functions without requests.
 func (f *FrontEnd) sweep() {
 	f.traceLease()
+	f.recheckDraining()
 	for _, id := range sortedKeys(f.retiring) {
 		f.sweepWorker(f.retiring[id])
 	}
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -3,46 +3,43 @@
 import (
 	"time"
 
+	"havencart/internal/decide/endpointlease"
 	"havencart/internal/workerconn"
 	"havencart/scheduler"
 )
 
 // This file lets new work begin at a worker only where the endpoint list or the worker itself says that it accepts some.
 
-// The bounds of the time for the response to a health check, which else is the time to connect.
-const (
-	minHealthCheckTimeout = 50 * time.Millisecond
-	maxHealthCheckTimeout = time.Second
-)
-
 // readiness is what a worker itself says of whether it accepts new work. It counts while the endpoint list is not confirmed.
 type readiness struct {
-	acceptedAt  time.Duration // when it last accepted some, or said that it would; 0: never
-	connectedAt time.Duration // of the last connection to a process that it was taken to have restarted as
-	check       *healthCheck  // in flight; nil: there is none
-	held        heldWork
+	acceptedAt   time.Duration // when it last accepted some, or said that it would; 0: never
+	connectedAt  time.Duration // of the last connection to a process that it was taken to have restarted as
+	check        *healthCheck  // in flight; nil: there is none
+	drainReports int           // health checks in a row by which it drains
+	recheckAt    time.Duration // when it may be asked again, where it drains by its own word
+	waiting      waitingWork
 }
 
-// heldWork is new work that waits for the response to a health check.
-type heldWork struct {
+// waitingWork is new work that waits for the response to a health check.
+type waitingWork struct {
 	attempts []*requestAttempt // some of them may have ended meanwhile
 	orders   []*loadOrder
 }
 
-// takeHeld takes out the work that waits.
-func (r *readiness) takeHeld() heldWork {
-	held := r.held
-	r.held = heldWork{}
-	return held
+// removeWaiting removes and returns the work that waits.
+func (r *readiness) removeWaiting() waitingWork {
+	waiting := r.waiting
+	r.waiting = waitingWork{}
+	return waiting
 }
 
-// endHeld ends the work that waits for a worker's confirmation: it was never sent.
-func (f *FrontEnd) endHeld(w *worker, status scheduler.Status) {
-	held := w.readiness.takeHeld()
-	for _, attempt := range held.attempts {
+// endWaiting ends the work that waits for a worker's confirmation: it was never sent.
+func (f *FrontEnd) endWaiting(w *worker, status scheduler.Status) {
+	waiting := w.readiness.removeWaiting()
+	for _, attempt := range waiting.attempts {
 		f.endAttempt(attempt, abandonedResult(status, attemptUnconfirmed))
 	}
-	for _, order := range held.orders {
+	for _, order := range waiting.orders {
 		f.endLoadOrder(order, status, 0)
 	}
 }
@@ -64,12 +61,12 @@
 	return confirmedUntil, f.listIsConfirmed() || f.now <= confirmedUntil
 }
 
-// begin hands an attempt to its worker's client, or holds it until the worker confirms that it accepts new work.
+// begin hands an attempt to its worker's client, or has it wait until the worker confirms that it accepts new work.
 func (f *FrontEnd) begin(attempt *requestAttempt) {
 	w := attempt.worker
 	confirmedUntil, may := f.mayBeginAt(w)
 	if !may {
-		w.readiness.held.attempts = append(w.readiness.held.attempts, attempt)
+		w.readiness.waiting.attempts = append(w.readiness.waiting.attempts, attempt)
 		f.confirm(w)
 		return
 	}
@@ -80,12 +77,12 @@
 	}
 }
 
-// beginLoad sends an order to load, or holds it as begin does an attempt.
+// beginLoad sends an order to load, or has it wait as begin does an attempt.
 func (f *FrontEnd) beginLoad(order *loadOrder) {
 	w := order.worker
 	confirmedUntil, may := f.mayBeginAt(w)
 	if !may {
-		w.readiness.held.orders = append(w.readiness.held.orders, order)
+		w.readiness.waiting.orders = append(w.readiness.waiting.orders, order)
 		f.confirm(w)
 		return
 	}
@@ -106,7 +103,7 @@
 		f.checkHealth(w)
 		return
 	}
-	f.deferred = append(f.deferred, func() { f.endHeld(w, scheduler.NotSent) })
+	f.deferred = append(f.deferred, func() { f.endWaiting(w, scheduler.NotSent) })
 }
 
 // CheckHealth implements scheduler.Actions: it asks a worker for its load.
@@ -125,8 +122,8 @@
 	check.AskedAt = f.now
 	w.readiness.check = check
 	f.healthChecks[&check.HealthCheck] = check
-	timeout := min(maxHealthCheckTimeout, max(minHealthCheckTimeout, f.settings.Scheduler.ConnectTimeout))
-	check.timer = timer{kind: healthCheckTimer, due: f.now + timeout, healthCheck: check}
+	due := f.now + endpointlease.HealthCheckTimeout(f.settings.Scheduler.ConnectTimeout)
+	check.timer = timer{kind: healthCheckTimer, due: due, healthCheck: check}
 	f.timers.add(&check.timer)
 	f.counts.HealthChecks++
 	if status := w.client.CheckHealth(&check.HealthCheck); status != 0 {
@@ -143,8 +140,8 @@
 	f.runDeferred()
 }
 
-// healthCheckTimedOut ends a health check without a response.
-func (f *FrontEnd) healthCheckTimedOut(check *healthCheck) {
+// expireHealthCheck ends a health check without a response.
+func (f *FrontEnd) expireHealthCheck(check *healthCheck) {
 	check.worker.client.AbandonHealthCheck(&check.HealthCheck)
 	f.endHealthCheck(check, scheduler.Timeout, nil)
 }
@@ -165,14 +162,15 @@
 	switch status {
 	case scheduler.OK:
 		w.accepted(check.SentAfter())
-		f.takeAsRestarted(w, check.ConnectedAt)
+		w.readiness.drainReports = 0
+		f.treatAsRestarted(w, check.ConnectedAt)
 		f.release(w)
 	case scheduler.Error:
-		f.takeAsDraining(w)
+		f.treatAsDraining(w)
 	case scheduler.NotSent:
-		f.endHeld(w, scheduler.NotSent)
+		f.endWaiting(w, scheduler.NotSent)
 	default: // no connection, or no response: the worker is not there
-		f.endHeld(w, scheduler.ConnectFailed)
+		f.endWaiting(w, scheduler.ConnectFailed)
 	}
 }
 
@@ -189,34 +187,46 @@
 
 // release lets the work begin that waited for a worker's confirmation. What came too late for it waits for another one.
 func (f *FrontEnd) release(w *worker) {
-	held := w.readiness.takeHeld()
-	for _, attempt := range held.attempts {
-		if attempt.state == attemptHeld {
+	waiting := w.readiness.removeWaiting()
+	for _, attempt := range waiting.attempts {
+		if attempt.state == attemptAwaitingWorker {
 			f.begin(attempt)
 		}
 	}
-	for _, order := range held.orders {
+	for _, order := range waiting.orders {
 		if !order.ended {
 			f.beginLoad(order)
 		}
 	}
 }
 
-// takeAsDraining takes a worker by its own word for one that drains, until the list says otherwise. A list that is
+// treatAsDraining takes a worker by its own word for one that drains, until the list says otherwise. A list that is
 // confirmed goes before: it is by what the list says that a front end counts as notified.
-func (f *FrontEnd) takeAsDraining(w *worker) {
+func (f *FrontEnd) treatAsDraining(w *worker) {
 	switch {
 	case f.listIsConfirmed():
 		f.release(w)
 	case w.state == scheduler.Ready:
+		w.readiness.drainReports++
+		w.readiness.recheckAt = f.now + endpointlease.RecheckDelay(w.readiness.drainReports)
 		f.overridden[w.id] = w
 		f.changeState(w, scheduler.Draining)
 	}
 }
 
-// takeAsRestarted takes a worker for one that has just started, where it may have restarted without that discovery could
+// recheckDraining lets workers be asked again that drained by their own word: they get nothing new before they are healthy.
+func (f *FrontEnd) recheckDraining() {
+	for _, id := range sortedKeys(f.overridden) {
+		w := f.overridden[id]
+		if w.state == scheduler.Draining && w.State == scheduler.Ready && f.now >= w.readiness.recheckAt {
+			f.changeState(w, scheduler.Ready)
+		}
+	}
+}
+
+// treatAsRestarted takes a worker for one that has just started, where it may have restarted without that discovery could
 // tell. It guards against overloading it in its slow start.
-func (f *FrontEnd) takeAsRestarted(w *worker, connectedAt time.Duration) {
+func (f *FrontEnd) treatAsRestarted(w *worker, connectedAt time.Duration) {
 	isKnownProcess := connectedAt <= w.readiness.connectedAt
 	if isKnownProcess || !f.lease.MayHaveRestarted(f.now, connectedAt) {
 		return
@@ -226,7 +236,7 @@
 	info := f.listedInfo(w)
 	info.Started = f.now
 	f.scheduler.WorkersChanged(f.now, []scheduler.WorkerInfo{info}, false)
-	f.endHeld(w, scheduler.NotSent) // more may wait than a worker may be sent in its slow start: it is decided anew
+	f.endWaiting(w, scheduler.NotSent) // more may wait than a worker may be sent in its slow start: it is decided anew
 }
 
 // endOverrides takes workers again for what the list has them as, which is confirmed.
@@ -234,7 +244,9 @@
 	for _, id := range sortedKeys(f.overridden) {
 		w := f.overridden[id]
 		delete(f.overridden, id)
-		f.changeState(w, w.State)
+		if f.workers[id] == w {
+			f.changeState(w, w.State)
+		}
 	}
 }
 
--- a/internal/gateway/readiness_test.go
+++ b/internal/gateway/readiness_test.go
@@ -197,7 +197,7 @@
 	harness.onlyChecked()
 }
 
-func TestHeldAttempt_ClientLeavesOrTimeEnds_NothingIsSent(t *testing.T) {
+func TestAwaitingAttempt_ClientLeavesOrTimeEnds_NothingIsSent(t *testing.T) {
 	for name, end := range map[string]func(*testHarness, *Request){
 		"client leaves": func(harness *testHarness, request *Request) { harness.ClientDisconnected(harness.clock, request) },
 		"time ends":     func(harness *testHarness, _ *Request) { harness.advance(3 * time.Second) },
@@ -218,7 +218,7 @@
 }
 
 // The list has the worker as draining while its response is waited for, or it moves to another address.
-func TestHeldAttempt_ListChanges_IsNotSentThere(t *testing.T) {
+func TestAwaitingAttempt_ListChanges_IsNotSentThere(t *testing.T) {
 	harness := newLeaseHarness(t, 1, nil)
 	harness.endLease()
 	request := harness.submit(idempotentClass)
@@ -312,3 +312,28 @@
 		})
 	}
 }
+
+// A worker that drains by its own word is asked again after a while, and sent nothing before it is healthy.
+func TestSend_WorkerSaidThatItDrains_IsAskedAgain(t *testing.T) {
+	harness := newLeaseHarness(t, 1, nil)
+	harness.endLease()
+	harness.submit(idempotentClass)
+	draining := harness.onlyChecked()
+	for _, wait := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+		harness.respondToHealthCheck(draining, scheduler.Error)
+		harness.advance(wait - 100*ms)
+		harness.submit(idempotentClass)
+		if len(harness.checkedWorkers()) > 0 {
+			t.Fatalf("asked again within %v", wait)
+		}
+		harness.advance(1100 * ms) // the next look at it
+		harness.submit(idempotentClass)
+	}
+	if harness.sentAnywhere() > 0 {
+		t.Error("sent before it was healthy")
+	}
+	harness.respondToHealthCheck(draining, scheduler.OK)
+	if harness.sentAnywhere() == 0 {
+		t.Error("nothing was sent once it was healthy")
+	}
+}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -92,7 +92,7 @@
 	}
 	if line := t.attempts.Info(); line.Enabled() {
 		line.Str("worker", check.worker.Name).Stringer("status", status).Dur("duration", now-check.AskedAt).
-			Int("held", len(check.worker.readiness.held.attempts)).Msg("health check ended")
+			Int("waiting", len(check.worker.readiness.waiting.attempts)).Msg("health check ended")
 	}
 }
 
