--- a/cmd/havencart/incident_discovery_outage_test.go
+++ b/cmd/havencart/incident_discovery_outage_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -214,31 +213,14 @@
 // config is the configuration of the front end.
 func (o *outageInstallation) config() string {
 	o.Helper()
-	var hosts []map[string]any
-	for _, worker := range o.workers {
-		hosts = append(hosts, map[string]any{
-			"host": worker.entry(endpointstream.Ready).Name(), "dial": worker.Address(), "site": "room", "class": "std",
-			"block": 0, "health": "up", "share": 1.0, "born_ms": 0,
-		})
+	settings := platformSettings{
+		discovery: o.discovery.Address(), frontEnds: 1,
+		allowed: map[string]any{"probes": true},
+		rules:   map[string]any{"stopSendingWithin": float64(outageDrainGrace.Milliseconds())},
+		classes: []map[string]any{{"name": "quote", "deadline": 1200.0, "onTime": 600.0, "repeat": "retryable", "worth": 2.0}},
 	}
-	list := map[string]any{"no": 1, "roster": map[string]any{"seq": 1, "whole": true, "hosts": hosts}}
-	config, err := json.Marshal(map[string]any{
-		"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bulletin": o.discovery.Address(),
-		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 576},
-		"known":  map[string]any{"no": 1, "items": []any{list}},
-		"settings": map[string]any{
-			"balancers": 1, "ordinal": 0, "azs": []string{"room"}, "skus": []string{"std"}, "resolution": 2.0, "weights": "rough",
-			"limits": map[string]any{
-				"streamsPerConn": 32, "connectTimeout": 250.0, "connIdle": 30000.0, "maxAttempts": 5, "mayCancel": true, "probes": true,
-				"retryAfter": true, "maxRetryAfter": 500.0,
-			},
-			"rules":      map[string]any{"stopSendingWithin": float64(outageDrainGrace.Milliseconds())},
-			"familyInfo": map[string]any{"keep": 8000.0, "mayLoad": true, "loadWait": 2000.0, "whenAbsent": "load"},
-			"classes":    []map[string]any{{"name": "quote", "deadline": 1200.0, "onTime": 600.0, "repeat": "retryable", "worth": 2.0}},
-		},
-	})
-	if err != nil {
-		o.Fatal(err)
+	for _, worker := range o.workers {
+		settings.workers = append(settings.workers, worker.entry(endpointstream.Ready))
 	}
-	return string(config)
+	return settings.json(o.T)
 }
--- a/cmd/havencart/large_fleet_test.go
+++ b/cmd/havencart/large_fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
@@ -119,38 +118,20 @@
 // config is the configuration of the front end, with all workers.
 func (l *largeFleet) config() string {
 	l.Helper()
-	var hosts []map[string]any
-	for _, worker := range l.workers {
-		hosts = append(hosts, map[string]any{
-			"host": worker.entry(endpointstream.Ready).Name(), "dial": worker.Address(), "site": "room", "class": "std",
-			"block": int(worker.id) % 4, "health": "up", "share": 1.0, "born_ms": 0,
-		})
-	}
 	l.number = 1
-	list := map[string]any{"no": 1, "roster": map[string]any{"seq": 1, "whole": true, "hosts": hosts}}
-	config, err := json.Marshal(map[string]any{
-		"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bulletin": l.discovery.Address(),
-		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 576},
-		"known":  map[string]any{"no": 1, "items": []any{list}},
-		"settings": map[string]any{
-			"balancers": 100, "ordinal": 7, "azs": []string{"room"}, "skus": []string{"std"}, "resolution": 2.0, "weights": "rough",
-			"limits": map[string]any{
-				"streamsPerConn": 32, "connectTimeout": 250.0, "connIdle": 30000.0, "maxAttempts": 5, "mayCancel": true,
-				"retryAfter": true, "maxRetryAfter": 500.0,
-			},
-			"rules":      map[string]any{"stopSendingWithin": 500.0, "cold": 4000.0, "coldFrom": 0.3, "fall": 1000.0, "tipMultiple": 2.0},
-			"familyInfo": map[string]any{"keep": 8000.0, "mayLoad": true, "loadWait": 2000.0, "whenAbsent": "load"},
-			"classes": []map[string]any{
-				{"name": "quote", "deadline": 1230.0, "onTime": 400.0, "repeat": "retryable", "worth": 2.0},
-				{"name": "status", "deadline": 1230.0, "onTime": 600.0, "repeat": "dedup", "worth": 1.0, "keyScope": "cell", "memorySpan": 2000.0},
-				{"name": "charge", "deadline": 820.0, "onTime": 300.0, "repeat": "fragile", "worth": 3.0},
-			},
+	settings := platformSettings{
+		discovery: l.discovery.Address(), frontEnds: 100, index: 7,
+		rules: map[string]any{"stopSendingWithin": 500.0, "cold": 4000.0, "coldFrom": 0.3, "fall": 1000.0, "tipMultiple": 2.0},
+		classes: []map[string]any{
+			{"name": "quote", "deadline": 1230.0, "onTime": 400.0, "repeat": "retryable", "worth": 2.0},
+			{"name": "status", "deadline": 1230.0, "onTime": 600.0, "repeat": "dedup", "worth": 1.0, "keyScope": "cell", "memorySpan": 2000.0},
+			{"name": "charge", "deadline": 820.0, "onTime": 300.0, "repeat": "fragile", "worth": 3.0},
 		},
-	})
-	if err != nil {
-		l.Fatal(err)
 	}
-	return string(config)
+	for _, worker := range l.workers {
+		settings.workers = append(settings.workers, worker.entry(endpointstream.Ready))
+	}
+	return settings.json(l.T)
 }
 
 // release replaces workers step by step: some drain, those of the step before are removed, and a new process takes the
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -162,23 +162,15 @@
 	harness.EndpointsChanged(harness.clock, list)
 }
 
-func (harness *testHarness) submit(class int) *Request {
-	request := NewRequest()
-	request.Class = class
-	request.StartedAt = harness.clock
-	request.Timeout = 2 * time.Second
-	request.Replica = muxframe.ReplicaSpec{Function: "f", MemoryMB: 100, Concurrency: 2}
-	harness.RequestReceived(harness.clock, request)
-	return request
-}
+func (harness *testHarness) submit(class int) *Request { return harness.submitTo(class, 2) }
 
-// submitConcurrent submits an idempotent request of a function whose replicas execute many at a time.
-func (harness *testHarness) submitConcurrent() *Request {
+// submitTo submits a request of a function whose replicas execute so many at a time.
+func (harness *testHarness) submitTo(class, concurrency int) *Request {
 	request := NewRequest()
-	request.Class = idempotentClass
+	request.Class = class
 	request.StartedAt = harness.clock
 	request.Timeout = 2 * time.Second
-	request.Replica = muxframe.ReplicaSpec{Function: "f", MemoryMB: 100, Concurrency: 50}
+	request.Replica = muxframe.ReplicaSpec{Function: "f", MemoryMB: 100, Concurrency: concurrency}
 	harness.RequestReceived(harness.clock, request)
 	return request
 }
--- /dev/null
+++ b/internal/gateway/platform_config.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"time"
+
+	"havencart/internal/config/platformconfig"
+	"havencart/internal/decide/endpointlease"
+	"havencart/internal/discovery"
+	"havencart/internal/platform/rpcserver"
+	"havencart/internal/platform/workerclient"
+	"havencart/scheduler"
+)
+
+// This file derives the configurations of a platform server's parts from its own.
+
+// clientRules are the names and bounds of what clients may ask.
+func clientRules(site platformconfig.Settings) rpcserver.Rules {
+	rules := rpcserver.Rules{Tenants: site.TenantNames, MaxMemoryMB: site.MaxWorkerMemoryMB}
+	for i, class := range site.Scheduler.Classes {
+		rules.Classes = append(rules.Classes, rpcserver.Class{
+			Name:        site.ClassNames[i],
+			MaxTimeout:  class.Timeout,
+			RequiresKey: class.Idempotency == scheduler.IdempotentByKey,
+		})
+	}
+	return rules
+}
+
+func (p *PlatformServer) loopConfig() EventLoopConfig {
+	site := p.config.Settings
+	return EventLoopConfig{
+		Source:          p.endpoints,
+		RequestQueue:    platformRequestQueue,
+		EventQueue:      platformEventQueue,
+		Dial:            p.newWorkerClient,
+		ShutdownTimeout: max(platformAcceptRest, min(site.MaxTimeout(), platformMaxShutdown)-platformAcceptRest),
+		Settings: Settings{
+			Name:           p.config.Name,
+			Classes:        site.ClassNames,
+			Tenants:        site.TenantNames,
+			Zones:          site.ZoneNames,
+			Scheduler:      site.Scheduler,
+			EndpointRules:  p.endpointRules(),
+			DeadlineMargin: platformDeadlineMargin,
+			MaxInFlight:    min(platformMaxInFlight, site.MaxInFlight),
+			ClockStart:     time.Now(),
+		},
+	}
+}
+
+// endpointRules are the times at which the platform takes a front end for notified of what the endpoint service knows.
+func (p *PlatformServer) endpointRules() endpointlease.Rules {
+	return endpointlease.Rules{
+		Silence: platformNoticeInSilence,
+		Outage:  platformNoticeInOutage,
+		Grace:   p.config.Settings.Scheduler.DrainGrace,
+	}
+}
+
+// newWorkerClient starts a client of a worker in the platform's protocol. It is a Dial.
+func (p *PlatformServer) newWorkerClient(id scheduler.WorkerID, w discovery.Worker, runtime ClientRuntime) ClosableWorkerClient {
+	site := p.config.Settings
+	return workerclient.New(workerclient.Config{
+		Worker:               w.Name,
+		Address:              w.Address,
+		ConnectTimeout:       site.Scheduler.ConnectTimeout,
+		StreamsPerConnection: site.StreamsPerConnection,
+		IdleTimeout:          site.WorkerIdleTimeout,
+		MaxQueue:             workerQueue,
+		MaxResponse:          platformMaxResponse,
+		LoadReportFields:     site.Scheduler.LoadReportFields,
+		Budget:               p.budget,
+		Seed:                 site.Scheduler.Seed ^ uint64(id),
+		Now:                  runtime.Now,
+		Guard:                runtime.Guard,
+	}, runtime.Events)
+}
--- a/internal/gateway/readiness_test.go
+++ b/internal/gateway/readiness_test.go
@@ -291,7 +291,7 @@
 			confirmedAt := harness.clock
 			harness.endLease()
 			for range submitted {
-				harness.submitConcurrent()
+				harness.submitTo(idempotentClass, 50)
 			}
 			worker := harness.onlyChecked()
 			worker.healthChecks[0].ConnectedAt = confirmedAt + c.connectedAfter
--- a/internal/platform/workerclient/connection.go
+++ b/internal/platform/workerclient/connection.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"slices"
 	"syscall"
@@ -159,33 +158,6 @@
 	return lost, outcome
 }
 
-// repeatHealthChecks queues the health checks without a response again, as their connection may have ended before the worker
-// read them. One that is still queued goes out twice, which does no harm. The client's lock is held.
-func (c *connection) repeatHealthChecks() {
-	for number := range c.healthChecks {
-		c.queue.Push(healthCheckFrame(number))
-	}
-}
-
-// healthCheckFrame is the frame of a health check, which asks for a load report as well.
-func healthCheckFrame(number uint64) workerframe.Frame {
-	return workerframe.Frame{Code: workerframe.LoadReport, ID: number}
-}
-
-// removeHealthChecks removes and returns the health checks without a response. The client's lock is held.
-func (c *connection) removeHealthChecks() []*workerconn.HealthCheck {
-	unanswered := slices.Collect(maps.Values(c.healthChecks))
-	clear(c.healthChecks)
-	return unanswered
-}
-
-// notifyUnanswered reports that health checks get no response.
-func (c *connection) notifyUnanswered(checks []*workerconn.HealthCheck, status scheduler.Status) {
-	for _, check := range checks {
-		c.client.events.HealthChecked(check, status, nil)
-	}
-}
-
 // notifyLost reports the end of what was sent on a connection that broke.
 func (c *connection) notifyLost(lost []queueItem, workerAlive bool, reason error) {
 	if len(lost) == 0 {
--- a/internal/workerconn/guard_test.go
+++ b/internal/workerconn/guard_test.go
@@ -107,3 +107,30 @@
 		}
 	}
 }
+
+func TestNextBatch_EndpointLeaseEnded_SendsOnlyWhatItsWorkerConfirmed(t *testing.T) {
+	guard := &Guard{}
+	guard.Renew(testNow)
+	guard.SetEndpointLease(testNow - 1)
+	attempt, confirmed := &Attempt{}, &Attempt{ConfirmedUntil: testNow}
+	order, query := newLoadOrder(1), newLoadOrder(0)
+	queue, batch := NewSendQueue[testFrame](), WriteBatch[testFrame]{}
+	queue.PushAttempt(1, attempt)
+	queue.PushAttempt(2, confirmed)
+	queue.PushLoad(3, order)
+	queue.PushLoad(4, query)
+	queue.Push("control")
+	queue.NextBatch(guard, testNow, &batch, encodeByNumber)
+	if len(batch.Expired) != 2 || batch.Expired[0].Attempt != attempt || batch.Expired[1].Load != order {
+		t.Errorf("not sent: %+v, want the attempt and the order that nobody confirmed", batch.Expired)
+	}
+	if len(batch.Bytes) != 30 || attempt.MayHaveBeenSent() || queue.Queued() != 0 {
+		t.Errorf("%d bytes, %d queued; want three frames sent", len(batch.Bytes), queue.Queued())
+	}
+	guard.SetEndpointLease(testNow)
+	queue.PushAttempt(5, &Attempt{})
+	queue.NextBatch(guard, testNow, &batch, encodeByNumber)
+	if len(batch.Bytes) != 10 || len(batch.Expired) != 0 {
+		t.Error("not sent while the lease holds")
+	}
+}
