The first event without changes confirms the list: what was missed comes before it, in several events

Now a connection's events confirm the list from the first one without changes on, which comes within a second; until then workers are asked.

TestEndpointStream_Events_ConfirmListAsOfEmptyConnection failed before.

--- a/cmd/havencart/incident_discovery_outage_test.go
+++ b/cmd/havencart/incident_discovery_outage_test.go
@@ -41,7 +41,8 @@
 	noticeInSilence   = 4 * time.Second
 	outageWarmUp      = 2500 * time.Millisecond // so that the list is confirmed
 	outageLength      = 7 * time.Second
-	firstDrainsAfter  = 100 * time.Millisecond // of the begin of the outage
+	outageAfter       = 2 * time.Second
+	firstDrainsAfter  = 100 * time.Millisecond // after the warm-up, which the outage begins at or has begun before
 	secondDrainsAfter = 5 * time.Second
 	outageLeastServed = 0.95 // of the requests
 )
@@ -49,34 +50,46 @@
 // TestIncidentDiscoveryOutage_WorkersDrainMeanwhile_GetNothingNew holds that nothing new begins at workers that drain while
 // discovery is out of reach, and that the others serve on.
 func TestIncidentDiscoveryOutage_WorkersDrainMeanwhile_GetNothingNew(t *testing.T) {
-	for name, reach := range map[string]platformdiscovery.Reach{
-		"discovery silent":      platformdiscovery.Silent,
-		"discovery unreachable": platformdiscovery.Unreachable,
+	for name, outage := range map[string]discoveryOutage{
+		"discovery silent":         {reach: platformdiscovery.Silent},
+		"discovery unreachable":    {reach: platformdiscovery.Unreachable},
+		"front end starts in it":   {reach: platformdiscovery.Silent, began: time.Minute},
+		"started, and unreachable": {reach: platformdiscovery.Unreachable, began: time.Minute},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			playDiscoveryOutage(t, reach)
+			outage.play(t)
 		})
 	}
 }
 
-func playDiscoveryOutage(t *testing.T, reach platformdiscovery.Reach) {
+// discoveryOutage is how discovery is out of reach, and for how long it was when the front end started; 0: it begins later.
+type discoveryOutage struct {
+	reach platformdiscovery.Reach
+	began time.Duration
+}
+
+func (o discoveryOutage) play(t *testing.T) {
 	t.Helper()
 	installation := startOutageInstallation(t)
+	if o.began > 0 {
+		installation.discovery.SetReach(o.reach)
+	}
 	frontEnd := startProcess(t, installation.config())
 	address := frontEnd.waitForLog("running")["listen"].(string)
 	logged := make(chan []string, 1)
 	go func() { logged <- frontEnd.collectLog("endpoint list", "violation", "stopped") }()
-	<-installation.discovery.Resumed()
 	var client sync.WaitGroup
 	log := &responseLog{}
 	warm := make(chan struct{})
 	client.Go(func() { installation.send(address, log, warm) })
 	<-warm
-	installation.discovery.SetReach(reach)
-	outageAt := time.Now()
-	installation.drainAt(outageAt, firstDrainsAfter, installation.workers[:drainsPerGroup])
-	installation.drainAt(outageAt, secondDrainsAfter, installation.workers[drainsPerGroup:2*drainsPerGroup])
+	installation.discovery.SetReach(o.reach)
+	now := time.Now()
+	outageAt := now.Add(-o.began)
+	installation.drainAt(now.Add(firstDrainsAfter), installation.workers[:drainsPerGroup])
+	installation.drainAt(now.Add(secondDrainsAfter), installation.workers[drainsPerGroup:2*drainsPerGroup])
+	installation.at(now.Add(outageLength), func() { installation.discovery.SetReach(platformdiscovery.Reachable) })
 	client.Wait()
 	frontEnd.signal(syscall.SIGTERM)
 	lines := <-logged
@@ -170,19 +183,29 @@
 	}
 }
 
-// drainAt has workers begin to drain some time after the outage began.
-func (o *outageInstallation) drainAt(outageAt time.Time, after time.Duration, workers []*drainingWorker) {
-	timer := time.AfterFunc(time.Until(outageAt.Add(after)), func() {
+// drainAt has workers begin to drain at a time. Discovery tells of each once it is within reach.
+func (o *outageInstallation) drainAt(begin time.Time, workers []*drainingWorker) {
+	o.at(begin, func() {
 		for _, worker := range workers {
 			worker.SetDraining(true)
 			now := time.Now()
 			worker.drainsAt.Store(&now)
+			o.discovery.Publish(endpointstream.Event{
+				Number:  uint64(worker.id) + 1, // the first event is the configuration's
+				Kind:    endpointstream.Delta,
+				Entries: []endpointstream.Entry{worker.entry(endpointstream.Draining)},
+			})
 		}
 	})
+}
+
+// at does something at a time, unless the test has ended by then.
+func (o *outageInstallation) at(due time.Time, do func()) {
+	timer := time.AfterFunc(time.Until(due), do)
 	o.Cleanup(func() { timer.Stop() })
 }
 
-// send sends requests for the warm-up and the outage, and closes warm in between.
+// send sends requests for the warm-up, the outage and a while after it, and closes warm after the first.
 func (o *outageInstallation) send(address string, log *responseLog, warm chan<- struct{}) {
 	connection, err := net.Dial("tcp", address)
 	if err != nil {
@@ -195,8 +218,7 @@
 	go func() { defer close(ended); client.read() }()
 	warmUp := int(outageWarmUp / outageRequestGap)
 	next := time.Now()
-	inOutage := int(outageLength / outageRequestGap)
-	for i := range warmUp + inOutage {
+	for i := range warmUp + int((outageLength+outageAfter)/outageRequestGap) {
 		if i == warmUp {
 			close(warm)
 		}
--- a/internal/discovery/endpointstream.go
+++ b/internal/discovery/endpointstream.go
@@ -164,12 +164,15 @@
 	}
 }
 
-// receive applies the events of a connection until it fails; the error is never nil. Each event says that the service had
-// nothing else when it was sent, which was after the request and after the connection was last seen empty: after a stall of
-// this process it may have waited to be read while the service has long been out of reach.
+// receive applies the events of a connection until it fails; the error is never nil.
+//
+// What was missed comes first, and the first event without changes says that it was all. It and each later one confirm the list
+// as of when the connection was last seen empty: after a stall of this process an event may have waited to be read while the
+// service has long been out of reach.
 func (s *EndpointStream) receive(conn net.Conn, requestedAt time.Time, sink Sink) (received bool, err error) {
 	source := &socket.ArrivalConn{Conn: conn}
 	reader := bufio.NewReader(source)
+	isWhole := false
 	silenceTimeout := reconnect.WatchSilenceTimeout(s.rng.Float64())
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(silenceTimeout)) // fails on a closed connection only
@@ -181,7 +184,10 @@
 		if s.isNew(event) {
 			sink.EndpointsUpdated(s.apply(event))
 		}
-		sink.ListConfirmed(later(requestedAt, source.ArrivedAfter()))
+		isWhole = isWhole || event.Kind == endpointstream.NoChange
+		if isWhole {
+			sink.ListConfirmed(later(requestedAt, source.ArrivedAfter()))
+		}
 	}
 }
 
--- a/internal/discovery/endpointstream_reconnect_test.go
+++ b/internal/discovery/endpointstream_reconnect_test.go
@@ -223,7 +223,19 @@
 			defer close(ended)
 			_, _ = stream.receive(ours, sink.requestedAt, sink) // until the connection ends
 		}()
-		heartbeat := endpointstream.AppendEvent(nil, event(0, endpointstream.NoChange))
+		// What was missed comes first, in several events: none of them says that it is the last one.
+		for number := range uint64(2) {
+			missed := event(number+1, endpointstream.Delta, entry(uint32(number+1), 9001, endpointstream.Ready))
+			if _, err := theirs.Write(endpointstream.AppendEvent(nil, missed)); err != nil {
+				t.Fatal(err)
+			}
+			<-sink.lists
+		}
+		synctest.Wait()
+		if len(sink.confirmed) > 0 {
+			t.Error("confirmed before all that was missed can have come")
+		}
+		heartbeat := endpointstream.AppendEvent(nil, event(2, endpointstream.NoChange))
 		for _, want := range []time.Duration{0, time.Second, 2 * time.Second} {
 			time.Sleep(time.Second)
 			if _, err := theirs.Write(heartbeat); err != nil {
@@ -233,6 +245,12 @@
 				t.Errorf("confirmed as of %v after the request, want %v", got, want)
 			}
 		}
+		if _, err := theirs.Write(endpointstream.AppendEvent(nil, event(3, endpointstream.Delta))); err != nil {
+			t.Fatal(err)
+		}
+		if got := <-sink.confirmed; got != 3*time.Second {
+			t.Errorf("confirmed by a change as of %v after the request, want 3 s", got)
+		}
 		_ = theirs.Close()
 		<-ended
 	})
