Names and comments of the endpoint lease, read as by a newcomer

No behaviour and no assertion changed. Rules.Outage is Rules.Break, as it is about a stream that breaks; Guard.mayBegin is isConfirmed; the discovery stand-in's Reach is Reachability; 'own word' and 'counts as told' are the field's terms. A front end's settings in the soak are a type, whose health checks are said by the run in place of being read out of the seed's upper bits (the same runs forbid them); the soak's worker calls IsNewWork in place of its own copy.

--- a/cmd/havencart/incident_discovery_outage_test.go
+++ b/cmd/havencart/incident_discovery_outage_test.go
@@ -65,7 +65,7 @@
 
 // discoveryOutage is how discovery is out of reach, and for how long it was when the front end started; 0: it begins later.
 type discoveryOutage struct {
-	reach platformdiscovery.Reach
+	reach platformdiscovery.Reachability
 	began time.Duration
 }
 
@@ -73,7 +73,7 @@
 	t.Helper()
 	installation := startOutageInstallation(t)
 	if o.began > 0 {
-		installation.discovery.SetReach(o.reach)
+		installation.discovery.SetReachability(o.reach)
 	}
 	frontEnd := startProcess(t, installation.config())
 	address := frontEnd.waitForLog("running")["listen"].(string)
@@ -84,12 +84,12 @@
 	warm := make(chan struct{})
 	client.Go(func() { installation.send(address, log, warm) })
 	<-warm
-	installation.discovery.SetReach(o.reach)
+	installation.discovery.SetReachability(o.reach)
 	now := time.Now()
 	outageAt := now.Add(-o.began)
 	installation.drainAt(now.Add(firstDrainsAfter), installation.workers[:drainsPerGroup])
 	installation.drainAt(now.Add(secondDrainsAfter), installation.workers[drainsPerGroup:2*drainsPerGroup])
-	installation.at(now.Add(outageLength), func() { installation.discovery.SetReach(platformdiscovery.Reachable) })
+	installation.at(now.Add(outageLength), func() { installation.discovery.SetReachability(platformdiscovery.Reachable) })
 	client.Wait()
 	frontEnd.signal(syscall.SIGTERM)
 	lines := <-logged
--- a/internal/decide/endpointlease/endpointlease.go
+++ b/internal/decide/endpointlease/endpointlease.go
@@ -1,7 +1,7 @@
-// Package endpointlease decides for how long an endpoint list may be acted on while nothing more is heard of it, and for
-// how long a worker's own word holds in its place.
+// Package endpointlease decides for how long an endpoint list is valid without a new confirmation, and for how long a worker's
+// own confirmation is valid in its place.
 //
-// A list is knowledge of a moment. By the platform's rules a front end counts as notified of what the endpoint service knows
+// A list is a snapshot. By the platform's rules a front end counts as notified of what the endpoint service knows
 // at certain times, also while the service is out of reach; after that and the grace of a drain, nothing new may begin at a
 // worker that drains or was removed. The package is pure: times are durations since the process's start.
 package endpointlease
@@ -34,10 +34,10 @@
 	maxHealthCheckTimeout = time.Second
 )
 
-// Rules are the times after which a front end counts as notified. Without a Silence, lists hold without end.
+// Rules are the times after which a front end counts as notified. Without a Silence, lists are valid without end.
 type Rules struct {
 	Silence time.Duration // after the service fell silent
-	Outage  time.Duration // after its stream broke off
+	Break   time.Duration // after its stream broke off
 	Grace   time.Duration // for which new work may begin at a worker after the notice that it drains
 }
 
@@ -65,7 +65,7 @@
 	return at + r.startMargin()
 }
 
-// Lease is how long the endpoint list may be acted on. It is a value: a copy goes on by itself.
+// Lease is how long the endpoint list is valid. It is a value: a copy goes on by itself.
 type Lease struct {
 	rules       Rules
 	confirmedAt time.Duration // when the list was last known to be what the service has
@@ -85,7 +85,7 @@
 }
 
 // Interrupt notes that the stream broke off, at any time since the list was last confirmed.
-func (l *Lease) Interrupt() { l.notifiedAt = min(l.notifiedAt, l.confirmedAt+l.rules.Outage) }
+func (l *Lease) Interrupt() { l.notifiedAt = min(l.notifiedAt, l.confirmedAt+l.rules.Break) }
 
 // Request notes that the service was asked at a time for what changed: what it had then counts as notified.
 func (l *Lease) Request(at time.Duration) { l.notifiedAt = min(l.notifiedAt, at) }
@@ -93,8 +93,8 @@
 // ConfirmedAt is when the list was last known to be what the service has.
 func (l *Lease) ConfirmedAt() time.Duration { return l.confirmedAt }
 
-// MayHaveRestarted reports whether a worker may have restarted without that this front end was told, while by the rules it
-// counts as notified. Its process is that of before if the connection is older than the list's last confirmation.
+// MayHaveRestarted reports whether a worker may have restarted without this front end being told, although by the rules it
+// counts as notified. It is the same process if its connection is older than the list's last confirmation.
 func (l *Lease) MayHaveRestarted(now, connectedAt time.Duration) bool {
 	isSilentForLong := l.rules.Silence > 0 && now > l.confirmedAt+l.rules.Silence
 	return isSilentForLong && connectedAt > l.confirmedAt
--- a/internal/decide/endpointlease/endpointlease_test.go
+++ b/internal/decide/endpointlease/endpointlease_test.go
@@ -9,7 +9,7 @@
 
 const ms = time.Millisecond
 
-var platformRules = Rules{Silence: 4 * time.Second, Outage: 2 * time.Second, Grace: 500 * ms}
+var platformRules = Rules{Silence: 4 * time.Second, Break: 2 * time.Second, Grace: 500 * ms}
 
 // margin is half of the grace and of the slack.
 const margin = 275 * ms
@@ -77,7 +77,7 @@
 		notified := max(drainAt, outageAt+platformRules.Silence)
 		if rapid.Bool().Draw(t, "broke off") {
 			lease.Interrupt()
-			notified = max(drainAt, outageAt+platformRules.Outage)
+			notified = max(drainAt, outageAt+platformRules.Break)
 		}
 		if rapid.Bool().Draw(t, "requested") {
 			requestedAt := outageAt + draw("requested after")
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -40,8 +40,8 @@
 	EndpointsUpdated(changed []Worker)
 	// WatchFailed is called each time that no usable list could be had; the list before it stays in force.
 	WatchFailed(err error)
-	// ListRequested is called when the service was asked for what changed. A source whose service does not tell when the
-	// list was last the one it has calls neither this nor ListConfirmed.
+	// ListRequested is called when the service was asked for what changed. Sources that cannot tell how old their list is
+	// call neither this nor ListConfirmed.
 	ListRequested(at time.Time)
 	// ListConfirmed is called when the list, with the changes reported before, was what the service had at a time.
 	ListConfirmed(asOf time.Time)
--- a/internal/gateway/deadlines.go
+++ b/internal/gateway/deadlines.go
@@ -82,7 +82,7 @@
 // attemptDue ends an attempt that is out of time, or one that is still unsent when its permit ends.
 func (f *FrontEnd) attemptDue(attempt *requestAttempt) {
 	switch {
-	case attempt.state > attemptPending:
+	case attempt.state > attemptPending: // its response has started, or it has ended
 	case f.now >= attempt.Deadline:
 		f.abandonAttempt(attempt, scheduler.Timeout, attemptTimedOut)
 	case attempt.state == attemptAwaitingWorker || attempt.worker.cancelUnsent(attempt):
--- a/internal/gateway/endpoint_lease.go
+++ b/internal/gateway/endpoint_lease.go
@@ -14,7 +14,7 @@
 		f.lease = lease
 		f.guard.SetEndpointLease(lease.Until())
 	}
-	f.traceLease()
+	f.logLeaseChange()
 	if f.listIsConfirmed() {
 		f.endOverrides()
 		f.runDeferred()
@@ -24,8 +24,8 @@
 // listIsConfirmed reports whether workers may be sent new work because the endpoint list has them as ready.
 func (f *FrontEnd) listIsConfirmed() bool { return f.now <= f.lease.Until() }
 
-// traceLease logs that the lease on the endpoint list has ended, or holds again.
-func (f *FrontEnd) traceLease() {
+// logLeaseChange logs that the lease on the endpoint list has ended, or holds again.
+func (f *FrontEnd) logLeaseChange() {
 	if ended := !f.listIsConfirmed(); ended != f.leaseEnded {
 		f.leaseEnded = ended
 		line := f.log.Info()
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -158,7 +158,7 @@
 
 // sweep stops clients that nothing needs any longer and forgets functions without requests.
 func (f *FrontEnd) sweep() {
-	f.traceLease()
+	f.logLeaseChange()
 	f.recheckDraining()
 	for _, id := range sortedKeys(f.retiring) {
 		f.sweepWorker(f.retiring[id])
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -26,10 +26,10 @@
 	Tenants        []string // names, in the order of Scheduler.Tenants
 	Zones          []string // names; Scheduler.Zone is an index into them
 	Tenancy        tenancy.Settings
-	EndpointRules  endpointlease.Rules
-	DeadlineMargin time.Duration // the final response is due this long before the client gives up
-	MaxInFlight    int           // requests in flight; more are rejected at once
-	ClockStart     time.Time     // wall time at 0 of the clock
+	EndpointRules  endpointlease.Rules // without a Silence, the endpoint list is valid without end
+	DeadlineMargin time.Duration       // the final response is due this long before the client gives up
+	MaxInFlight    int                 // requests in flight; more are rejected at once
+	ClockStart     time.Time           // wall time at 0 of the clock
 	// Guard is shared with the worker clients; nil: the FrontEnd has one of its own.
 	Guard *workerconn.Guard
 
@@ -128,7 +128,7 @@
 	healthChecks  map[*workerconn.HealthCheck]*healthCheck
 	workers       map[scheduler.WorkerID]*worker
 	retiring      map[scheduler.WorkerID]*worker // those with clients that sweep is to stop
-	overridden    map[scheduler.WorkerID]*worker // those taken for other than the list, which is not confirmed, has them
+	overridden    map[scheduler.WorkerID]*worker // whose state or start differs from the list's until that is confirmed
 	functions     map[scheduler.FunctionID]*function
 
 	// Numbers of names for the scheduler, in the order in which they were first seen.
--- a/internal/gateway/platform_config.go
+++ b/internal/gateway/platform_config.go
@@ -51,8 +51,8 @@
 // endpointRules are the times at which the platform takes a front end for notified of what the endpoint service knows.
 func (p *PlatformServer) endpointRules() endpointlease.Rules {
 	return endpointlease.Rules{
-		Silence: platformNoticeInSilence,
-		Outage:  platformNoticeInOutage,
+		Silence: platformNoticeAfterSilence,
+		Break:   platformNoticeAfterBreak,
 		Grace:   p.config.Settings.Scheduler.DrainGrace,
 	}
 }
--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -25,23 +25,23 @@
 
 // The bounds of a platform server, beside those of its configuration.
 const (
-	platformRequestQueue    = 1024                   // requests that wait for the event loop; more are rejected at once
-	platformEventQueue      = 1024                   // events that wait for it; beyond, worker clients stop reading
-	platformMaxInFlight     = 4096                   // requests; more are rejected at once
-	platformDeadlineMargin  = 15 * time.Millisecond  // the final response is due this long before the client gives up
-	platformMaxResponse     = 64 << 10               // bytes of a worker's response
-	platformMaxUnsent       = 256 << 10              // bytes of responses that a client has not read
-	platformWriteTimeout    = 2 * time.Second        // that a client may stall while a response is written to it
-	platformMaxOpen         = 32                     // requests of one connection in flight, by the platform's rules
-	platformAcceptGrace     = 700 * time.Millisecond // after a shutdown has begun, clients are still accepted for this long
-	platformMaxShutdown     = 3 * time.Second        // bounds the longest deadline at a shutdown, counted from the last accept
-	platformAcceptRest      = 100 * time.Millisecond // by which the last clients within platformAcceptGrace may be late
-	platformNoticeInSilence = 4 * time.Second        // after the endpoint stream fell silent, what it would have told counts as told
-	platformNoticeInOutage  = 2 * time.Second        // the same after it broke off
-	platformLogInterval     = 5 * time.Second        // between two log lines of the totals
-	memoryLimitFraction     = 0.7                    // of the memory, from which the runtime collects harder
-	bodyMemoryFraction      = 0.25                   // of the memory, for bodies of requests in flight
-	bytesPerMB              = 1 << 20
+	platformRequestQueue       = 1024                   // requests that wait for the event loop; more are rejected at once
+	platformEventQueue         = 1024                   // events that wait for it; beyond, worker clients stop reading
+	platformMaxInFlight        = 4096                   // requests; more are rejected at once
+	platformDeadlineMargin     = 15 * time.Millisecond  // the final response is due this long before the client gives up
+	platformMaxResponse        = 64 << 10               // bytes of a worker's response
+	platformMaxUnsent          = 256 << 10              // bytes of responses that a client has not read
+	platformWriteTimeout       = 2 * time.Second        // that a client may stall while a response is written to it
+	platformMaxOpen            = 32                     // requests of one connection in flight, by the platform's rules
+	platformAcceptGrace        = 700 * time.Millisecond // after a shutdown has begun, clients are still accepted for this long
+	platformMaxShutdown        = 3 * time.Second        // bounds the longest deadline at a shutdown, counted from the last accept
+	platformAcceptRest         = 100 * time.Millisecond // by which the last clients within platformAcceptGrace may be late
+	platformNoticeAfterSilence = 4 * time.Second        // of changes of the endpoint list, after its stream fell silent
+	platformNoticeAfterBreak   = 2 * time.Second        // the same after it broke off
+	platformLogInterval        = 5 * time.Second        // between two log lines of the totals
+	memoryLimitFraction        = 0.7                    // of the memory, from which the runtime collects harder
+	bodyMemoryFraction         = 0.25                   // of the memory, for bodies of requests in flight
+	bytesPerMB                 = 1 << 20
 )
 
 // PlatformServer is a front end on the users' platform: one event loop, with the platform's protocols towards clients,
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -8,15 +8,15 @@
 	"havencart/scheduler"
 )
 
-// This file lets new work begin at a worker only where the endpoint list or the worker itself says that it accepts some.
+// This file lets new work begin at a worker only where the endpoint list or the worker itself confirms that it accepts some.
 
-// readiness is what a worker itself says of whether it accepts new work. It counts while the endpoint list is not confirmed.
+// readiness is what a worker itself reports of whether it accepts new work, for while the endpoint list is not confirmed.
 type readiness struct {
-	acceptedAt   time.Duration // when it last accepted some, or said that it would; 0: never
-	connectedAt  time.Duration // of the last connection to a process that it was taken to have restarted as
+	acceptedAt   time.Duration // when it last accepted some, or was healthy; 0: never
+	connectedAt  time.Duration // when the connection was made by which it was last taken as restarted
 	check        *healthCheck  // in flight; nil: there is none
-	drainReports int           // health checks in a row by which it drains
-	recheckAt    time.Duration // when it may be asked again, where it drains by its own word
+	drainReports int           // health checks in a row that it answered as draining
+	recheckAt    time.Duration // when it is checked again, where a health check has it as draining
 	waiting      waitingWork
 }
 
@@ -54,8 +54,8 @@
 	timer  timer // its timeout
 }
 
-// mayBeginAt reports whether new work may begin at a worker now, and until when by the worker's own word. It guards against
-// work for a worker that drains while discovery is out of reach: what discovery would tell counts as told all the same.
+// mayBeginAt reports whether new work may begin at a worker now, and until when the worker itself has confirmed it. It
+// guards against work for a worker that drains while discovery is out of reach: this front end counts as notified all the same.
 func (f *FrontEnd) mayBeginAt(w *worker) (confirmedUntil time.Duration, may bool) {
 	confirmedUntil = f.settings.EndpointRules.AcceptedUntil(w.readiness.acceptedAt)
 	return confirmedUntil, f.listIsConfirmed() || f.now <= confirmedUntil
@@ -97,7 +97,7 @@
 	}
 }
 
-// confirm has a worker say whether it accepts new work. Where it may not be asked, what waits for it is not sent.
+// confirm asks a worker whether it accepts new work. Where health checks are forbidden, what waits for it is not sent.
 func (f *FrontEnd) confirm(w *worker) {
 	if f.settings.Scheduler.HealthChecksAllowed {
 		f.checkHealth(w)
@@ -200,8 +200,8 @@
 	}
 }
 
-// treatAsDraining takes a worker by its own word for one that drains, until the list says otherwise. A list that is
-// confirmed goes before: it is by what the list says that a front end counts as notified.
+// treatAsDraining takes a worker that answered a health check as draining out of use, until the list is confirmed or it is
+// healthy. A confirmed list takes precedence: the drain rule goes by the list.
 func (f *FrontEnd) treatAsDraining(w *worker) {
 	switch {
 	case f.listIsConfirmed():
@@ -214,7 +214,8 @@
 	}
 }
 
-// recheckDraining lets workers be asked again that drained by their own word: they get nothing new before they are healthy.
+// recheckDraining lets the scheduler use workers again that a health check had as draining, once they are due to be checked
+// again: they get nothing new before they are healthy.
 func (f *FrontEnd) recheckDraining() {
 	for _, id := range sortedKeys(f.overridden) {
 		w := f.overridden[id]
@@ -224,8 +225,8 @@
 	}
 }
 
-// treatAsRestarted takes a worker for one that has just started, where it may have restarted without that discovery could
-// tell. It guards against overloading it in its slow start.
+// treatAsRestarted takes a worker for one that has just started, where it may have restarted and discovery could not
+// report it. It guards against overloading it in its slow start.
 func (f *FrontEnd) treatAsRestarted(w *worker, connectedAt time.Duration) {
 	isKnownProcess := connectedAt <= w.readiness.connectedAt
 	if isKnownProcess || !f.lease.MayHaveRestarted(f.now, connectedAt) {
@@ -239,7 +240,7 @@
 	f.endWaiting(w, scheduler.NotSent) // more may wait than a worker may be sent in its slow start: it is decided anew
 }
 
-// endOverrides takes workers again for what the list has them as, which is confirmed.
+// endOverrides gives workers the state and start again that the list has, which is confirmed.
 func (f *FrontEnd) endOverrides() {
 	for _, id := range sortedKeys(f.overridden) {
 		w := f.overridden[id]
@@ -264,7 +265,7 @@
 	return f.incarnations.ObserveChanges(f.now, listed, len(f.workers))[0]
 }
 
-// forgetReadiness forgets what a worker said at an address that it has left.
+// forgetReadiness forgets what a worker reported at an address that it has left.
 func (f *FrontEnd) forgetReadiness(w *worker) {
 	if check := w.readiness.check; check != nil {
 		w.client.AbandonHealthCheck(&check.HealthCheck)
--- a/internal/gateway/readiness_test.go
+++ b/internal/gateway/readiness_test.go
@@ -12,7 +12,7 @@
 // These tests are about new work while the endpoint list is not confirmed.
 
 // leaseRules are those of the platform, with a grace of 500 ms.
-var leaseRules = endpointlease.Rules{Silence: 4 * time.Second, Outage: 2 * time.Second, Grace: 500 * ms}
+var leaseRules = endpointlease.Rules{Silence: 4 * time.Second, Break: 2 * time.Second, Grace: 500 * ms}
 
 // newLeaseHarness returns a harness whose list of so many workers was confirmed last at its start.
 func newLeaseHarness(t *testing.T, workers int, change func(*Settings)) *testHarness {
@@ -111,7 +111,7 @@
 	harness.wantResponse(another, Served)
 }
 
-// A worker that drains by its own word gets nothing more until the list is confirmed, and the request goes elsewhere.
+// A worker that answers a health check as draining gets nothing more until the list is confirmed, and the request goes elsewhere.
 func TestSend_WorkerSaysThatItDrains_IsAvoidedUntilListIsConfirmed(t *testing.T) {
 	harness := newLeaseHarness(t, 2, nil)
 	harness.endLease()
@@ -313,7 +313,7 @@
 	}
 }
 
-// A worker that drains by its own word is asked again after a while, and sent nothing before it is healthy.
+// A worker that answered a health check as draining is asked again after a while, and sent nothing before it is healthy.
 func TestSend_WorkerSaidThatItDrains_IsAskedAgain(t *testing.T) {
 	harness := newLeaseHarness(t, 1, nil)
 	harness.endLease()
--- a/internal/workerconn/attempt.go
+++ b/internal/workerconn/attempt.go
@@ -14,8 +14,8 @@
 	Body     []byte
 	Deadline time.Duration // nobody waits for the response after this; on the client's monotonic clock
 	NotAfter time.Duration // its write may neither begin nor go on after this; 0: Deadline alone bounds it
-	// ConfirmedUntil is until when its write may begin by the worker's own word, where the lease on the endpoint list ends
-	// before.
+	// ConfirmedUntil is until when its write may begin because its worker confirmed that it accepts new work, where the lease
+	// on the endpoint list ends before.
 	ConfirmedUntil time.Duration
 
 	delivery delivery
--- a/internal/workerconn/guard.go
+++ b/internal/workerconn/guard.go
@@ -38,8 +38,9 @@
 // SetEndpointLease sets until when new work may be sent to workers that the endpoint list has as ready.
 func (g *Guard) SetEndpointLease(until time.Duration) { g.endpointsUntil.Store(int64(until)) }
 
-// mayBegin reports whether new work may begin at now at a worker that has confirmed until a time that it accepts some.
-func (g *Guard) mayBegin(now, confirmedUntil time.Duration) bool {
+// isConfirmed reports whether new work may begin at now at a worker that itself has confirmed until a time that it accepts
+// some: else the endpoint list must confirm it.
+func (g *Guard) isConfirmed(now, confirmedUntil time.Duration) bool {
 	if g == nil || now <= confirmedUntil {
 		return true
 	}
--- a/internal/workerconn/write_batch.go
+++ b/internal/workerconn/write_batch.go
@@ -23,7 +23,7 @@
 	Bytes           []byte             // the encoded frames
 	Unencodable     []QueueItem[Frame] // items whose frame cannot be encoded: they were never sent
 	Expired         []QueueItem[Frame] // new work that may not be written any longer: it was never sent
-	DeferredNewWork bool               // new work stayed in the queue, as the lease does not hold
+	DeferredNewWork bool               // new work stayed in the queue, as the event loop's lease does not hold
 	NotAfter        time.Duration      // the write may not go on after this; 0: no permit limits it
 
 	frames []batchFrame[Frame]
@@ -84,7 +84,7 @@
 			break
 		}
 		switch {
-		case item.isExpired(now), item.isNewWork() && !guard.mayBegin(now, item.confirmedUntil()):
+		case item.isExpired(now), item.isNewWork() && !guard.isConfirmed(now, item.confirmedUntil()):
 			item.delivery().cancel()
 			batch.Expired = append(batch.Expired, item)
 		case item.isNewWork() && !mayWriteNewWork:
--- a/lab/platformdiscovery/server.go
+++ b/lab/platformdiscovery/server.go
@@ -15,14 +15,14 @@
 // heartbeatInterval is the time between two events without changes.
 const heartbeatInterval = time.Second
 
-// Reach is how far front ends get.
-type Reach int
+// Reachability is what becomes of front ends' connections.
+type Reachability int
 
-// The kinds of reach.
+// The kinds of reachability.
 const (
-	Reachable   Reach = iota
-	Silent            // connections are accepted and stay open, and nothing is sent
-	Unreachable       // connections are closed
+	Reachable   Reachability = iota
+	Silent                   // connections are accepted and stay open, and nothing is sent
+	Unreachable              // connections are closed
 )
 
 // Server sends its events to each front end that connects, from the event on with which it resumes, and an event without
@@ -30,7 +30,7 @@
 type Server struct {
 	listener    net.Listener
 	mu          sync.Mutex
-	reach       Reach
+	reach       Reachability
 	events      []endpointstream.Event
 	connections map[net.Conn]uint64 // by number of the last event sent
 	resumed     chan uint64
@@ -126,8 +126,8 @@
 	s.sendEvents()
 }
 
-// SetReach begins or ends an outage.
-func (s *Server) SetReach(reach Reach) {
+// SetReachability begins or ends an outage.
+func (s *Server) SetReachability(reach Reachability) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reach = reach
--- a/lab/soak/endpoints.go
+++ b/lab/soak/endpoints.go
@@ -75,7 +75,7 @@
 }
 
 // beginOutage puts the service out of reach, and reports whether it was within reach before.
-func (e *endpoints) beginOutage(reach platformdiscovery.Reach) bool {
+func (e *endpoints) beginOutage(reach platformdiscovery.Reachability) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.inOutage {
@@ -83,7 +83,7 @@
 	}
 	e.inOutage = true
 	e.outageAt = e.history.Now()
-	e.server.SetReach(reach)
+	e.server.SetReachability(reach)
 	return true
 }
 
@@ -92,7 +92,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.inOutage = false
-	e.server.SetReach(platformdiscovery.Reachable)
+	e.server.SetReachability(platformdiscovery.Reachable)
 }
 
 // known is the list as a front end is told at its start.
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -192,7 +192,7 @@
 func breakStream(_ context.Context, r *run, _ *draw) { r.endpoints.breakOff() }
 
 // discoveryOutage puts discovery out of reach of all front ends, mostly for longer than until they count as notified.
-func discoveryOutage(reach platformdiscovery.Reach) func(context.Context, *run, *draw) {
+func discoveryOutage(reach platformdiscovery.Reachability) func(context.Context, *run, *draw) {
 	return func(ctx context.Context, r *run, draw *draw) {
 		if !r.endpoints.beginOutage(reach) {
 			return
--- a/lab/soak/frontend.go
+++ b/lab/soak/frontend.go
@@ -80,8 +80,17 @@
 
 // writeConfig writes the configuration of the next start, or for SIGHUP.
 func (f *frontEnd) writeConfig() error {
-	config, err := frontEndConfig(f.index, f.run.config.FrontEnds, f.address, f.run.endpoints.server.Address(),
-		uint64(f.index)+f.run.config.Seed<<16, f.run.connectTimeout, f.run.endpoints.known())
+	settings := frontEndSettings{
+		index:           f.index,
+		count:           f.run.config.FrontEnds,
+		listen:          f.address,
+		discovery:       f.run.endpoints.server.Address(),
+		seed:            uint64(f.index) + f.run.config.Seed<<16,
+		connectTimeout:  f.run.connectTimeout,
+		hasHealthChecks: f.run.config.Seed%noHealthChecksEvery != 0,
+		known:           f.run.endpoints.known(),
+	}
+	config, err := settings.json()
 	if err != nil {
 		return fmt.Errorf("soak: %w", err)
 	}
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -57,6 +57,9 @@
 // lateConnectTimeout lets connections come up that were held back: the system sends a SYN again after a second.
 const lateConnectTimeout = 1500 * time.Millisecond
 
+// noHealthChecksEvery gives the runs whose settings forbid health checks: one seed in so many.
+const noHealthChecksEvery = 4
+
 // Run plays one run and judges it. An error is about the run itself.
 func Run(ctx context.Context, config Config) (Report, error) {
 	r := &run{
--- a/lab/soak/settings.go
+++ b/lab/soak/settings.go
@@ -18,8 +18,19 @@
 	descriptors = 512
 )
 
-// frontEndConfig is the platform's configuration of one front end.
-func frontEndConfig(index, count int, listen, discovery string, seed uint64, connectTimeout time.Duration, known knownEndpoints) ([]byte, error) {
+// frontEndSettings are what differs between the configurations of front ends.
+type frontEndSettings struct {
+	index, count    int
+	listen          string // address
+	discovery       string // address
+	seed            uint64
+	connectTimeout  time.Duration
+	hasHealthChecks bool // they are allowed
+	known           knownEndpoints
+}
+
+// json is the platform's configuration of the front end.
+func (f frontEndSettings) json() ([]byte, error) {
 	var classList []map[string]any
 	for _, name := range classNames {
 		class := classes[name]
@@ -33,16 +44,16 @@
 		classList = append(classList, settings)
 	}
 	return json.Marshal(map[string]any{
-		"name": fmt.Sprintf("n%d", index), "listen": listen, "seed": fmt.Sprintf("%016x", seed),
+		"name": fmt.Sprintf("n%d", f.index), "listen": f.listen, "seed": fmt.Sprintf("%016x", f.seed),
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": descriptors},
-		"bulletin": discovery,
-		"known":    known,
+		"bulletin": f.discovery,
+		"known":    f.known,
 		"settings": map[string]any{
-			"balancers": count, "ordinal": index, "zone": 0, "registryMode": "push", "resolution": 2.0,
+			"balancers": f.count, "ordinal": f.index, "zone": 0, "registryMode": "push", "resolution": 2.0,
 			"azs": []string{zoneName}, "skus": []string{kindName},
 			"limits": map[string]any{
-				"streamsPerConn": 32, "connectTimeout": millis(connectTimeout), "connIdle": 2000.0, "maxAttempts": maxAttempts,
-				"mayCancel": true, "probes": mayCheckHealth(seed), "retryAfter": true, "maxRetryAfter": 300.0,
+				"streamsPerConn": 32, "connectTimeout": millis(f.connectTimeout), "connIdle": 2000.0, "maxAttempts": maxAttempts,
+				"mayCancel": true, "probes": f.hasHealthChecks, "retryAfter": true, "maxRetryAfter": 300.0,
 			},
 			"rules":      map[string]any{"stopSendingWithin": millis(drainGrace), "cold": 3000.0, "coldFrom": 0.3, "fall": 1000.0, "tipMultiple": 4.0},
 			"familyInfo": map[string]any{"keep": 4000.0, "mayLoad": true, "loadWait": 2000.0, "whenAbsent": "load"},
@@ -51,12 +62,6 @@
 	})
 }
 
-// noHealthChecks is the part of the runs, one in so many, whose settings forbid health checks.
-const noHealthChecks = 4
-
-// mayCheckHealth is whether the settings of a run allow health checks. The lower bits of a front end's seed are its number.
-func mayCheckHealth(seed uint64) bool { return seed>>16%noHealthChecks != 0 }
-
 // millis is a time as the platform writes it.
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
--- a/lab/soak/worker.go
+++ b/lab/soak/worker.go
@@ -117,7 +117,7 @@
 			TTL:       time.Duration(ttl) * time.Millisecond,
 		})
 	case workerframe.Load:
-		if replicas, _ := workerframe.Count(frame.Fields, "replicas", 0); replicas > 0 {
+		if platformworker.IsNewWork(frame) {
 			w.history.OrderedToLoad(w.entry.Name())
 		}
 	}
