--- a/review/kit/bulletin.go
+++ b/review/kit/bulletin.go
@@ -34,6 +34,7 @@
 	changed chan struct{}
 	conns   map[net.Conn]bool
 	closed  bool
+	silent  bool
 }
 
 // NewBulletin starts a bulletin whose last event is number last.
@@ -118,12 +119,19 @@
 	for {
 		b.mu.Lock()
 		var out []byte
+		was := last
 		for next := max(last+1, b.first); next < b.first+uint64(len(b.events)); next++ {
 			out = append(out, b.events[next-b.first]...)
 			last = next
 		}
 		changed := b.changed
+		silent := b.silent
 		b.mu.Unlock()
+		if silent {
+			last = was
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
 		if out == nil { // nothing new
 			out = binary.BigEndian.AppendUint32(nil, 9)
 			out = binary.BigEndian.AppendUint64(out, last)
@@ -138,3 +146,45 @@
 		}
 	}
 }
+
+// SetSilent makes the bulletin say nothing, on open and on new connections, or ends that.
+func (b *Bulletin) SetSilent(silent bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silent = silent
+}
+
+// Break closes the open connections.
+func (b *Bulletin) Break() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for conn := range b.conns {
+		_ = conn.Close()
+	}
+}
+
+// Last returns the number of the last event.
+func (b *Bulletin) Last() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.first + uint64(len(b.events)) - 1
+}
+
+// Move returns a bulletin at another address that goes on with the numbers. This one takes no new connection and tells
+// nothing more.
+func (b *Bulletin) Move() (*Bulletin, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	_ = b.listener.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	moved := &Bulletin{
+		listener: listener, first: b.first, events: append([][]byte(nil), b.events...), changed: make(chan struct{}),
+		conns: map[net.Conn]bool{},
+	}
+	b.silent = true
+	go moved.accept()
+	return moved, nil
+}
--- a/review/kit/executor.go
+++ b/review/kit/executor.go
@@ -20,9 +20,13 @@
 	Work     func(class string) time.Duration
 	// Window returns for how long a cell remembers the key of a request of a keyed class, 0 for other classes.
 	Window func(class string) time.Duration
+	// Group returns the group of executors that drop a repeat; nil: those of the cell.
+	Group  func(class string, e *Executor) string
 	Report string // the load report of an answer, as in "queue:0"; "" for none
 	// Answer, if not nil, is asked when a request has run; it returns false to say nothing.
 	Answer func(e *Executor, a *Arrival) bool
+	// Raw, if not nil, may replace the bytes of an answer.
+	Raw func(e *Executor, a *Arrival, answer []byte) []byte
 	// Arrived, if not nil, is called when a request has come whole.
 	Arrived func(e *Executor, a *Arrival)
 
@@ -43,6 +47,7 @@
 	RanAt    time.Duration // when it began to run; 0 if it did not
 	Repeat   bool          // it was dropped as the repeat of a key that the group remembers
 	GivenUp  bool
+	GivenAt  time.Duration // when it was given up, by itself or with its connection; 0 if it was not
 	Answered time.Duration
 }
 
@@ -60,6 +65,7 @@
 	loading  map[string]chan struct{}
 	Draining bool
 	open     map[*Conn]int // requests on each open connection
+	down     bool
 }
 
 // Name returns the executor's name in lists.
@@ -116,6 +122,10 @@
 	defer func() { _ = c.TCPConn.Close() }()
 	e.mu.Lock()
 	e.open[c] = 0
+	if e.down {
+		_ = c.SetLinger(0)
+		_ = c.TCPConn.Close()
+	}
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
@@ -126,7 +136,11 @@
 	answer := func(f frame) {
 		write.Lock()
 		defer write.Unlock()
-		_, _ = c.Write(appendFrame(nil, f))
+		raw := appendFrame(nil, f)
+		if e.fleet.Raw != nil && f.code == codeOK {
+			raw = e.fleet.Raw(e, nil, raw)
+		}
+		_, _ = c.Write(raw)
 	}
 	onConn := map[uint64]*Arrival{}
 	var mu sync.Mutex
@@ -134,7 +148,19 @@
 	for {
 		f, err := readFrame(reader)
 		if err != nil {
-			return // all that is open on it is given up
+			mu.Lock() // all that is open on it is given up
+			e.fleet.mu.Lock()
+			for _, a := range onConn {
+				if a.GivenAt == 0 {
+					a.GivenAt = Now()
+				}
+				if a.Answered == 0 && a.RanAt == 0 {
+					a.GivenUp = true
+				}
+			}
+			e.fleet.mu.Unlock()
+			mu.Unlock()
+			return
 		}
 		switch f.code {
 		case codeRequest:
@@ -148,6 +174,9 @@
 			if a := onConn[f.id]; a != nil {
 				e.fleet.mu.Lock()
 				a.GivenUp = true
+				if a.GivenAt == 0 {
+					a.GivenAt = Now()
+				}
 				e.fleet.mu.Unlock()
 				e.fleet.Record.Line("given up   %s at %s", a.Request, e.Name())
 			}
@@ -239,6 +268,9 @@
 			fl.memory = map[string]time.Duration{}
 		}
 		group := strconv.Itoa(e.Cell) + " " + a.Once
+		if fl.Group != nil {
+			group = fl.Group(a.Class, e) + " " + a.Once
+		}
 		if first, known := fl.memory[group]; known && now-first <= window {
 			a.Repeat = true
 			fl.Record.LineAt(now, "repeat     %s at %s: not run", a.Request, e.Name())
@@ -297,3 +329,29 @@
 	}
 	answer(frame{code: codeOK, id: f.id, fields: fields})
 }
+
+// Reset resets all open connections.
+func (e *Executor) Reset() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.open {
+		_ = c.SetLinger(0)
+		_ = c.TCPConn.Close()
+	}
+}
+
+// Die ends the executor: connections are reset, and new ones are refused.
+func (e *Executor) Die() {
+	e.mu.Lock()
+	e.down = true
+	e.mu.Unlock()
+	_ = e.Path.listener.Close()
+	e.Reset()
+}
+
+// SetDraining sets whether the executor says that it drains.
+func (e *Executor) SetDraining(drains bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Draining = drains
+}
--- a/review/kit/frontend.go
+++ b/review/kit/frontend.go
@@ -25,6 +25,8 @@
 	logs    *os.File
 	process *exec.Cmd
 	exited  chan struct{}
+	root    string
+	line    string
 }
 
 // FrontEndConfig is what a front end is told.
@@ -74,12 +76,14 @@
 	if f.logs, err = os.Create(filepath.Join(dir, f.Name+".log")); err != nil {
 		return nil, err
 	}
-	return f, f.start(root, line)
+	f.root, f.line = root, line
+	return f, f.Start()
 }
 
-func (f *FrontEnd) start(root, line string) error {
-	f.process = exec.Command("/bin/sh", "-c", line)
-	f.process.Dir = root
+// Start starts the process and waits until it is ready.
+func (f *FrontEnd) Start() error {
+	f.process = exec.Command("/bin/sh", "-c", f.line)
+	f.process.Dir = f.root
 	f.process.Env = append(os.Environ(), "RELAY_CONFIG="+f.config, "RELAY_NAME="+f.Name, "RELAY_LISTEN="+f.Address, "TMPDIR="+f.dir)
 	f.process.Stdout, f.process.Stderr = f.logs, f.logs
 	if err := f.process.Start(); err != nil {
@@ -146,5 +150,4 @@
 	}
 	_ = f.process.Process.Kill()
 	<-f.exited
-	_ = f.logs.Close()
 }
