--- a/review/kit/executor.go
+++ b/review/kit/executor.go
@@ -27,6 +27,8 @@
 	Answer func(e *Executor, a *Arrival) bool
 	// Raw, if not nil, may replace the bytes of an answer.
 	Raw func(e *Executor, a *Arrival, answer []byte) []byte
+	// Unknown, if not nil, reports whether no executor knows the function; a request for it is answered with an error.
+	Unknown func(function string) bool
 	// Arrived, if not nil, is called when a request has come whole.
 	Arrived func(e *Executor, a *Arrival)
 
@@ -233,6 +235,10 @@
 		}
 		e.mu.Unlock()
 	}()
+	if e.fleet.Unknown != nil && e.fleet.Unknown(a.Function) {
+		answer(frame{code: codeError, id: f.id, fields: e.report()})
+		return
+	}
 	if !e.Has(a.Function) {
 		if e.fleet.OnMiss == "miss" && !e.isLoading(a.Function) {
 			e.fleet.Record.Line("miss       %s at %s", a.Request, e.Name())
@@ -316,6 +322,10 @@
 // load carries out an order to load.
 func (e *Executor) load(f frame, answer func(frame)) {
 	function := f.field("name")
+	if e.fleet.Unknown != nil && e.fleet.Unknown(function) {
+		answer(frame{code: codeError, id: f.id, fields: "replicas=0"})
+		return
+	}
 	if replicas, _ := strconv.Atoi(f.field("replicas")); replicas > 0 {
 		e.fleet.Record.Line("order      to load %s at %s", function, e.Name())
 		<-e.startLoad(function)
--- a/review/kit/frontend.go
+++ b/review/kit/frontend.go
@@ -151,3 +151,22 @@
 	_ = f.process.Process.Kill()
 	<-f.exited
 }
+
+// Status returns the memory lines of the process's status.
+func (f *FrontEnd) Status() string {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.process.Process.Pid))
+	var out string
+	for _, line := range regexp.MustCompile(`(?m)^(Vm(HWM|RSS)|RssAnon):.*$`).FindAllString(string(text), -1) {
+		out += line + " "
+	}
+	return out
+}
+
+// AnonymousKB returns the anonymous memory of the front end's process, without the pages of its program file, in kB.
+func (f *FrontEnd) AnonymousKB() (kb int) {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.process.Process.Pid))
+	if found := regexp.MustCompile(`(?m)^RssAnon:\s*(\d+) kB$`).FindSubmatch(text); found != nil {
+		kb, _ = strconv.Atoi(string(found[1]))
+	}
+	return kb
+}
