--- a/review/memory/main.go
+++ b/review/memory/main.go
@@ -19,14 +19,14 @@
 
 const (
 	executors  = 14
-	memoryMB   = 192
-	sockets    = 1024
-	badClients = 40 // connections; a third of the descriptors, 341, would be allowed
+	memoryMB   = 64
+	sockets    = 512
+	badClients = 40 // connections; a third of the descriptors, 170, would be allowed
 	atOnce     = 30 // requests open on each
-	badWait    = "400"
+	badWait    = "500"
 	rate       = 40 // requests of the usual clients a second
 	quiet      = 5 * time.Second
-	length     = 95 * time.Second
+	length     = 60 * time.Second
 )
 
 func main() {
