--- a/review/kit/executor.go
+++ b/review/kit/executor.go
@@ -365,3 +365,17 @@
 	defer e.mu.Unlock()
 	e.Draining = drains
 }
+
+// CloseIdle closes the connections on which no request is open, by a reset if asked for.
+func (e *Executor) CloseIdle(reset bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c, requests := range e.open {
+		if requests == 0 {
+			if reset {
+				_ = c.SetLinger(0)
+			}
+			_ = c.TCPConn.Close()
+		}
+	}
+}
