--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -90,9 +90,6 @@
 	return c.closed
 }
 
-// Close closes the connection.
-func (c *Client) Close() { _ = c.conn.Close() }
-
 // Send sends a call.
 func (c *Client) Send(call *Call) error {
 	fields := map[string]string{"id": call.ID, "wait": strconv.FormatInt(call.Wait.Milliseconds(), 10), "key": call.Function}
--- a/review/kit/clock.go
+++ b/review/kit/clock.go
@@ -40,8 +40,8 @@
 func (r *Record) LineAt(at time.Duration, format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%9.1f ", Millis(at))
-	fmt.Fprintf(r.file, format+"\n", args...)
+	_, _ = fmt.Fprintf(r.file, "%9.1f ", Millis(at))
+	_, _ = fmt.Fprintf(r.file, format+"\n", args...)
 }
 
 // Millis returns a duration in milliseconds.
--- a/review/kit/executor.go
+++ b/review/kit/executor.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"fmt"
-	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -20,13 +19,7 @@
 	Work     func(class string) time.Duration
 	// Window returns for how long a cell remembers the key of a request of a keyed class, 0 for other classes.
 	Window func(class string) time.Duration
-	// Group returns the group of executors that drop a repeat; nil: those of the cell.
-	Group  func(class string, e *Executor) string
 	Report string // the load report of an answer, as in "queue:0"; "" for none
-	// Answer, if not nil, is asked when a request has run; it returns false to say nothing.
-	Answer func(e *Executor, a *Arrival) bool
-	// Raw, if not nil, may replace the bytes of an answer.
-	Raw func(e *Executor, a *Arrival, answer []byte) []byte
 	// Unknown, if not nil, reports whether no executor knows the function; a request for it is answered with an error.
 	Unknown func(function string) bool
 	// Arrived, if not nil, is called when a request has come whole.
@@ -34,7 +27,7 @@
 
 	mu       sync.Mutex
 	arrivals []*Arrival
-	memory   map[string]time.Duration // by group and key: when the first run of that key began
+	memory   map[string]time.Duration // by cell and key: when the first run of that key began
 }
 
 // Arrival is one attempt that came whole to an executor.
@@ -49,8 +42,6 @@
 	RanAt    time.Duration // when it began to run; 0 if it did not
 	Repeat   bool          // it was dropped as the repeat of a key that the group remembers
 	GivenUp  bool
-	GivenAt  time.Duration // when it was given up, by itself or with its connection; 0 if it was not
-	Answered time.Duration
 }
 
 // Executor is a stand-in for one executor.
@@ -62,20 +53,15 @@
 
 	fleet *Fleet
 
-	mu       sync.Mutex
-	loaded   map[string]bool
-	loading  map[string]chan struct{}
-	Draining bool
-	open     map[*Conn]int // requests on each open connection
-	down     bool
+	mu      sync.Mutex
+	loaded  map[string]bool
+	loading map[string]chan struct{}
+	open    map[*Conn]int // requests on each open connection
 }
 
 // Name returns the executor's name in lists.
 func (e *Executor) Name() string { return fmt.Sprintf("s-%08x", e.ID) }
 
-// AddrPort returns the executor's address.
-func (e *Executor) AddrPort() netip.AddrPort { return netip.MustParseAddrPort(e.Path.Address()) }
-
 // NewExecutor starts an executor.
 func (f *Fleet) NewExecutor(id uint32, zone, cell int) (*Executor, error) {
 	e := &Executor{
@@ -106,13 +92,6 @@
 	return len(e.open), idle
 }
 
-// OpenOn returns the number of requests that are open on a connection.
-func (e *Executor) OpenOn(c *Conn) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.open[c]
-}
-
 // Arrivals returns all attempts that came whole so far.
 func (f *Fleet) Arrivals() []*Arrival {
 	f.mu.Lock()
@@ -121,13 +100,9 @@
 }
 
 func (e *Executor) serve(c *Conn) {
-	defer func() { _ = c.TCPConn.Close() }()
+	defer func() { _ = c.Close() }()
 	e.mu.Lock()
 	e.open[c] = 0
-	if e.down {
-		_ = c.SetLinger(0)
-		_ = c.TCPConn.Close()
-	}
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
@@ -138,11 +113,7 @@
 	answer := func(f frame) {
 		write.Lock()
 		defer write.Unlock()
-		raw := appendFrame(nil, f)
-		if e.fleet.Raw != nil && f.code == codeOK {
-			raw = e.fleet.Raw(e, nil, raw)
-		}
-		_, _ = c.Write(raw)
+		_, _ = c.Write(appendFrame(nil, f))
 	}
 	onConn := map[uint64]*Arrival{}
 	var mu sync.Mutex
@@ -153,12 +124,7 @@
 			mu.Lock() // all that is open on it is given up
 			e.fleet.mu.Lock()
 			for _, a := range onConn {
-				if a.GivenAt == 0 {
-					a.GivenAt = Now()
-				}
-				if a.Answered == 0 && a.RanAt == 0 {
-					a.GivenUp = true
-				}
+				a.GivenUp = true
 			}
 			e.fleet.mu.Unlock()
 			mu.Unlock()
@@ -176,21 +142,12 @@
 			if a := onConn[f.id]; a != nil {
 				e.fleet.mu.Lock()
 				a.GivenUp = true
-				if a.GivenAt == 0 {
-					a.GivenAt = Now()
-				}
 				e.fleet.mu.Unlock()
 				e.fleet.Record.Line("given up   %s at %s", a.Request, e.Name())
 			}
 			mu.Unlock()
 		case codeHealth, codeReport:
-			e.mu.Lock()
-			code := byte(codeHealthy)
-			if e.Draining {
-				code = codeDrains
-			}
-			e.mu.Unlock()
-			answer(frame{code: code, id: f.id, fields: e.report()})
+			answer(frame{code: codeHealthy, id: f.id, fields: e.report()})
 		case codeLoad:
 			go e.load(f, answer)
 		case codeUnload:
@@ -250,12 +207,6 @@
 	if e.begin(a) {
 		time.Sleep(e.fleet.Work(a.Class))
 	}
-	if e.fleet.Answer != nil && !e.fleet.Answer(e, a) {
-		return
-	}
-	e.fleet.mu.Lock()
-	a.Answered = Now()
-	e.fleet.mu.Unlock()
 	answer(frame{code: codeOK, id: f.id, fields: e.report(), body: f.body})
 }
 
@@ -274,9 +225,6 @@
 			fl.memory = map[string]time.Duration{}
 		}
 		group := strconv.Itoa(e.Cell) + " " + a.Once
-		if fl.Group != nil {
-			group = fl.Group(a.Class, e) + " " + a.Once
-		}
 		if first, known := fl.memory[group]; known && now-first <= window {
 			a.Repeat = true
 			fl.Record.LineAt(now, "repeat     %s at %s: not run", a.Request, e.Name())
@@ -339,43 +287,3 @@
 	}
 	answer(frame{code: codeOK, id: f.id, fields: fields})
 }
-
-// Reset resets all open connections.
-func (e *Executor) Reset() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for c := range e.open {
-		_ = c.SetLinger(0)
-		_ = c.TCPConn.Close()
-	}
-}
-
-// Die ends the executor: connections are reset, and new ones are refused.
-func (e *Executor) Die() {
-	e.mu.Lock()
-	e.down = true
-	e.mu.Unlock()
-	_ = e.Path.listener.Close()
-	e.Reset()
-}
-
-// SetDraining sets whether the executor says that it drains.
-func (e *Executor) SetDraining(drains bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.Draining = drains
-}
-
-// CloseIdle closes the connections on which no request is open, by a reset if asked for.
-func (e *Executor) CloseIdle(reset bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for c, requests := range e.open {
-		if requests == 0 {
-			if reset {
-				_ = c.SetLinger(0)
-			}
-			_ = c.TCPConn.Close()
-		}
-	}
-}
--- a/review/kit/frame.go
+++ b/review/kit/frame.go
@@ -22,10 +22,8 @@
 
 	codeOK      = 64
 	codeMiss    = 66
-	codeFull    = 67
 	codeError   = 68
 	codeHealthy = 70
-	codeDrains  = 71
 )
 
 type frame struct {
--- a/review/kit/frontend.go
+++ b/review/kit/frontend.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
-	"syscall"
 	"time"
 )
 
@@ -36,7 +35,6 @@
 	Sockets  int
 	Cores    float64
 	Bulletin string
-	Last     uint64
 	Known    []*Executor
 	Zones    []string
 	Kind     string
@@ -70,18 +68,18 @@
 	_ = probe.Close()
 	f := &FrontEnd{Name: "n" + strconv.Itoa(config.Ordinal+1), Address: address, dir: dir}
 	f.config = filepath.Join(dir, f.Name+".json")
-	if err := f.Configure(config); err != nil {
+	if err := f.configure(config); err != nil {
 		return nil, err
 	}
 	if f.logs, err = os.Create(filepath.Join(dir, f.Name+".log")); err != nil {
 		return nil, err
 	}
 	f.root, f.line = root, line
-	return f, f.Start()
+	return f, f.start()
 }
 
-// Start starts the process and waits until it is ready.
-func (f *FrontEnd) Start() error {
+// start starts the process and waits until it is ready.
+func (f *FrontEnd) start() error {
 	f.process = exec.Command("/bin/sh", "-c", f.line)
 	f.process.Dir = f.root
 	f.process.Env = append(os.Environ(), "RELAY_CONFIG="+f.config, "RELAY_NAME="+f.Name, "RELAY_LISTEN="+f.Address, "TMPDIR="+f.dir)
@@ -103,8 +101,8 @@
 	return fmt.Errorf("%s is not ready", f.Name)
 }
 
-// Configure writes the configuration file.
-func (f *FrontEnd) Configure(config FrontEndConfig) error {
+// configure writes the configuration file.
+func (f *FrontEnd) configure(config FrontEndConfig) error {
 	hosts := []map[string]any{}
 	for _, e := range config.Known {
 		hosts = append(hosts, map[string]any{
@@ -116,8 +114,8 @@
 		"name": f.Name, "listen": f.Address, "seed": RandomHex(16),
 		"limits":   map[string]any{"cores": config.Cores, "memory_mb": config.Memory, "sockets": config.Sockets},
 		"bulletin": config.Bulletin,
-		"known": map[string]any{"no": config.Last, "items": []any{
-			map[string]any{"no": config.Last, "roster": map[string]any{"seq": config.Last, "whole": true, "hosts": hosts}},
+		"known": map[string]any{"no": 1, "items": []any{
+			map[string]any{"no": 1, "roster": map[string]any{"seq": 1, "whole": true, "hosts": hosts}},
 		}},
 		"settings": config.Settings,
 	}, "", " ")
@@ -127,9 +125,6 @@
 	return os.WriteFile(f.config, text, 0o644)
 }
 
-// Signal sends a signal to the front end's process.
-func (f *FrontEnd) Signal(s syscall.Signal) { _ = f.process.Process.Signal(s) }
-
 // HasExited reports whether the process has ended.
 func (f *FrontEnd) HasExited() bool {
 	select {
@@ -140,9 +135,6 @@
 	}
 }
 
-// Exited is closed when the process has ended.
-func (f *FrontEnd) Exited() <-chan struct{} { return f.exited }
-
 // Kill ends the process at once.
 func (f *FrontEnd) Kill() {
 	if f == nil || f.process == nil || f.process.Process == nil {
@@ -152,16 +144,6 @@
 	<-f.exited
 }
 
-// Status returns the memory lines of the process's status.
-func (f *FrontEnd) Status() string {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.process.Process.Pid))
-	var out string
-	for _, line := range regexp.MustCompile(`(?m)^(Vm(HWM|RSS)|RssAnon):.*$`).FindAllString(string(text), -1) {
-		out += line + " "
-	}
-	return out
-}
-
 // AnonymousKB returns the anonymous memory of the front end's process, without the pages of its program file, in kB.
 func (f *FrontEnd) AnonymousKB() (kb int) {
 	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.process.Process.Pid))
--- a/review/kit/path.go
+++ b/review/kit/path.go
@@ -117,7 +117,7 @@
 func (c *Conn) Read(buf []byte) (int, error) {
 	n, err := c.TCPConn.Read(buf)
 	if c.path.wait() && c.wasReset() {
-		_ = c.TCPConn.Close()
+		_ = c.Close()
 		return 0, syscall.ECONNRESET
 	}
 	return n, err
--- a/review/late-begin/main.go
+++ b/review/late-begin/main.go
@@ -47,9 +47,7 @@
 		fmt.Println(err)
 		os.Exit(2)
 	}
-	if err := play(world); err != nil {
-		world.Exit(2, "the case could not run: %v", err)
-	}
+	world.Exit(2, "the case could not run: %v", play(world))
 }
 
 // load is the clients of the front end.
@@ -64,6 +62,7 @@
 	revoked int
 }
 
+// play ends the process, or returns why the case could not run.
 func play(world *kit.World) error {
 	fleet := &kit.Fleet{
 		Record: world.Record, OnMiss: "load", LoadTime: 500 * time.Millisecond, Report: "queue:0",
@@ -83,12 +82,12 @@
 		}
 		all = append(all, e)
 	}
-	bulletin, err := kit.NewBulletin(1)
+	bulletin, err := kit.NewBulletin()
 	if err != nil {
 		return err
 	}
 	frontEnd, err := world.Start(kit.FrontEndConfig{
-		Ordinal: 0, Memory: 128, Sockets: 256, Cores: 1, Bulletin: bulletin.Address(), Last: 1, Known: all,
+		Ordinal: 0, Memory: 128, Sockets: 256, Cores: 1, Bulletin: bulletin.Address(), Known: all,
 		Zones: kit.SicilyRidesZones, Kind: "quad-std", Settings: kit.SicilyRides(0, 24),
 	})
 	if err != nil {
--- a/review/late-retry/main.go
+++ b/review/late-retry/main.go
@@ -30,18 +30,16 @@
 		fmt.Println(err)
 		os.Exit(2)
 	}
-	if err := play(world); err != nil {
-		world.Exit(2, "the case could not run: %v", err)
-	}
+	world.Exit(2, "the case could not run: %v", play(world))
 }
 
+// play ends the process, or returns why the case could not run.
 func play(world *kit.World) error {
 	var mu sync.Mutex
 	var victim *kit.Call // the cut begins when its first attempt has arrived
 	var members []*kit.Executor
 	cut := make(chan *kit.Arrival, 1)
-	var fleet *kit.Fleet
-	fleet = &kit.Fleet{
+	fleet := &kit.Fleet{
 		Record: world.Record, OnMiss: "miss", LoadTime: loadTime,
 		Work: func(string) time.Duration { return work },
 		Window: func(class string) time.Duration {
@@ -68,12 +66,12 @@
 		}
 		all = append(all, e)
 	}
-	bulletin, err := kit.NewBulletin(1)
+	bulletin, err := kit.NewBulletin()
 	if err != nil {
 		return err
 	}
 	frontEnd, err := world.Start(kit.FrontEndConfig{
-		Ordinal: 0, Memory: 128, Sockets: 512, Cores: 1, Bulletin: bulletin.Address(), Last: 1, Known: all,
+		Ordinal: 0, Memory: 128, Sockets: 512, Cores: 1, Bulletin: bulletin.Address(), Known: all,
 		Zones: kit.HarbourFerriesZones, Kind: "shed-4c", Settings: kit.HarbourFerries(0, 0, 3),
 	})
 	if err != nil {
--- a/review/memory/main.go
+++ b/review/memory/main.go
@@ -18,12 +18,12 @@
 )
 
 const (
-	executors  = 14
+	executors  = 64 // of up to 120
 	memoryMB   = 64
 	sockets    = 512
 	badClients = 40 // connections; a third of the descriptors, 170, would be allowed
 	atOnce     = 30 // requests open on each
-	badWait    = "500"
+	badWait    = "400"
 	rate       = 40 // requests of the usual clients a second
 	quiet      = 5 * time.Second
 	length     = 60 * time.Second
@@ -35,11 +35,10 @@
 		fmt.Println(err)
 		os.Exit(2)
 	}
-	if err := play(world); err != nil {
-		world.Exit(2, "the case could not run: %v", err)
-	}
+	world.Exit(2, "the case could not run: %v", play(world))
 }
 
+// play ends the process, or returns why the case could not run.
 func play(world *kit.World) error {
 	var mu sync.Mutex
 	known := map[string]bool{}
@@ -66,12 +65,12 @@
 		}
 		all = append(all, e)
 	}
-	bulletin, err := kit.NewBulletin(1)
+	bulletin, err := kit.NewBulletin()
 	if err != nil {
 		return err
 	}
 	frontEnd, err := world.Start(kit.FrontEndConfig{
-		Ordinal: 0, Memory: memoryMB, Sockets: sockets, Cores: 1, Bulletin: bulletin.Address(), Last: 1, Known: all,
+		Ordinal: 0, Memory: memoryMB, Sockets: sockets, Cores: 1, Bulletin: bulletin.Address(), Known: all,
 		Zones: kit.SicilyRidesZones, Kind: "quad-std", Settings: kit.SicilyRides(0, 3),
 	})
 	if err != nil {
