Bound what a front end remembers of the functions that clients name

Cause: each admitted request for a new name left a record in the gateway for 10 minutes and one in the scheduler for 2 minutes, without a bound. Per name 1.1 KB with 64 workers.

Related path, same cause: while workers are silent, five residency queries per new name stay unanswered for up to the load order timeout (10 s), bounded only by the queue of each worker (4,096 each).

Change: Settings.MaxFunctions (64 per MB of the memory limit on the platform, directive max-functions elsewhere). The scheduler forgets idle functions first, then those that have no request and no loading replica, longest unused first; functions with requests are bounded by the requests in flight. The gateway's records have a table of their own, which counts the requests that refer to a function and evicts unused ones in the order in which they became unused. No residency query is sent while 2,048 load orders and queries are unanswered. The totals in the log have the number of evictions.

--- a/internal/config/gatewayconfig/directives.go
+++ b/internal/config/gatewayconfig/directives.go
@@ -85,6 +85,8 @@
 		func(s *Settings) *tenancy.ShareBasis { return &s.ShareBasis }),
 	directive.Number("max-calls", 1, 1e6, "20000", "maximum number of requests in flight at one front end; further requests are rejected at once",
 		func(s *Settings) *int { return &s.MaxInFlight }),
+	directive.Number("max-functions", 1, 1e6, "16384", "number of functions without a request that one front end remembers; beyond it, those unused for the longest time are forgotten",
+		func(s *Settings) *int { return &s.MaxFunctions }),
 	directive.Number("queue", 1, 1e6, "4096", "maximum number of requests that wait for the event loop of one front end; further requests are rejected at once",
 		func(s *Settings) *int { return &s.RequestQueue }),
 	directive.Size("window", 1<<10, 64<<20, "256k", "flow control window: bytes of one response from a worker that may be buffered",
--- a/internal/config/gatewayconfig/settings.go
+++ b/internal/config/gatewayconfig/settings.go
@@ -68,6 +68,7 @@
 
 	DeadlineMargin  time.Duration // how long before the request's deadline the final response is sent
 	MaxInFlight     int           // requests in flight at one front end
+	MaxFunctions    int           // functions without a request that one front end remembers
 	RequestQueue    int           // requests that wait for the event loop of one front end
 	ResponseWindow  int           // bytes of one response from a worker that may be buffered
 	MaxBody         int           // largest request body in bytes
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -6,7 +6,6 @@
 
 	"havencart/internal/decide/execution"
 	"havencart/internal/decide/tenancy"
-	"havencart/internal/native/muxframe"
 	"havencart/scheduler"
 )
 
@@ -71,13 +70,12 @@
 		return
 	}
 	functionID := FunctionID(request.Replica.Function)
-	fn := f.registerFunction(functionID, request.Replica)
-	if fn == nil {
+	request.function = f.functions.acquire(functionID, request.Replica)
+	if request.function == nil {
 		f.reject(request, FunctionNameCollision)
 		return
 	}
 	request.id = f.nextRequestID()
-	request.function = fn
 	request.record = execution.NewRecord(&f.settings.Scheduler.Classes[request.Class])
 	request.enter(requestInFlight)
 	f.fillNames(request)
@@ -97,22 +95,6 @@
 	})
 }
 
-// registerFunction records that a function was used and stores its latest replica specification. It returns nil if the
-// hash of the function's name collides with that of another known function, whether by chance or by intent: the
-// scheduler could not distinguish the replicas of the two functions.
-func (f *FrontEnd) registerFunction(id scheduler.FunctionID, replica muxframe.ReplicaSpec) *function {
-	known := f.functions[id]
-	if known == nil {
-		known = &function{}
-		f.functions[id] = known
-	} else if known.replica.Function != replica.Function {
-		return nil
-	}
-	known.replica = replica
-	known.lastUsed = f.now
-	return known
-}
-
 // nextRequestID returns a nonzero identifier that no request in flight uses.
 func (f *FrontEnd) nextRequestID() scheduler.RequestID {
 	for {
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -35,9 +35,7 @@
 func TestAdmission_FunctionNameCollision_Rejected(t *testing.T) {
 	harness := newHarness(t, 1, nil)
 	request := harness.submit(idempotentClass)
-	for _, f := range harness.functions {
-		f.replica.Function = "another"
-	}
+	harness.functions.find(FunctionID("f")).replica.Function = "another"
 	harness.wantResponse(harness.submit(idempotentClass), Rejected)
 	harness.endWith(request, scheduler.OK)
 }
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -125,7 +125,7 @@
 		worker.remove(attempt)
 		harness.clock += 400 * ms
 		harness.AttemptEnded(harness.clock, attempt, workerconn.Result{Status: scheduler.OK, ColdStart: scheduler.WarmStart, QueueDepth: -1, RunTime: runTime, Response: &workerconn.Response{}})
-		if got := harness.functions[FunctionID("f")].cost.Estimate(); got != cmp.Or(runTime, 400*ms) {
+		if got := harness.functions.find(FunctionID("f")).cost.Estimate(); got != cmp.Or(runTime, 400*ms) {
 			t.Errorf("an execution of %v within 400 ms costs %v", runTime, got)
 		}
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -11,10 +11,6 @@
 // sweepInterval is the time between two sweeps. See FrontEnd.sweep.
 const sweepInterval = time.Second
 
-// functionRetention is how long the record of a function is kept after its last request. It is longer than the time for
-// which the scheduler remembers a function.
-const functionRetention = 10 * time.Minute
-
 // EndpointsChanged handles a complete list of workers. The clients of draining and removed workers return their unsent
 // work before the scheduler is notified, so that nothing new can be sent to these workers afterwards.
 func (f *FrontEnd) EndpointsChanged(now time.Duration, list []discovery.Worker) {
@@ -168,11 +164,7 @@
 	for _, id := range sortedKeys(f.retiring) {
 		f.sweepWorker(f.retiring[id])
 	}
-	for id, function := range f.functions {
-		if f.now-function.lastUsed > functionRetention {
-			delete(f.functions, id)
-		}
-	}
+	f.functions.expire(f.now - functionRetention)
 }
 
 // sweepWorker stops the idle clients of a worker's previous addresses and, if the worker was removed and is idle, its
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -122,8 +122,10 @@
 	Counts    Counts
 	Times     LoopTimes
 	Workers   int // workers that are listed, or that were removed and still have work in flight
-	Functions int // functions with recent requests
-	InFlight  int // requests that await their final response or have an attempt in flight
+	Functions int // functions with requests in flight or before, as far as they are remembered
+	// FunctionsEvicted counts the functions that were forgotten because clients named too many.
+	FunctionsEvicted uint64
+	InFlight         int // requests that await their final response or have an attempt in flight
 }
 
 // Snapshot returns the loop's state, or the zero value if the loop has ended. It waits for the loop to process the
@@ -144,8 +146,10 @@
 		Counts:    l.counts(),
 		Times:     l.times,
 		Workers:   len(l.frontEnd.workers),
-		Functions: len(l.frontEnd.functions),
+		Functions: l.frontEnd.functions.size(),
 		InFlight:  len(l.frontEnd.requests),
+
+		FunctionsEvicted: l.frontEnd.functions.evicted,
 	}
 }
 
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -12,7 +12,6 @@
 	"havencart/internal/decide/looplag"
 	"havencart/internal/decide/tenancy"
 	"havencart/internal/discovery"
-	"havencart/internal/native/muxframe"
 	"havencart/internal/shadow"
 	"havencart/internal/workerconn"
 	"havencart/scheduler"
@@ -134,7 +133,7 @@
 	workers       map[scheduler.WorkerID]*worker
 	retiring      map[scheduler.WorkerID]*worker // workers with clients that sweep has to stop
 	overridden    map[scheduler.WorkerID]*worker // state or start is not as listed; until the list is confirmed
-	functions     map[scheduler.FunctionID]*function
+	functions     *functionTable
 
 	// Numbers that stand for names in the scheduler, assigned in the order in which the names are first seen.
 	zones map[string]int
@@ -145,13 +144,6 @@
 	counts       Counts
 }
 
-// function is the state of a function, collected from its requests.
-type function struct {
-	replica  muxframe.ReplicaSpec
-	lastUsed time.Duration
-	cost     tenancy.WorkEstimator
-}
-
 // NewFrontEnd returns a FrontEnd that starts at now, without workers.
 func NewFrontEnd(now time.Duration, settings Settings, dependencies Dependencies, log zerolog.Logger) *FrontEnd {
 	frontEnd := &FrontEnd{
@@ -172,7 +164,7 @@
 		overridden:   map[scheduler.WorkerID]*worker{},
 		workers:      map[scheduler.WorkerID]*worker{},
 		retiring:     map[scheduler.WorkerID]*worker{},
-		functions:    map[scheduler.FunctionID]*function{},
+		functions:    newFunctionTable(settings.Scheduler.FunctionLimit()),
 		zones:        map[string]int{},
 		cells:        map[string]int{},
 		kinds:        map[string]int{},
--- a/internal/gateway/load_orders.go
+++ b/internal/gateway/load_orders.go
@@ -22,7 +22,7 @@
 // Load implements scheduler.Actions. It sends an order to load replicas of a function or, if replicas is 0, a residency
 // query, which asks how many replicas are resident.
 func (f *FrontEnd) Load(to scheduler.WorkerID, id scheduler.FunctionID, replicas int) {
-	worker, function := f.workers[to], f.functions[id]
+	worker, function := f.workers[to], f.functions.find(id)
 	if worker == nil || function == nil {
 		f.deferred = append(f.deferred, func() {
 			f.scheduler.LoadEnded(f.now, scheduler.LoadResult{Worker: to, Function: id, Status: scheduler.ConnectFailed})
@@ -56,7 +56,7 @@
 
 // Unload implements scheduler.Actions: it asks a worker to unload the idle replicas of a function.
 func (f *FrontEnd) Unload(from scheduler.WorkerID, id scheduler.FunctionID) {
-	worker, function := f.workers[from], f.functions[id]
+	worker, function := f.workers[from], f.functions.find(id)
 	if worker != nil && function != nil {
 		worker.client.Unload(function.replica.Function)
 	}
--- a/internal/gateway/loop_times.go
+++ b/internal/gateway/loop_times.go
@@ -92,6 +92,6 @@
 // addLoopFields adds the sizes that the cost of a step may depend on to a log line.
 func (l *EventLoop) addLoopFields(line *zerolog.Event) *zerolog.Event {
 	return line.Int("requests-queued", len(l.requests)).Int("events-queued", len(l.events)).
-		Int("workers", len(l.frontEnd.workers)).Int("functions", len(l.frontEnd.functions)).
+		Int("workers", len(l.frontEnd.workers)).Int("functions", l.frontEnd.functions.size()).
 		Int("in-flight", len(l.frontEnd.requests))
 }
--- a/internal/gateway/platform_config.go
+++ b/internal/gateway/platform_config.go
@@ -28,6 +28,8 @@
 
 func (p *PlatformServer) loopConfig() EventLoopConfig {
 	settings := p.config.Settings
+	rules := settings.Scheduler
+	rules.MaxFunctions = functionsPerMB * p.config.MemoryMB
 	return EventLoopConfig{
 		Source:          p.endpoints,
 		RequestQueue:    platformRequestQueue,
@@ -39,7 +41,7 @@
 			Classes:        settings.ClassNames,
 			Tenants:        settings.TenantNames,
 			Zones:          settings.ZoneNames,
-			Scheduler:      settings.Scheduler,
+			Scheduler:      rules,
 			EndpointRules:  p.endpointRules(),
 			DeadlineMargin: platformDeadlineMargin,
 			MaxInFlight:    min(platformMaxInFlight, settings.MaxInFlight),
--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -43,6 +43,7 @@
 	platformLogInterval               = 5 * time.Second // time between two log lines with the totals
 	memoryLimitFraction               = 0.7             // fraction of the memory above which the GC works harder
 	bodyMemoryFraction                = 0.25            // fraction of the memory for the bodies of requests in flight
+	functionsPerMB                    = 64              // functions remembered per MB; each takes about 1 KB
 	bytesPerMB                        = 1 << 20
 )
 
@@ -264,7 +265,7 @@
 	runtime.ReadMemStats(&memory)
 	loop := p.loop.Snapshot()
 	p.log.Info().Interface("counts", loop.Counts).Interface("clients", p.clients.Counts()).
-		Interface("loop", loop.Times).Int("workers", loop.Workers).Int("functions", loop.Functions).Int("in-flight", loop.InFlight).
+		Interface("loop", loop.Times).Int("workers", loop.Workers).Int("functions", loop.Functions).Uint64("functions-evicted", loop.FunctionsEvicted).Int("in-flight", loop.InFlight).
 		Int("client-connections", p.clients.ConnectionCount()).Int("worker-connections", p.budget.Used()).
 		Dur("processor-time", processorTime()).Uint32("collections", memory.NumGC).Float64("collector-part", memory.GCCPUFraction).
 		Int("goroutines", runtime.NumGoroutine()).Uint64("heap-kb", memory.HeapAlloc>>10).Uint64("sys-kb", memory.Sys>>10).
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -123,10 +123,13 @@
 	}
 }
 
-// removeIfDone removes a request that is in a final state and has no attempt in flight.
+// removeIfDone removes a request that is in a final state and has no attempt in flight. It does nothing if the request
+// was removed before or was never admitted.
 func (f *FrontEnd) removeIfDone(request *Request) {
-	if request.state.isFinal() && request.current == nil {
-		delete(f.requests, request.id)
-		f.requestTimers.remove(&request.timer)
+	if !request.state.isFinal() || request.current != nil || f.requests[request.id] != request {
+		return
 	}
+	delete(f.requests, request.id)
+	f.requestTimers.remove(&request.timer)
+	f.functions.release(f.now, request.function)
 }
--- a/internal/gateway/service_settings.go
+++ b/internal/gateway/service_settings.go
@@ -80,6 +80,7 @@
 		Seed:                seed,
 		FrontEndIndex:       settings.FirstFrontEndIndex + i,
 		FrontEndCount:       settings.FrontEndCount,
+		MaxFunctions:        settings.MaxFunctions,
 		ReportsNotLoaded:    settings.ReportsNotLoaded,
 		LoadOrdersAllowed:   settings.LoadOrdersAllowed,
 		ReportsColdStart:    settings.ReportsColdStart,
--- a/internal/gateway/service_settings_test.go
+++ b/internal/gateway/service_settings_test.go
@@ -34,7 +34,7 @@
 	}
 	got := SettingsFromConfig(settings, 0, time.Time{}, 3)
 	want := scheduler.Settings{
-		Seed: 3, FrontEndCount: 1, LoadOrdersAllowed: true, ReportsColdStart: true, ReportsQueueDepth: true, ReplicaIdleTimeout: 10 * time.Second,
+		Seed: 3, FrontEndCount: 1, MaxFunctions: 16384, LoadOrdersAllowed: true, ReportsColdStart: true, ReportsQueueDepth: true, ReplicaIdleTimeout: 10 * time.Second,
 		LoadOrderTimeout: 10 * time.Second, LoadRateBurst: 4, LoadRatePerRequest: 0.1, HealthChecksAllowed: true, CancelAllowed: true, MaxAttempts: 5,
 		MaxRetryAfter: time.Second, ConnectTimeout: 250 * ms, DrainGrace: 500 * ms, SlowStartFraction: 0.2, SlowStartDuration: 15 * time.Second,
 		OverloadFactor: 3, OverloadWindow: 2 * time.Second, Resolution: ms, LoadReportFields: loadReportFields,
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -30,7 +30,7 @@
 	s.recordOutcome(request, replica, &outcome)
 	replica.lastEndedAt = request.sentAt + outcome.Latency
 	if request.closed = request.closed || outcome.RequestClosed; request.closed {
-		delete(s.requests, request.ID)
+		s.removeRequest(request)
 	} else {
 		s.retryOrFinish(request, replica.worker, outcome.Status)
 	}
--- a/scheduler/function_table_test.go
+++ b/scheduler/function_table_test.go
@@ -26,6 +26,18 @@
 			t.Errorf("function %d is in the active list: %t, its active field: %t", id, isActive, function.active)
 		}
 	}
+	requests := map[*functionRecord]int{}
+	for _, request := range s.requests {
+		requests[request.function]++
+	}
+	for function, count := range requests {
+		if table.byID[function.id] != function {
+			t.Errorf("function %d has requests but is not in the table", function.id)
+		}
+		if function.requests != count {
+			t.Errorf("function %d counts %d requests, want %d", function.id, function.requests, count)
+		}
+	}
 	if !slices.IsSortedFunc(table.active, s.comparePriority) {
 		t.Error("the active functions are not sorted by priority")
 	}
@@ -97,6 +109,61 @@
 	}
 }
 
+// TestFunctionTable_RequestsForEverNewFunctions_StaysBounded guards against a front end that is killed for its memory
+// because clients name functions that no worker knows. Some workers do not answer, so that queries stay unanswered.
+func TestFunctionTable_RequestsForEverNewFunctions_StaysBounded(t *testing.T) {
+	settings := testSettings()
+	settings.MaxFunctions = 50
+	harness := newHarness(t, settings, 6)
+	s := harness.scheduler
+	used := harness.warm(1)
+	for i := range 2000 {
+		request := harness.request(FunctionID(1000+i), i%3)
+		if i%2 == 0 {
+			harness.answerQueries()
+		}
+		if len(harness.sentTo[request]) > 0 {
+			harness.endAttempt(request, Error, ColdStartFailed)
+		}
+		if i%20 == 0 {
+			harness.endAttempt(harness.request(1, 0), OK, WarmStart)
+			harness.advance(tickInterval)
+		}
+		verifyFunctions(t, s)
+		busy := 0
+		for _, function := range s.functions.byID {
+			if function.isBusy() {
+				busy++
+			}
+		}
+		if kept := len(s.functions.byID); kept > max(settings.MaxFunctions, busy+1) {
+			t.Fatalf("%d functions are remembered after %d new ones, %d of them busy; want at most %d", kept, i+1, busy, settings.MaxFunctions)
+		}
+	}
+	function := s.functions.byID[1]
+	if function == nil || function.replicaOn(s.endpoints.byID[used]) == nil {
+		t.Error("the function in use was forgotten in favour of functions that never ran")
+	}
+}
+
+// TestQueryResidency_WorkersSilent_UnansweredQueriesAreBounded guards against growth of the load orders in flight while
+// workers are silent and each request names a new function.
+func TestQueryResidency_WorkersSilent_UnansweredQueriesAreBounded(t *testing.T) {
+	harness := newHarness(t, testSettings(), 6)
+	for i := range 2 * maxLoadOrders {
+		harness.request(FunctionID(1000+i), 0)
+	}
+	if unanswered := len(harness.scheduler.loadOrders); unanswered > maxLoadOrders || unanswered < maxLoadOrders/2 {
+		t.Errorf("%d queries are unanswered, want at most %d, and at least half of that", unanswered, maxLoadOrders)
+	}
+	harness.answerQueries()
+	before := len(harness.queries)
+	harness.request(1, 0)
+	if len(harness.queries) == before {
+		t.Error("no query is sent after the others were answered")
+	}
+}
+
 // BenchmarkManyFunctions measures single events after 12,000 functions were requested once within two minutes.
 func BenchmarkManyFunctions(b *testing.B) {
 	harness := newHarness(&testing.T{}, testSettings(), 3000)
--- a/scheduler/replicas.go
+++ b/scheduler/replicas.go
@@ -41,6 +41,7 @@
 	active             bool          // true if in functionTable.active, false if in functionTable.idle
 	concurrency        int           // requests that one replica executes at a time
 	advertisedLoadTime time.Duration // usual load time; 0 if not advertised
+	requests           int           // requests that are queued or have an attempt in flight
 	queue              []*requestRecord
 	replicas           []*replicaRecord
 	runTime            estimate.MovingAverage // nanoseconds
@@ -159,6 +160,11 @@
 	return len(f.queue)+len(f.replicas)+f.pendingQueries > 0
 }
 
+// isBusy reports whether the function has a request, queued or in flight, or a replica that is loading.
+func (f *functionRecord) isBusy() bool {
+	return f.requests > 0 || slices.ContainsFunc(f.replicas, func(replica *replicaRecord) bool { return replica.loading })
+}
+
 // inFlight counts the attempts in flight.
 func (f *functionRecord) inFlight() (count int) {
 	for _, replica := range f.replicas {
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -51,6 +51,7 @@
 		request.overQuota = s.tenants.exceeds(received.Tenant, s.settings.Tenants[received.Tenant].Share)
 	}
 	s.requests[received.ID] = request
+	function.requests++
 	s.loadRate.recordRequest(s.now, s.settings.LoadRateWindow)
 	s.recordDemand(request)
 	function.queue = append(function.queue, request)
@@ -82,10 +83,16 @@
 	request.closed = true
 	if request.replica == nil {
 		request.function.queue = without(request.function.queue, request)
-		delete(s.requests, request.ID)
+		s.removeRequest(request)
 	}
 }
 
+// removeRequest removes the record of a closed request that has no attempt in flight.
+func (s *Scheduler) removeRequest(request *requestRecord) {
+	delete(s.requests, request.ID)
+	request.function.requests--
+}
+
 // detach removes the attempt in flight from its replica and worker, and returns the replica.
 func (r *requestRecord) detach() *replicaRecord {
 	replica := r.replica
--- a/scheduler/residency.go
+++ b/scheduler/residency.go
@@ -5,6 +5,7 @@
 const (
 	residencyQueryTimeout = 30 * time.Millisecond // how long a request waits for answers
 	residencyQueryFanout  = 5                     // number of workers queried, the first in placement order
+	maxLoadOrders         = 2048                  // unanswered orders and queries above which none is added
 )
 
 // prewarm orders a load of the function at the first of this front end's preferred workers that is available,
@@ -32,12 +33,14 @@
 // is called when no replica is known to be warm, or when queue delays at the warm ones call for another load;
 // a query costs milliseconds, a load hundreds. It queries the first workers in placement order and reports
 // whether to wait for their answers. A lagging front end sends no queries: each may cost it a new connection,
-// and without them it loads the function at the worker that the other front ends try first too.
+// and without them it loads the function at the worker that the other front ends try first too. Neither does
+// one with maxLoadOrders unanswered: workers may be silent while clients name ever new functions.
 func (s *Scheduler) queryResidency(function *functionRecord) bool {
 	if s.stall.isLagging(s.now) {
 		return s.awaitsResidency(function)
 	}
-	if !s.settings.LoadOrdersAllowed || s.now-function.queriedAt < freshnessWindow {
+	tooSoon := s.now-function.queriedAt < freshnessWindow
+	if !s.settings.LoadOrdersAllowed || tooSoon || len(s.loadOrders) > maxLoadOrders-residencyQueryFanout {
 		return s.awaitsResidency(function)
 	}
 	function.queriedAt, function.pendingQueries = s.now, 0 // older unanswered queries are disregarded
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -8,6 +8,8 @@
 	watchRetryInterval = time.Second           // before the endpoint list is requested again after a failure
 	freshnessWindow    = time.Second           // how long an observation counts as current
 	functionIdleTime   = 2 * idleProbeAfter    // how long an unused function is remembered
+
+	defaultMaxFunctions = 16384 // limit if Settings.MaxFunctions is 0
 )
 
 // New returns the scheduler of a front end that starts at now. It initially knows no workers and no
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -72,6 +72,7 @@
 	Zone          int // zone of this front end
 	Classes       []Class
 	Tenants       []Tenant
+	MaxFunctions  int // functions remembered, apart from those with requests or loads; 0 for defaultMaxFunctions
 
 	ReportsNotLoaded   bool          // a worker without the function reports NotLoaded instead of loading it
 	LoadOrdersAllowed  bool          // Actions.Load and Actions.Unload may be used
