Give up a retry that may arrive after its idempotency key was forgotten

Cause: the guard limits until when an attempt may be written, not until when it may arrive.

Change: frames are numbered as they are written, and a response to one confirms it and all before it. Behind an attempt with a permit goes a health check, or a ping in our own protocol, whose answer confirms it while it is executed. At the end of the permit an attempt that is not confirmed is given up and its connection reset at once, which discards what the kernel holds. A confirmed one waits for its response as before. Both worker clients and the emulated one in virtual time have it. The laboratory's proxy drops what it holds once the sender has reset the connection.

--- a/cmd/havencart/incident_test.go
+++ b/cmd/havencart/incident_test.go
@@ -35,7 +35,7 @@
 	"known":{"no":1,"items":[{"no":1,"roster":{"seq":1,"whole":true,"hosts":[
 	{"host":"s-00000001","dial":%q,"site":"room","class":"std","block":0,"health":"up","share":1,"born_ms":0}]}}]},
 	"settings":{"azs":["room"],"skus":["std"],
-	"limits":{"streamsPerConn":32,"connectTimeout":5000.0,"connIdle":30000.0,"maxAttempts":5,"mayCancel":true},
+	"limits":{"streamsPerConn":32,"connectTimeout":5000.0,"connIdle":30000.0,"maxAttempts":%d,"mayCancel":true,"probes":%t},
 	"rules":{"stopSendingWithin":500.0},"familyInfo":{"keep":8000.0},
 	"classes":[{"name":"status","deadline":20000.0,"onTime":1500.0,"repeat":"dedup","keyScope":"cell","memorySpan":500.0,"worth":2.0}]}}`
 
@@ -74,8 +74,33 @@
 	retry    map[string]any   // log fields of the front end's line about the retry
 }
 
+// keyExpirySettings are the settings of a front end that differ between the tests.
+type keyExpirySettings struct {
+	maxAttempts         int
+	healthChecksAllowed bool
+}
+
+// respond is a script of a worker that executes requests and responds at once.
+func respond(c *platformworker.Conn, f workerframe.Frame) {
+	c.Respond(workerframe.Frame{Code: workerframe.OK, ID: f.ID, Body: f.Body})
+}
+
 // startWithWaitingRetry starts an installation and returns once the retry waits for its connection.
 func startWithWaitingRetry(t *testing.T) *keyExpiryInstallation {
+	t.Helper()
+	holdConnects := func(proxy *faultproxy.Proxy) {
+		if err := proxy.HoldConnects(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return startWithRetry(t, keyExpirySettings{maxAttempts: 5}, holdConnects, respond)
+}
+
+// startWithRetry starts an installation and returns once the front end has decided the retry. interrupt interrupts the
+// network path to the second worker, which runs script.
+func startWithRetry(
+	t *testing.T, settings keyExpirySettings, interrupt func(*faultproxy.Proxy), script platformworker.Script,
+) *keyExpiryInstallation {
 	t.Helper()
 	installation := &keyExpiryInstallation{T: t, response: make(chan [2]any, 1)}
 	discovery, err := platformdiscovery.Start()
@@ -85,18 +110,15 @@
 	t.Cleanup(discovery.Close)
 	received := make(chan *platformworker.Conn, 1)
 	first := installation.startWorker(func(c *platformworker.Conn, _ workerframe.Frame) { received <- c })
-	second := installation.startWorker(func(c *platformworker.Conn, f workerframe.Frame) {
-		c.Respond(workerframe.Frame{Code: workerframe.OK, ID: f.ID, Body: f.Body})
-	})
+	second := installation.startWorker(script)
 	installation.proxy, err = faultproxy.Start(second.Address())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(installation.proxy.Close)
-	if err := installation.proxy.HoldConnects(); err != nil {
-		t.Fatal(err)
-	}
-	installation.frontEnd = startProcess(t, fmt.Sprintf(keyedConfig, discovery.Address(), first.Address()))
+	interrupt(installation.proxy)
+	config := fmt.Sprintf(keyedConfig, discovery.Address(), first.Address(), settings.maxAttempts, settings.healthChecksAllowed)
+	installation.frontEnd = startProcess(t, config)
 	installation.client = installation.frontEnd.connect(installation.frontEnd.waitForLog("running")["listen"].(string))
 	<-discovery.Resumed()
 	go installation.call() // returns when the response arrives or the connection ends
@@ -188,11 +210,7 @@
 // response is not a failure.
 func (k *keyExpiryInstallation) verify() {
 	k.Helper()
-	response := <-k.response
-	k.frontEnd.signal(syscall.SIGTERM)
-	if code := k.frontEnd.waitForExit(); code != 0 {
-		k.Errorf("the front end exited with code %d", code)
-	}
+	response := k.stop()
 	first, last, count := k.requests.firstAndLast()
 	k.Logf("%d attempts, the last one %v after the first; log fields of the retry: %v", count, last.Sub(first), k.retry)
 	if count > 1 && last.Sub(first) > keyRetention+timingSlack {
@@ -203,6 +221,17 @@
 	}
 }
 
+// stop waits for the final response and stops the front end.
+func (k *keyExpiryInstallation) stop() (response [2]any) {
+	k.Helper()
+	response = <-k.response
+	k.frontEnd.signal(syscall.SIGTERM)
+	if code := k.frontEnd.waitForExit(); code != 0 {
+		k.Errorf("the front end exited with code %d", code)
+	}
+	return response
+}
+
 // The connection for the retry is established after the key has expired.
 func TestIncident1_ConnectionUpAfterKeyExpired_RetryIsNotSent(t *testing.T) {
 	installation := startWithWaitingRetry(t)
--- a/internal/gateway/deadlines.go
+++ b/internal/gateway/deadlines.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// attemptTimerFired handles an attempt's timer. It ends an attempt whose deadline has passed, and one that is still
-// unsent when its permit to be sent ends.
+// attemptTimerFired handles an attempt's timer. It ends an attempt whose deadline has passed, and one that may still
+// reach its worker after its permit has ended: because it is unsent, or because the network may hold it.
 func (f *FrontEnd) attemptTimerFired(attempt *requestAttempt) {
 	switch {
 	case attempt.state > attemptPending: // the response has started, or the attempt has ended
@@ -88,7 +88,9 @@
 		f.abandonAttempt(attempt, scheduler.Timeout, attemptTimedOut)
 	case attempt.state == attemptAwaitingWorker || attempt.worker.cancelUnsent(attempt):
 		f.endAttempt(attempt, abandonedResult(scheduler.NotSent, attemptNotSentInTime))
-	default: // the attempt was sent in time: wait for the response until the deadline
+	case !attempt.worker.isReceived(attempt):
+		f.abandonAttempt(attempt, scheduler.Timeout, attemptNotReceivedInTime)
+	default: // the attempt arrived in time: wait for the response until the deadline
 		attempt.timer.due = attempt.Deadline
 		f.timers.add(&attempt.timer)
 	}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -71,8 +71,12 @@
 	Send(*workerconn.Attempt) *workerconn.Result
 	// CancelUnsent cancels an attempt if no part of it was written, and reports whether it did.
 	CancelUnsent(*workerconn.Attempt) (unsent bool)
-	// Abandon stops waiting for an attempt and reports whether the worker may have received it.
+	// Abandon stops waiting for an attempt and reports whether the worker may have received it. An attempt whose permit
+	// has ended, and which the worker is not known to have received, does not reach the worker afterwards.
 	Abandon(*workerconn.Attempt) (mayBeReceived bool)
+	// IsReceived reports whether the worker is known to have received an attempt, or the attempt has ended. An attempt
+	// that was sent and is not known to be received may arrive later.
+	IsReceived(*workerconn.Attempt) bool
 	// Load sends a load order or a residency query. A nonzero status is its outcome, and no event follows.
 	Load(*workerconn.LoadOrder) scheduler.Status
 	// AbandonLoad stops waiting for a load order or residency query. No event follows.
--- a/internal/gateway/guard_test.go
+++ b/internal/gateway/guard_test.go
@@ -48,6 +48,28 @@
 	}
 }
 
+// TestRetry_NotReceivedWhenKeyExpires_IsGivenUp guards against the second execution of a request whose retry was written
+// before the key expired, is held by an interrupted network path, and reaches its worker after the key has expired.
+func TestRetry_NotReceivedWhenKeyExpires_IsGivenUp(t *testing.T) {
+	harness := newHarness(t, 4, nil)
+	request := harness.submit(keyedClass)
+	harness.advance(100 * ms)
+	for _, worker := range harness.clients {
+		worker.unreachable = true
+	}
+	harness.endWith(request, scheduler.Error)
+	worker, attempt := harness.sentAttempt(request)
+	harness.advance(attempt.NotAfter - harness.clock - ms)
+	if len(worker.sent) != 1 {
+		t.Fatal("the retry was abandoned before the key expired")
+	}
+	harness.advance(ms)
+	if len(worker.sent) != 0 || len(worker.canceled) != 1 {
+		t.Errorf("%d attempts in flight, %d abandoned at the expiry of the key; want 0 and 1", len(worker.sent), len(worker.canceled))
+	}
+	harness.wantResponse(request, Failed)
+}
+
 // scriptedScheduler is a scheduler whose actions are chosen by a test, regardless of the state of the request.
 type scriptedScheduler struct {
 	Scheduler
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -28,6 +28,7 @@
 	healthChecks []*workerconn.HealthCheck // health checks without a response
 	unloads      int
 	holdsWrites  bool // whether attempts stay in the write buffer
+	unreachable  bool // whether what is sent is held by the network
 	rejection    *workerconn.Result
 }
 
@@ -54,6 +55,10 @@
 	return found
 }
 
+func (worker *fakeWorkerClient) IsReceived(attempt *workerconn.Attempt) bool {
+	return !worker.unreachable || !slices.Contains(worker.sent, attempt)
+}
+
 func (worker *fakeWorkerClient) CancelUnsent(attempt *workerconn.Attempt) bool {
 	found := slices.Contains(worker.queued, attempt)
 	if found {
--- a/internal/gateway/platform_config.go
+++ b/internal/gateway/platform_config.go
@@ -72,6 +72,7 @@
 		MaxQueue:             workerQueue,
 		MaxResponse:          platformMaxResponse,
 		LoadReportFields:     settings.Scheduler.LoadReportFields,
+		HealthChecksAllowed:  settings.Scheduler.HealthChecksAllowed,
 		Budget:               p.budget,
 		Seed:                 settings.Scheduler.Seed ^ uint64(id),
 		Now:                  runtime.Now,
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -27,38 +27,40 @@
 	Aborted        // the front end is stopping
 
 	// Reasons to end an attempt.
-	attemptDisconnected  // the client disconnected
-	attemptTimedOut      // the worker did not respond within the response timeout
-	attemptCancelled     // the scheduler cancelled the attempt
-	attemptDrained       // the worker started to drain before the attempt was sent
-	attemptUnwanted      // the request already has its final response
-	attemptNotSentInTime // the attempt was still unsent when its permit or deadline ended
-	attemptUnconfirmed   // the worker did not confirm that it accepts new work
+	attemptDisconnected      // the client disconnected
+	attemptTimedOut          // the worker did not respond within the response timeout
+	attemptCancelled         // the scheduler cancelled the attempt
+	attemptDrained           // the worker started to drain before the attempt was sent
+	attemptUnwanted          // the request already has its final response
+	attemptNotSentInTime     // the attempt was still unsent when its permit or deadline ended
+	attemptNotReceivedInTime // the worker was not known to have received the attempt when its permit ended
+	attemptUnconfirmed       // the worker did not confirm that it accepts new work
 )
 
 // reasonTexts are the texts that clients receive. They are part of the protocol and must not be changed.
 var reasonTexts = [...]string{
-	noReason:              "",
-	ShuttingDown:          "this front end is closing",
-	LoopOverloaded:        "this front end is behind",
-	LoopStopped:           "this front end has stopped",
-	QueueFull:             "the front end's queue is full",
-	TooManyInFlight:       "too many calls in hand",
-	DeadlineExceeded:      "no time is left",
-	FunctionNameCollision: "this function's name cannot be told from another's",
-	OverTenantQuota:       tenancy.OverQuota.String(),
-	OverTenantShare:       tenancy.OverShare.String(),
-	TooManyBodyBytes:      "too much in hand",
-	NoWorkerInTime:        "no worker could answer in time",
-	NoResponse:            "no answer in time",
-	Aborted:               "this front end stops",
-	attemptDisconnected:   "the client left",
-	attemptTimedOut:       "nothing heard in time",
-	attemptCancelled:      "called back",
-	attemptDrained:        "the worker drains",
-	attemptUnwanted:       "nobody waits",
-	attemptNotSentInTime:  "not sent in time",
-	attemptUnconfirmed:    "the worker did not confirm that it accepts work",
+	noReason:                 "",
+	ShuttingDown:             "this front end is closing",
+	LoopOverloaded:           "this front end is behind",
+	LoopStopped:              "this front end has stopped",
+	QueueFull:                "the front end's queue is full",
+	TooManyInFlight:          "too many calls in hand",
+	DeadlineExceeded:         "no time is left",
+	FunctionNameCollision:    "this function's name cannot be told from another's",
+	OverTenantQuota:          tenancy.OverQuota.String(),
+	OverTenantShare:          tenancy.OverShare.String(),
+	TooManyBodyBytes:         "too much in hand",
+	NoWorkerInTime:           "no worker could answer in time",
+	NoResponse:               "no answer in time",
+	Aborted:                  "this front end stops",
+	attemptDisconnected:      "the client left",
+	attemptTimedOut:          "nothing heard in time",
+	attemptCancelled:         "called back",
+	attemptDrained:           "the worker drains",
+	attemptUnwanted:          "nobody waits",
+	attemptNotSentInTime:     "not sent in time",
+	attemptNotReceivedInTime: "not known to have arrived in time",
+	attemptUnconfirmed:       "the worker did not confirm that it accepts work",
 }
 
 // String returns the text that clients receive.
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -39,6 +39,13 @@
 	return cancel(w.client) || slices.ContainsFunc(w.previousClients, cancel)
 }
 
+// isReceived reports whether the worker is known to have received an attempt, or the attempt has ended. The clients that
+// do not hold the attempt report that it has ended.
+func (w *worker) isReceived(attempt *requestAttempt) bool {
+	received := func(client WorkerClient) bool { return client.IsReceived(&attempt.Attempt) }
+	return received(w.client) && !slices.ContainsFunc(w.previousClients, func(c WorkerClient) bool { return !received(c) })
+}
+
 // abandon stops waiting for an attempt at the client that holds it, and reports whether the worker may have received
 // it.
 func (w *worker) abandon(attempt *requestAttempt) bool {
--- a/internal/native/muxclient/client.go
+++ b/internal/native/muxclient/client.go
@@ -43,6 +43,7 @@
 	lastStreamID uint32                                     // most recently issued stream ID
 	conn         net.Conn                                   // nil while there is no connection
 	keepalive    *reconnect.Keepalive                       // keepalive state of conn
+	pings        []uint64                                   // for each ping without a pong: the frame that a pong confirms
 	draining     bool                                       // Drain was called: no new work is sent
 	closed       bool                                       // the client was stopped: nothing more is queued
 	writeLimit   workerconn.WriteLimit
@@ -115,9 +116,21 @@
 		response.Response.Stream.End(fmt.Errorf("%w: abandoned by the front end", workerconn.ErrIncomplete))
 	}
 	c.push(controlFrame{frameType: muxframe.TypeCancel, streamID: uint32(attempt.Number())})
+	if now := c.cfg.Now(); attempt.PermitEnded(now) && !c.queue.IsReceived(attempt) {
+		c.queue.AwaitReceipt(attempt, now) // makes the writer close the connection
+		c.writeLimit.Shorten(0)
+	}
 	return mayHaveBeenSent
 }
 
+// IsReceived reports whether the worker is known to have received an attempt, so that the attempt cannot arrive later.
+// An attempt that has ended counts as received.
+func (c *Client) IsReceived(attempt *workerconn.Attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queue.InFlightAttempt(attempt.Number()) != attempt || c.queue.IsReceived(attempt)
+}
+
 // Load queues a load order and returns 0; its result is reported through Events. If the order cannot be queued, Load
 // returns its status instead.
 func (c *Client) Load(order *workerconn.LoadOrder) scheduler.Status {
@@ -199,6 +212,12 @@
 	return uint64(c.lastStreamID)
 }
 
+// ping queues a ping. Its pong confirms that the worker has read everything written so far. The caller must hold the lock.
+func (c *Client) ping() {
+	c.pings = append(c.pings, c.queue.LastWritten())
+	c.push(controlFrame{frameType: muxframe.TypePing})
+}
+
 // push queues a control frame. The caller must hold the lock.
 func (c *Client) push(frame controlFrame) {
 	c.queue.Push(frame)
--- a/internal/native/muxclient/connection.go
+++ b/internal/native/muxclient/connection.go
@@ -91,6 +91,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conn = conn
+	c.pings = nil
 	c.keepalive = reconnect.NewKeepalive(c.cfg.Now())
 }
 
--- a/internal/native/muxclient/connection_read.go
+++ b/internal/native/muxclient/connection_read.go
@@ -47,11 +47,22 @@
 		c.push(controlFrame{frameType: muxframe.TypePong})
 		return nil
 	case muxframe.TypePong:
+		c.handlePong()
 		return nil
 	}
 	return fmt.Errorf("%w: %v from a worker", muxframe.ErrMalformed, frame.Type)
 }
 
+// handlePong processes the response to the oldest ping. It ignores a pong that no ping asked for.
+func (c *Client) handlePong() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pings) > 0 {
+		c.queue.ConfirmReceipt(c.pings[0])
+		c.pings = c.pings[1:]
+	}
+}
+
 // handleLoadResult processes the response to a load order. It drops the response if the load order is no longer in
 // flight.
 func (c *Client) handleLoadResult(frame muxframe.Frame) error {
--- a/internal/native/muxclient/connection_write.go
+++ b/internal/native/muxclient/connection_write.go
@@ -20,6 +20,9 @@
 func (c *Client) write(conn net.Conn, readDone <-chan struct{}) error {
 	var batch writeBatch
 	for {
+		if c.isReceiptOverdue() {
+			return fmt.Errorf("connection to %s: %w", c.cfg.Worker, workerconn.ErrNotReceived)
+		}
 		c.nextBatch(&batch)
 		batch.ReportUnsent(c.events)
 		if len(batch.Bytes) > 0 {
@@ -58,12 +61,21 @@
 	defer c.mu.Unlock()
 	verdict, nextCheck = c.keepalive.Check(c.cfg.Now())
 	if verdict == reconnect.Ping {
-		c.push(controlFrame{frameType: muxframe.TypePing})
+		c.ping()
 	}
 	return verdict, nextCheck
 }
 
-// nextBatch encodes the next batch of queued frames. It sets the write timeout while it holds the lock, so that a later
+// isReceiptOverdue reports whether the connection may hold an attempt that must not reach the worker any more.
+func (c *Client) isReceiptOverdue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	due, awaited := c.queue.ReceiptDue()
+	return awaited && c.cfg.Now() >= due
+}
+
+// nextBatch encodes the next batch of queued frames. A ping follows a batch with an attempt that has a permit, so that
+// its pong tells whether the attempt has arrived. nextBatch sets the write timeout while it holds the lock, so that a later
 // call of Drain can shorten the timeout.
 func (c *Client) nextBatch(batch *writeBatch) {
 	c.mu.Lock()
@@ -73,6 +85,9 @@
 	if len(batch.Bytes) > 0 {
 		c.writeLimit.Start(c.conn, batch.Timeout(now, reconnect.WriteTimeout()))
 	}
+	if batch.NotAfter > 0 {
+		c.ping()
+	}
 }
 
 // sendBatch writes a batch. Attempts and load orders whose frames were not completely written were never executed and
--- a/internal/platform/workerclient/client.go
+++ b/internal/platform/workerclient/client.go
@@ -28,7 +28,7 @@
 // randomStream is the second seed word of a client's random number generator. The first one is Config.Seed.
 const randomStream = 0x65786563
 
-// Config is the configuration of a Client. All fields except Guard are required.
+// Config is the configuration of a Client. All fields except HealthChecksAllowed and Guard are required.
 type Config struct {
 	Worker               string // worker's name in the endpoint list
 	Address              string // host:port
@@ -38,6 +38,7 @@
 	MaxQueue             int                    // maximum unfinished attempts and load orders; more are not sent
 	MaxResponse          int                    // maximum bytes of a response's body; exceeding it breaks the connection
 	LoadReportFields     []string               // names of the values to read from load reports
+	HealthChecksAllowed  bool                   // the client itself may send health checks
 	Budget               *ConnectionBudget      // shared by the clients of all workers
 	Guard                *workerconn.WriteGuard // shared with the event loop; if nil, no new work is held back
 	Seed                 uint64                 // seed of the random numbers of load orders and health checks
@@ -185,11 +186,21 @@
 		conn.discardOnClose()
 		conn.drainAfterCancel()
 		conn.queue.Push(workerframe.Frame{Code: workerframe.Cancel, ID: attempt.Number()})
+		conn.awaitReceipt(attempt)
 	}
 	conn.wakeUp()
 	return mayHaveBeenSent
 }
 
+// IsReceived reports whether the worker is known to have received an attempt, so that the attempt cannot arrive later.
+// An attempt that has ended counts as received.
+func (c *Client) IsReceived(attempt *workerconn.Attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn := c.attempts[attempt]
+	return conn == nil || conn.queue.IsReceived(attempt)
+}
+
 // Load queues a load order and returns 0; the result is reported through Events. If the order cannot be queued, Load
 // returns its status at once, and Events reports nothing.
 func (c *Client) Load(order *workerconn.LoadOrder) scheduler.Status {
--- a/internal/platform/workerclient/connection.go
+++ b/internal/platform/workerclient/connection.go
@@ -30,23 +30,27 @@
 	// Guarded by client.mu.
 	queue        workerconn.SendQueue[workerframe.Frame]
 	healthChecks map[uint64]*workerconn.HealthCheck // health checks without response, by number; limited by the caller
-	connectedAt  time.Duration                      // time at which netConn was established
-	netConn      net.Conn                           // nil while not connected
-	draining     bool                               // accepts nothing new and closes once all its work is finished
-	writeLimit   workerconn.WriteLimit
-	received     bool // a response was received on netConn
-	lastUsed     time.Duration
-	recent       recentNumbers
+	// receiptChecks holds the health checks of requestReceipt without response, by number: the frame that a response
+	// confirms. There is at most one for each attempt that was cancelled on netConn or has a permit.
+	receiptChecks map[uint64]uint64
+	connectedAt   time.Duration // time at which netConn was established
+	netConn       net.Conn      // nil while not connected
+	draining      bool          // accepts nothing new and closes once all its work is finished
+	writeLimit    workerconn.WriteLimit
+	received      bool // a response was received on netConn
+	lastUsed      time.Duration
+	recent        recentNumbers
 }
 
 // newConnection returns a connection that is not dialled yet. It requires that client.mu is held.
 func newConnection(client *Client) *connection {
 	return &connection{
-		client:       client,
-		wake:         workerconn.NewSignal(),
-		queue:        workerconn.NewSendQueue[workerframe.Frame](),
-		healthChecks: map[uint64]*workerconn.HealthCheck{},
-		lastUsed:     client.cfg.Now(),
+		client:        client,
+		wake:          workerconn.NewSignal(),
+		queue:         workerconn.NewSendQueue[workerframe.Frame](),
+		healthChecks:  map[uint64]*workerconn.HealthCheck{},
+		receiptChecks: map[uint64]uint64{},
+		lastUsed:      client.cfg.Now(),
 	}
 }
 
@@ -142,6 +146,7 @@
 	defer c.client.mu.Unlock()
 	lost = c.queue.RemoveInFlight()
 	c.client.removeFinished(lost)
+	clear(c.receiptChecks)
 	if c.received {
 		c.silentConnections = 0
 	} else {
--- a/internal/platform/workerclient/connection_read.go
+++ b/internal/platform/workerclient/connection_read.go
@@ -54,11 +54,12 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// finishedItem is the item that a response finishes. At most one field is set; none is set for an unexpected response.
+// finishedItem is what a response finishes. At most one field is set; none is set for an unexpected response.
 type finishedItem struct {
 	attempt     *workerconn.Attempt
 	load        *workerconn.LoadOrder
 	healthCheck *workerconn.HealthCheck
+	receipt     bool // the response is one that requestReceipt asked for
 }
 
 // handle reports the result that a response contains. A response that matches no unfinished item is dropped and counted
@@ -85,6 +86,7 @@
 		events.HealthChecked(finished.healthCheck, scheduler.OK, fields.LoadReport)
 	case finished.healthCheck != nil:
 		events.HealthChecked(finished.healthCheck, scheduler.Error, fields.LoadReport)
+	case finished.receipt:
 	default:
 		events.LateResponse(0)
 	}
@@ -98,6 +100,9 @@
 	c.received = true
 	defer c.wakeUp()
 	if isHealthCode(frame.Code) {
+		if c.receiptConfirmed(frame.ID) {
+			return finishedItem{receipt: true}
+		}
 		check := c.healthChecks[frame.ID]
 		delete(c.healthChecks, frame.ID)
 		if check != nil {
--- a/internal/platform/workerclient/connection_write.go
+++ b/internal/platform/workerclient/connection_write.go
@@ -29,6 +29,9 @@
 		if err := c.checkPeerBeforeWrite(netConn); err != nil {
 			return fmt.Errorf("write to %s: %w", c.client.cfg.Worker, err)
 		}
+		if _, err := c.checkReceipts(0); err != nil {
+			return err
+		}
 		idleTime, unneeded := c.nextBatch(netConn, &batch)
 		batch.ReportUnsent(c.client.events)
 		if len(batch.Bytes) > 0 {
@@ -40,6 +43,10 @@
 		if unneeded {
 			return workerconn.ErrIdle
 		}
+		idleTime, err := c.checkReceipts(idleTime)
+		if err != nil {
+			return err
+		}
 		timer.Reset(idleTime)
 		select {
 		case <-readDone:
@@ -100,12 +107,15 @@
 	if len(batch.Bytes) > 0 {
 		c.writeLimit.Start(netConn, batch.Timeout(now, connpool.WriteTimeout()))
 	}
+	if batch.NotAfter > 0 {
+		c.requestReceipt()
+	}
 	c.client.removeFinished(batch.Unencodable)
 	c.client.removeFinished(batch.Expired)
 	if batch.DeferredNewWork {
 		return workerconn.LeaseRetryInterval, false
 	}
-	if c.queue.Unfinished() > 0 || len(c.healthChecks) > 0 {
+	if c.isNeeded() {
 		return maxWriterSleep, false
 	}
 	isOnly := len(c.client.connections) == 1
@@ -120,6 +130,10 @@
 	return idleTime, unneeded
 }
 
+// isNeeded reports whether the connection has attempts, load orders or health checks without a response. It requires that
+// client.mu is held.
+func (c *connection) isNeeded() bool { return c.queue.Unfinished() > 0 || len(c.healthChecks) > 0 }
+
 // encode appends the encoded frame of an item to buffer.
 func (c *connection) encode(buffer []byte, item queueItem) ([]byte, error) {
 	return workerframe.Append(buffer, workerframe.MagicFrontEnd, c.frameOf(item))
--- a/internal/platform/workerclient/helpers_test.go
+++ b/internal/platform/workerclient/helpers_test.go
@@ -56,6 +56,12 @@
 
 // newTestClient returns a client of the worker at the given address, with a budget of the given number of connections.
 func newTestClient(t *testing.T, address string, connections int) (*Client, eventRecorder) {
+	t.Helper()
+	return newConfiguredClient(t, address, connections, func(*Config) {})
+}
+
+// newConfiguredClient is newTestClient with a configuration that configure may change.
+func newConfiguredClient(t *testing.T, address string, connections int, configure func(*Config)) (*Client, eventRecorder) {
 	t.Helper()
 	recorder := eventRecorder{
 		attemptEnds:   make(chan workerconn.Result, 16),
@@ -65,11 +71,13 @@
 		disconnects:   make(chan error, 16),
 	}
 	start := time.Now()
-	client := New(Config{
+	cfg := Config{
 		Worker: "s-00000001", Address: address, ConnectTimeout: 5 * time.Second, StreamsPerConnection: 32, IdleTimeout: time.Minute,
 		MaxQueue: 64, MaxResponse: 1 << 16, LoadReportFields: []string{"queue"}, Budget: NewConnectionBudget(connections),
 		Now: func() time.Duration { return time.Since(start) },
-	}, recorder)
+	}
+	configure(&cfg)
+	client := New(cfg, recorder)
 	t.Cleanup(func() { client.Stop(); <-client.Done() })
 	return client, recorder
 }
--- /dev/null
+++ b/internal/platform/workerclient/receipts.go
@@ -0,0 +1,60 @@
+package workerclient
+
+import (
+	"fmt"
+	"time"
+
+	"havencart/internal/workerconn"
+)
+
+// This file ensures that an attempt whose permit has ended does not reach the worker later. The client asks the worker
+// with a health check behind the attempt: its response shows that the attempt has arrived.
+
+// awaitReceipt makes the connection close at once if an attempt on it was cancelled after the end of its permit, and the
+// worker may not have received it yet. It requires that client.mu is held.
+func (c *connection) awaitReceipt(attempt *workerconn.Attempt) {
+	now := c.client.cfg.Now()
+	if !attempt.PermitEnded(now) || c.queue.IsReceived(attempt) {
+		return
+	}
+	c.queue.AwaitReceipt(attempt, now)
+	c.writeLimit.Shorten(0)
+}
+
+// requestReceipt queues a health check whose response confirms everything written so far. It does nothing if the client
+// itself may not send health checks. It requires that client.mu is held.
+func (c *connection) requestReceipt() {
+	if !c.client.cfg.HealthChecksAllowed {
+		return
+	}
+	number := c.client.randomNumber()
+	c.receiptChecks[number] = c.queue.LastWritten()
+	c.queue.Push(healthCheckFrame(number))
+}
+
+// receiptConfirmed handles the response to a health check of requestReceipt. It reports whether number is that of one.
+// It requires that client.mu is held.
+func (c *connection) receiptConfirmed(number uint64) bool {
+	frame, awaited := c.receiptChecks[number]
+	if awaited {
+		delete(c.receiptChecks, number)
+		c.queue.ConfirmReceipt(frame)
+	}
+	return awaited
+}
+
+// checkReceipts returns an error if a receipt is overdue. Otherwise it returns the time until the next one is due, at
+// most longest.
+func (c *connection) checkReceipts(longest time.Duration) (time.Duration, error) {
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
+	due, awaited := c.queue.ReceiptDue()
+	if !awaited {
+		return longest, nil
+	}
+	left := due - c.client.cfg.Now()
+	if left <= 0 {
+		return 0, fmt.Errorf("connection to %s: %w", c.client.cfg.Worker, workerconn.ErrNotReceived)
+	}
+	return min(longest, left), nil
+}
--- a/internal/workerconn/attempt.go
+++ b/internal/workerconn/attempt.go
@@ -38,6 +38,16 @@
 	return 0
 }
 
+// HasPermit reports whether the attempt has a permit that ends before the deadline for the response.
+func (a *Attempt) HasPermit() bool { return a.permitEnd() > 0 }
+
+// PermitEnded reports whether the attempt's permit has ended at now, and before the deadline for the response. From then
+// on the attempt must not reach the worker.
+func (a *Attempt) PermitEnded(now time.Duration) bool {
+	end := a.permitEnd()
+	return end > 0 && now >= end
+}
+
 // Number returns the number under which the attempt was queued, which identifies the attempt on its connection.
 func (a *Attempt) Number() uint64 { return a.delivery.number }
 
--- a/internal/workerconn/delivery.go
+++ b/internal/workerconn/delivery.go
@@ -26,6 +26,7 @@
 type delivery struct {
 	number         uint64
 	state          deliveryState
+	frame          uint64        // number of the frame on its connection, see receipts; 0: no write has started
 	writeStartedAt time.Duration // on the client's clock; 0: no write has started
 }
 
@@ -35,9 +36,10 @@
 	d.state = queued
 }
 
-// startSending records that the frame is part of the write that starts at now.
-func (d *delivery) startSending(now time.Duration) {
+// startSending records that the frame is part of the write that starts at now, under its number on the connection.
+func (d *delivery) startSending(now time.Duration, frame uint64) {
 	d.state = sending
+	d.frame = frame
 	d.writeStartedAt = now
 }
 
--- a/internal/workerconn/send_queue.go
+++ b/internal/workerconn/send_queue.go
@@ -13,6 +13,7 @@
 	inFlightAttempts map[uint64]*Attempt   // attempts in state sending or sent, by number
 	inFlightLoads    map[uint64]*LoadOrder // load orders in state sending or sent, by number
 	writingNewWork   bool                  // the write in progress contains attempts or orders to load replicas
+	receipts         receipts
 }
 
 // QueueItem is one frame that waits to be written: an attempt, a load order, or another frame of the protocol.
@@ -148,6 +149,7 @@
 	if attempt != nil {
 		delete(q.inFlightAttempts, number)
 		attempt.delivery.end()
+		q.ConfirmReceipt(attempt.delivery.frame)
 	}
 	return attempt
 }
@@ -158,6 +160,7 @@
 	if order != nil {
 		delete(q.inFlightLoads, number)
 		order.delivery.end()
+		q.ConfirmReceipt(order.delivery.frame)
 	}
 	return order
 }
@@ -249,5 +252,6 @@
 	clear(q.inFlightAttempts)
 	clear(q.inFlightLoads)
 	q.writingNewWork = false
+	q.receipts.awaited = nil
 	return removed
 }
--- a/internal/workerconn/write_batch.go
+++ b/internal/workerconn/write_batch.go
@@ -124,8 +124,9 @@
 
 // startSending moves an item from queued to in flight.
 func (q *SendQueue[Frame]) startSending(now time.Duration, item QueueItem[Frame]) {
+	q.receipts.written++
 	if delivery := item.delivery(); delivery != nil {
-		delivery.startSending(now)
+		delivery.startSending(now, q.receipts.written)
 	}
 	switch {
 	case item.Attempt != nil:
--- a/lab/faultproxy/copy.go
+++ b/lab/faultproxy/copy.go
@@ -26,8 +26,9 @@
 const maxBufferedChunks = 256
 
 // copy forwards one direction of a connection. It reads from the source even while the direction is stalled, as a
-// network does that has data in flight. After the source's end of file and the forwarding of all data, it closes the
-// destination's writing side. On any failure it resets both sides.
+// network does that has data in flight. Once the source has reset the connection, nothing that was held back is forwarded,
+// because a sender repeats what was not acknowledged only until the reset. After the source's end of file and
+// the forwarding of all data, copy closes the destination's writing side. On any failure it resets both sides.
 func (p *Proxy) copy(to, from *net.TCPConn, direction *gate, tap io.Writer) {
 	chunks := make(chan []byte, maxBufferedChunks)
 	var reading sync.WaitGroup
@@ -38,7 +39,7 @@
 	})
 	defer reading.Wait()
 	for chunk := range chunks {
-		if !direction.wait(p.done) {
+		if !direction.wait(p.done) || hasBeenReset(from) {
 			break
 		}
 		if _, err := to.Write(chunk); err != nil {
--- a/lab/faultproxy/proxy_test.go
+++ b/lab/faultproxy/proxy_test.go
@@ -129,6 +129,50 @@
 	}
 }
 
+// TestStall_SenderResets_HeldDataIsDropped checks that a sender can call back what the network holds by a reset.
+func TestStall_SenderResets_HeldDataIsDropped(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	proxy, err := Start(listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	sender := dial(t, proxy)
+	receiver, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = receiver.Close() }()
+	proxy.StallForward()
+	if _, err := sender.Write([]byte("held")); err != nil {
+		t.Fatal(err)
+	}
+	proxy.mu.Lock()
+	var ends []*net.TCPConn
+	for conn := range proxy.connections {
+		ends = append(ends, conn)
+	}
+	proxy.mu.Unlock()
+	_ = sender.(*net.TCPConn).SetLinger(0)
+	_ = sender.Close()
+	for _, end := range ends {
+		if end.RemoteAddr().String() != sender.LocalAddr().String() {
+			continue
+		}
+		for !hasBeenReset(end) {
+			continue // until the reset has arrived
+		}
+	}
+	proxy.ResumeForward()
+	if received, err := io.ReadAll(receiver); len(received) > 0 {
+		t.Errorf("the receiver read %q, error %v; want nothing", received, err)
+	}
+}
+
 func TestResetConnections_OpenConnection_IsReset(t *testing.T) {
 	proxy := startEcho(t)
 	conn := dial(t, proxy)
--- a/lab/faultproxy/reset.go
+++ b/lab/faultproxy/reset.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net"
+
+	"golang.org/x/sys/unix"
 )
 
 // reset closes a connection with a TCP reset. It has no effect on a closed connection.
@@ -20,3 +22,22 @@
 
 // isEOF reports whether a read ended because the other side closed the connection without a reset.
 func isEOF(err error) bool { return errors.Is(err, io.EOF) }
+
+// tcpClosed is the state of a TCP connection in the kernel after either side has reset it. After a regular close by the
+// other side, the connection is in another state.
+const tcpClosed = 7
+
+// hasBeenReset reports whether a connection has been reset or closed by this process. It consumes neither data nor the
+// error that a read returns.
+func hasBeenReset(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := true
+	_ = raw.Control(func(descriptor uintptr) { // fails only if this process has closed the connection
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err != nil || info.State == tcpClosed
+	})
+	return closed
+}
--- a/lab/simulation/connection.go
+++ b/lab/simulation/connection.go
@@ -16,6 +16,8 @@
 	errReset   = errors.New("connection reset")
 	errTimeout = errors.New("connection timed out")
 	errSilent  = errors.New("no sign of life")
+
+	errNotReceived = errors.New("a cancelled attempt may not have been received")
 )
 
 // connectionState is the state of a front end's connection to a worker.
@@ -164,6 +166,18 @@
 	c.fromWorker.Send(func() { c.connectionEnded(errReset) })
 }
 
+// discardConnection closes the connection at once, so that nothing that is on its way reaches the worker. The front end
+// is told afterwards, as it may be the caller.
+func (c *workerClient) discardConnection() {
+	path := c.toWorker
+	path.Close()
+	c.sim.clock.After(0, func() {
+		if c.toWorker == path && c.state == connected && !c.stopped {
+			c.connectionEnded(errNotReceived)
+		}
+	})
+}
+
 // connectionEnded is called when the front end notices the end of the connection.
 func (c *workerClient) connectionEnded(reason error) {
 	c.state = disconnected
@@ -196,6 +210,7 @@
 	c.backoff.Failed(c.sim.clock.Now())
 	unsent, attempts, loadOrders := c.unsent, c.attempts, c.loadOrders
 	c.unsent, c.attempts, c.loadOrders = nil, nil, nil
+	c.received = nil
 	c.unreported = append(c.unreported, attempts...)
 	c.frontEnd.handleEvent(func(now time.Duration) {
 		gateway := c.frontEnd.gateway
--- a/lab/simulation/worker_client.go
+++ b/lab/simulation/worker_client.go
@@ -37,6 +37,7 @@
 	unsent     []outgoingMessage
 	attempts   []*workerconn.Attempt   // sent, but without a response
 	loadOrders []*workerconn.LoadOrder // sent, but without a result
+	received   []*workerconn.Attempt   // of attempts, those that the worker is known to have received
 	unreported []*workerconn.Attempt   // ended, but not reported to the front end because its event loop is stalled
 }
 
@@ -91,13 +92,24 @@
 		c.CancelUnsent(a)
 		return slices.Contains(c.unreported, a)
 	}
+	wasReceived := c.IsReceived(a)
 	c.removeAttempt(a)
-	if c.state == connected {
-		c.sendToWorker(func() { c.worker.Cancel(a.Request.ID, a.Request.Attempt) })
+	if c.state != connected {
+		return true
+	}
+	if a.PermitEnded(c.sim.clock.Now()) && !wasReceived {
+		c.discardConnection()
+		return true
 	}
+	c.sendToWorker(func() { c.worker.Cancel(a.Request.ID, a.Request.Attempt) })
 	return true
 }
 
+// IsReceived reports whether the worker is known to have received an attempt, or the attempt has ended.
+func (c *workerClient) IsReceived(a *workerconn.Attempt) bool {
+	return !slices.Contains(c.attempts, a) || slices.Contains(c.received, a)
+}
+
 // Load sends a load order.
 func (c *workerClient) Load(o *workerconn.LoadOrder) scheduler.Status {
 	c.sim.recordTrace(traceLoadOrderSent+c.frontEnd.name+o.Load.Replica.Function, uint64(c.id), uint64(o.Load.Replicas))
@@ -196,6 +208,7 @@
 	case m.attempt != nil:
 		c.attempts = append(c.attempts, m.attempt)
 		c.sendToWorker(func() { c.deliverAttempt(m.attempt) })
+		c.requestReceipt(m.attempt)
 	case m.loadOrder != nil:
 		c.loadOrders = append(c.loadOrders, m.loadOrder)
 		c.sendToWorker(func() { c.deliverLoadOrder(m.loadOrder) })
@@ -204,6 +217,20 @@
 	}
 }
 
+// requestReceipt sends a ping behind an attempt that has a permit. The pong confirms that the attempt has arrived.
+func (c *workerClient) requestReceipt(a *workerconn.Attempt) {
+	if !a.HasPermit() {
+		return
+	}
+	c.sendToWorker(func() {
+		c.sendToFrontEnd(func() {
+			if slices.Contains(c.attempts, a) {
+				c.received = append(c.received, a)
+			}
+		})
+	})
+}
+
 var statuses = map[model.Outcome]scheduler.Status{
 	model.OK:         scheduler.OK,
 	model.Failed:     scheduler.Error,
@@ -268,7 +295,9 @@
 }
 
 func (c *workerClient) removeAttempt(a *workerconn.Attempt) {
-	c.attempts = slices.DeleteFunc(c.attempts, func(x *workerconn.Attempt) bool { return x == a })
+	remove := func(x *workerconn.Attempt) bool { return x == a }
+	c.attempts = slices.DeleteFunc(c.attempts, remove)
+	c.received = slices.DeleteFunc(c.received, remove)
 }
 
 // deliverLoadOrder delivers a load order to the worker.
