Reset a shared connection that may deliver a cancelled attempt later

The end of a request that was written to a connection with other requests is only a frame behind it in the same stream; the connection stays open as long as anything else is open on it, and its kernel buffer delivers the request when a cut path works again. A keyed request that was retried meanwhile could be executed twice that way.

Change: after the cancellation of an attempt that the worker is not known to have read, the client asks the worker on that connection. Without an answer within 50 ms (the time that a write in progress has after a cancellation; the platform allows 0.1 s) the connection is reset; with one, the other requests on it go on. Where the client may not send health checks it stays as it was, since clients that cancel at once could then end the requests of others.

Test: TestAbandon_NotReceived_ResetsSharedConnectionAfterTimeout fails without the change.

--- a/internal/decide/connpool/connpool.go
+++ b/internal/decide/connpool/connpool.go
@@ -116,5 +116,22 @@
 // another worker.
 func CancelledWriteTimeout() time.Duration { return cancelledWriteTimeout }
 
+// ReceiptTimeout returns within which time after the cancellation of an attempt the worker must be known to have received
+// it, or else the connection is reset. limited is false if there is no such limit.
+//
+// The operating system may hold the attempt for a path that is interrupted, and deliver it when the path works again. If
+// the connection carries nothing else it is reset at once anyway. Otherwise the reset also ends the other requests, so
+// the worker is given time to confirm that it receives what is sent, provided that it can be asked. An attempt whose
+// permit has ended must not arrive any more: the worker would execute the request a second time.
+func ReceiptTimeout(permitEnded, mayAsk bool) (timeout time.Duration, limited bool) {
+	switch {
+	case permitEnded:
+		return 0, true
+	case mayAsk:
+		return cancelledWriteTimeout, true
+	}
+	return 0, false
+}
+
 // WriteTimeout returns the time without progress of a write after which the connection is closed.
 func WriteTimeout() time.Duration { return writeTimeout }
--- a/internal/decide/connpool/connpool_test.go
+++ b/internal/decide/connpool/connpool_test.go
@@ -51,3 +51,23 @@
 		}
 	}
 }
+
+func TestReceiptTimeout(t *testing.T) {
+	for name, test := range map[string]struct {
+		permitEnded, mayAsk bool
+		timeout             time.Duration
+		limited             bool
+	}{
+		"worker may be asked":                   {false, true, CancelledWriteTimeout(), true},
+		"worker may not be asked":               {false, false, 0, false},
+		"permit ended":                          {true, true, 0, true},
+		"permit ended, worker may not be asked": {true, false, 0, true},
+	} {
+		if timeout, limited := ReceiptTimeout(test.permitEnded, test.mayAsk); timeout != test.timeout || limited != test.limited {
+			t.Errorf("%s: ReceiptTimeout = %v, %v, want %v, %v", name, timeout, limited, test.timeout, test.limited)
+		}
+	}
+	if limit := 100 * time.Millisecond; CancelledWriteTimeout() >= limit {
+		t.Errorf("a cancelled attempt may arrive up to %v after its cancellation, want less than %v", CancelledWriteTimeout(), limit)
+	}
+}
--- a/internal/platform/workerclient/receipts.go
+++ b/internal/platform/workerclient/receipts.go
@@ -4,21 +4,29 @@
 	"fmt"
 	"time"
 
+	"havencart/internal/decide/connpool"
 	"havencart/internal/workerconn"
 )
 
-// This file ensures that an attempt whose permit has ended does not reach the worker later. The client asks the worker
-// with a health check behind the attempt: its response shows that the attempt has arrived.
+// This file ensures that an attempt that was cancelled, or whose permit has ended, does not reach the worker later. The
+// client asks the worker with a health check behind the attempt: its response shows that the attempt has arrived.
 
-// awaitReceipt makes the connection close at once if an attempt on it was cancelled after the end of its permit, and the
-// worker may not have received it yet. It requires that client.mu is held.
+// awaitReceipt limits how long the connection may stay open after an attempt on it was cancelled that the worker may not
+// have received. It requires that client.mu is held.
 func (c *connection) awaitReceipt(attempt *workerconn.Attempt) {
+	if c.queue.IsReceived(attempt) {
+		return
+	}
 	now := c.client.cfg.Now()
-	if !attempt.PermitEnded(now) || c.queue.IsReceived(attempt) {
+	timeout, limited := connpool.ReceiptTimeout(attempt.PermitEnded(now), c.client.cfg.HealthChecksAllowed)
+	if !limited {
 		return
 	}
-	c.queue.AwaitReceipt(attempt, now)
-	c.writeLimit.Shorten(0)
+	c.queue.AwaitReceipt(attempt, now+timeout)
+	c.writeLimit.Shorten(timeout)
+	if timeout > 0 && c.isNeeded() {
+		c.requestReceipt()
+	}
 }
 
 // requestReceipt queues a health check whose response confirms everything written so far. It does nothing if the client
--- a/internal/platform/workerclient/receipts_test.go
+++ b/internal/platform/workerclient/receipts_test.go
@@ -19,6 +19,21 @@
 	conn *platformworker.Conn
 }
 
+// testTimeout is the longest wait for an event that must happen. A test that waits this long has failed.
+const testTimeout = 20 * time.Second
+
+// await returns the next value from events. It fails the test if none arrives within testTimeout.
+func await[T any](t *testing.T, event string, events <-chan T) T {
+	t.Helper()
+	select {
+	case received := <-events:
+		return received
+	case <-time.After(testTimeout):
+		t.Fatalf("timed out waiting for %s", event)
+		panic("unreachable")
+	}
+}
+
 // receiptHarness is a client whose attempts share one connection, and a worker that answers nothing by itself. The
 // client's clock stands still until the test moves it.
 type receiptHarness struct {
@@ -64,7 +79,7 @@
 // nextFrame returns the next frame that the worker receives, which must have the given code.
 func (harness *receiptHarness) nextFrame(code workerframe.Code) receivedFrame {
 	harness.Helper()
-	f := <-harness.frames
+	f := await(harness.T, "a frame", harness.frames)
 	if f.Code != code {
 		harness.Fatalf("the worker received %+v, want code %d", f.Frame, code)
 	}
@@ -74,7 +89,7 @@
 // wantReset checks that the client has reset the connection, which ended the attempt that was not abandoned.
 func (harness *receiptHarness) wantReset() {
 	harness.Helper()
-	if result := <-harness.recorder.attemptEnds; result.Status != scheduler.Error {
+	if result := await(harness.T, "the other attempt to end", harness.recorder.attemptEnds); result.Status != scheduler.Error {
 		harness.Errorf("the other attempt ended as %+v, want Error after the end of its connection", result)
 	}
 }
@@ -90,7 +105,7 @@
 	}
 	check.conn.Respond(workerframe.Frame{Code: workerframe.Healthy, ID: check.ID})
 	check.conn.Respond(workerframe.Frame{Code: workerframe.OK, ID: other.Number()})
-	<-harness.recorder.attemptEnds // the client has handled both responses
+	await(harness.T, "the other attempt to end", harness.recorder.attemptEnds) // the client has handled both responses
 	if !harness.client.IsReceived(attempt) {
 		t.Error("the attempt does not count as received after the answer to the health check behind it")
 	}
@@ -117,3 +132,39 @@
 		})
 	}
 }
+
+// TestAbandon_NotReceived_ResetsSharedConnectionAfterTimeout guards against an attempt whose client has gone, that the
+// network holds on a connection with other requests and delivers later.
+func TestAbandon_NotReceived_ResetsSharedConnectionAfterTimeout(t *testing.T) {
+	harness := newReceiptHarness(t, true)
+	_, attempt := harness.sendBoth(0)
+	harness.client.Abandon(attempt)
+	harness.nextFrame(workerframe.Cancel)
+	harness.nextFrame(workerframe.LoadReport) // stays unanswered
+	harness.clock.Add(int64(100 * time.Millisecond))
+	harness.wantReset()
+}
+
+// TestAbandon_Received_KeepsSharedConnection checks that the cancellation of an attempt that the worker has received
+// does not affect the other requests on its connection.
+func TestAbandon_Received_KeepsSharedConnection(t *testing.T) {
+	for name, healthChecksAllowed := range map[string]bool{"confirmed by a health check": true, "health checks not allowed": false} {
+		t.Run(name, func(t *testing.T) {
+			harness := newReceiptHarness(t, healthChecksAllowed)
+			other, attempt := harness.sendBoth(0)
+			harness.client.Abandon(attempt)
+			conn := harness.nextFrame(workerframe.Cancel).conn
+			if healthChecksAllowed {
+				check := harness.nextFrame(workerframe.LoadReport)
+				check.conn.Respond(workerframe.Frame{Code: workerframe.Healthy, ID: check.ID})
+				check.conn.Respond(workerframe.Frame{Code: workerframe.OK, ID: 999})
+				await(harness.T, "the late response", harness.recorder.lateResponses) // the client has handled both responses
+			}
+			harness.clock.Add(int64(time.Minute))
+			conn.Respond(workerframe.Frame{Code: workerframe.OK, ID: other.Number()})
+			if result := await(harness.T, "the other attempt to end", harness.recorder.attemptEnds); result.Status != scheduler.OK {
+				t.Errorf("the other attempt ended as %+v, want OK", result)
+			}
+		})
+	}
+}
