--- a/internal/platform/workerclient/connection_write.go
+++ b/internal/platform/workerclient/connection_write.go
@@ -29,7 +29,7 @@
 		if err := c.checkPeerBeforeWrite(netConn); err != nil {
 			return fmt.Errorf("write to %s: %w", c.client.cfg.Worker, err)
 		}
-		if _, err := c.checkReceipts(0); err != nil {
+		if err := c.checkReceipts(); err != nil {
 			return err
 		}
 		idleTime, unneeded := c.nextBatch(netConn, &batch)
@@ -43,10 +43,6 @@
 		if unneeded {
 			return workerconn.ErrIdle
 		}
-		idleTime, err := c.checkReceipts(idleTime)
-		if err != nil {
-			return err
-		}
 		timer.Reset(idleTime)
 		select {
 		case <-readDone:
@@ -116,7 +112,7 @@
 		return workerconn.LeaseRetryInterval, false
 	}
 	if c.isNeeded() {
-		return maxWriterSleep, false
+		return c.timeUntilReceiptDue(now), false
 	}
 	isOnly := len(c.client.connections) == 1
 	idleTime = c.lastUsed + connpool.IdleTimeout(isOnly, c.client.cfg.IdleTimeout) - c.client.cfg.Now()
--- a/internal/platform/workerclient/receipts.go
+++ b/internal/platform/workerclient/receipts.go
@@ -51,18 +51,22 @@
 	return awaited
 }
 
-// checkReceipts returns an error if a receipt is overdue. Otherwise it returns the time until the next one is due, at
-// most longest.
-func (c *connection) checkReceipts(longest time.Duration) (time.Duration, error) {
+// checkReceipts returns an error if a receipt is overdue.
+func (c *connection) checkReceipts() error {
 	c.client.mu.Lock()
 	defer c.client.mu.Unlock()
+	if c.timeUntilReceiptDue(c.client.cfg.Now()) <= 0 {
+		return fmt.Errorf("connection to %s: %w", c.client.cfg.Worker, workerconn.ErrNotReceived)
+	}
+	return nil
+}
+
+// timeUntilReceiptDue returns the time from now until the next receipt is due, at most maxWriterSleep. It requires that
+// client.mu is held.
+func (c *connection) timeUntilReceiptDue(now time.Duration) time.Duration {
 	due, awaited := c.queue.ReceiptDue()
 	if !awaited {
-		return longest, nil
-	}
-	left := due - c.client.cfg.Now()
-	if left <= 0 {
-		return 0, fmt.Errorf("connection to %s: %w", c.client.cfg.Worker, workerconn.ErrNotReceived)
+		return maxWriterSleep
 	}
-	return min(longest, left), nil
+	return min(maxWriterSleep, due-now)
 }
