Rename what misleads: a complete endpoint list, violations, health checks

EndpointsChanged (the complete list) becomes EndpointsListed beside EndpointsUpdated (its changes), HealthCheck.AskedAt becomes RequestedAt, WriteGuard.Count becomes CountViolation, the soak's Report.Cancelled, which counts abandoned requests, becomes Abandoned. invariant.Score.LowestService had no caller and is removed. No behaviour changes.

--- a/cmd/havencart/soak.go
+++ b/cmd/havencart/soak.go
@@ -162,7 +162,7 @@
 		faults += report.Faults[name]
 	}
 	out.printf("seed %d: %d requests, %d served, %d rejected, %d failed, %d abandoned; %d attempts, %d of them retries; %d faults; %d violations\n",
-		seed, report.Requests, report.Served, report.Rejected, report.Failed, report.Cancelled, report.Attempts, report.Retries,
+		seed, report.Requests, report.Served, report.Rejected, report.Failed, report.Abandoned, report.Attempts, report.Retries,
 		faults, len(report.Violations))
 	out.printf("seed %d: maximum lag of the soak process itself: %v; lags above the allowed slack: %v\n", seed, report.WorstLag, report.RecordedLags)
 	for _, violation := range report.Violations {
--- a/internal/decide/connpool/connpool.go
+++ b/internal/decide/connpool/connpool.go
@@ -121,13 +121,13 @@
 //
 // The operating system may hold the attempt for a path that is interrupted, and deliver it when the path works again. If
 // the connection carries nothing else it is reset at once anyway. Otherwise the reset also ends the other requests, so
-// the worker is given time to confirm that it receives what is sent, provided that it can be asked. An attempt whose
-// permit has ended must not arrive any more: the worker would execute the request a second time.
-func ReceiptTimeout(permitEnded, mayAsk bool) (timeout time.Duration, limited bool) {
+// the worker is given time to confirm that it receives what is sent, provided that health checks are allowed. An attempt
+// whose permit has ended must not arrive any more: the worker would execute the request a second time.
+func ReceiptTimeout(permitEnded, healthChecksAllowed bool) (timeout time.Duration, limited bool) {
 	switch {
 	case permitEnded:
 		return 0, true
-	case mayAsk:
+	case healthChecksAllowed:
 		return cancelledWriteTimeout, true
 	}
 	return 0, false
--- a/internal/decide/connpool/connpool_test.go
+++ b/internal/decide/connpool/connpool_test.go
@@ -54,16 +54,16 @@
 
 func TestReceiptTimeout(t *testing.T) {
 	for name, test := range map[string]struct {
-		permitEnded, mayAsk bool
-		timeout             time.Duration
-		limited             bool
+		permitEnded, healthChecksAllowed bool
+		timeout                          time.Duration
+		limited                          bool
 	}{
-		"worker may be asked":                   {false, true, CancelledWriteTimeout(), true},
-		"worker may not be asked":               {false, false, 0, false},
-		"permit ended":                          {true, true, 0, true},
-		"permit ended, worker may not be asked": {true, false, 0, true},
+		"health checks allowed":                   {false, true, CancelledWriteTimeout(), true},
+		"health checks not allowed":               {false, false, 0, false},
+		"permit ended":                            {true, true, 0, true},
+		"permit ended, health checks not allowed": {true, false, 0, true},
 	} {
-		if timeout, limited := ReceiptTimeout(test.permitEnded, test.mayAsk); timeout != test.timeout || limited != test.limited {
+		if timeout, limited := ReceiptTimeout(test.permitEnded, test.healthChecksAllowed); timeout != test.timeout || limited != test.limited {
 			t.Errorf("%s: ReceiptTimeout = %v, %v, want %v, %v", name, timeout, limited, test.timeout, test.limited)
 		}
 	}
--- a/internal/discovery/consul.go
+++ b/internal/discovery/consul.go
@@ -75,7 +75,7 @@
 			index = 0 // Consul lost its state: request its current list without blocking
 		case next > index:
 			index = next
-			sink.EndpointsChanged(list)
+			sink.EndpointsListed(list)
 		}
 	}
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -32,8 +32,8 @@
 
 // Sink receives what a source observes. A source calls it from the goroutine of its Run, one call at a time.
 type Sink interface {
-	// EndpointsChanged is called with the first list, which is complete. The sink may keep the slice.
-	EndpointsChanged(list []Worker)
+	// EndpointsListed is called with the first list, which is complete. The sink may keep the slice.
+	EndpointsListed(list []Worker)
 	// EndpointsUpdated is called after the first list with the workers that were added or changed since the previous
 	// call, and with removed workers as they were last listed but in state Removed. An empty slice reports that the
 	// source obtained the list and found it unchanged. The sink may keep the slice.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -33,7 +33,7 @@
 	listed   map[string]discovery.Worker // current list by name; used only by the source's goroutine
 }
 
-func (sink recordingSink) EndpointsChanged(l []discovery.Worker) {
+func (sink recordingSink) EndpointsListed(l []discovery.Worker) {
 	clear(sink.listed)
 	sink.EndpointsUpdated(l)
 }
--- a/internal/discovery/endpointstream.go
+++ b/internal/discovery/endpointstream.go
@@ -101,7 +101,7 @@
 // Run implements Source. It reports the list of the initial events immediately, whether or not the platform can be
 // reached.
 func (s *EndpointStream) Run(ctx context.Context, sink Sink) {
-	sink.EndpointsChanged(s.list())
+	sink.EndpointsListed(s.list())
 	failures := 0
 	for ctx.Err() == nil {
 		address, changed := s.currentAddress()
--- a/internal/discovery/endpointstream_test.go
+++ b/internal/discovery/endpointstream_test.go
@@ -24,7 +24,7 @@
 
 func newListSink() listSink { return listSink{make(chan []Worker, 64), map[string]Worker{}} }
 
-func (l listSink) EndpointsChanged(list []Worker) {
+func (l listSink) EndpointsListed(list []Worker) {
 	clear(l.current)
 	for _, worker := range list {
 		l.current[worker.Name] = worker
@@ -166,7 +166,7 @@
 // updateSink is a Sink that passes lists and updates to the test unchanged.
 type updateSink struct{ lists, updates chan []Worker }
 
-func (u updateSink) EndpointsChanged(list []Worker)    { u.lists <- list }
+func (u updateSink) EndpointsListed(list []Worker)     { u.lists <- list }
 func (u updateSink) EndpointsUpdated(changed []Worker) { u.updates <- changed }
 func (updateSink) WatchFailed(error)                   {}
 func (updateSink) ListRequested(time.Time)             {}
--- a/internal/discovery/file.go
+++ b/internal/discovery/file.go
@@ -85,7 +85,7 @@
 		sink.WatchFailed(err)
 		return
 	}
-	sink.EndpointsChanged(list)
+	sink.EndpointsListed(list)
 }
 
 // ParseFile parses the text of a list. Errors in a line give the line's number and name as the name of the file. Every
--- a/internal/discovery/list_comparer.go
+++ b/internal/discovery/list_comparer.go
@@ -16,8 +16,8 @@
 	hasList bool
 }
 
-// EndpointsChanged implements Sink.
-func (c *listComparer) EndpointsChanged(list []Worker) {
+// EndpointsListed implements Sink.
+func (c *listComparer) EndpointsListed(list []Worker) {
 	before := c.known
 	c.known = make(map[string]Worker, len(list))
 	for _, worker := range list {
@@ -25,7 +25,7 @@
 	}
 	if !c.hasList {
 		c.hasList = true
-		c.Sink.EndpointsChanged(list)
+		c.Sink.EndpointsListed(list)
 		return
 	}
 	c.EndpointsUpdated(c.changes(before, list))
--- a/internal/discovery/list_comparer_test.go
+++ b/internal/discovery/list_comparer_test.go
@@ -17,7 +17,7 @@
 	reports       int
 }
 
-func (r *reportSink) EndpointsChanged(list []Worker)    { r.list, r.reports = list, r.reports+1 }
+func (r *reportSink) EndpointsListed(list []Worker)     { r.list, r.reports = list, r.reports+1 }
 func (r *reportSink) EndpointsUpdated(changed []Worker) { r.changed, r.reports = changed, r.reports+1 }
 func (r *reportSink) WatchFailed(error)                 {}
 func (r *reportSink) ListRequested(time.Time)           {}
@@ -31,7 +31,7 @@
 		return Worker{Name: name, Scale: 1, State: scheduler.Ready, Started: started}
 	}
 	first := []Worker{worker("a"), worker("b"), worker("c")}
-	comparer.EndpointsChanged(first)
+	comparer.EndpointsListed(first)
 	if sink.reports != 1 || len(sink.list) != 3 {
 		t.Fatalf("first list: %d reports, the list has %d", sink.reports, len(sink.list))
 	}
@@ -39,7 +39,7 @@
 	again.Started = started.UTC() // the same instant
 	restarted := worker("b")
 	restarted.Started = started.Add(time.Second)
-	comparer.EndpointsChanged([]Worker{again, restarted, worker("d")})
+	comparer.EndpointsListed([]Worker{again, restarted, worker("d")})
 	var changes []string
 	for _, w := range sink.changed {
 		changes = append(changes, fmt.Sprint(w.Name, w.State))
@@ -48,7 +48,7 @@
 	if !slices.Equal(changes, want) {
 		t.Errorf("changes %v, want %v", changes, want)
 	}
-	comparer.EndpointsChanged([]Worker{worker("d"), restarted, worker("a")})
+	comparer.EndpointsListed([]Worker{worker("d"), restarted, worker("a")})
 	if sink.reports != 3 || len(sink.changed) != 0 {
 		t.Errorf("the same list in another order: %d reports, the last one changes %v", sink.reports, sink.changed)
 	}
@@ -66,7 +66,7 @@
 				list = append(list, Worker{Name: fmt.Sprint(number), Scale: float64(1 + rapid.IntRange(0, 1).Draw(t, "scale"))})
 			}
 			sink.list, sink.changed = nil, nil
-			comparer.EndpointsChanged(list)
+			comparer.EndpointsListed(list)
 			for _, worker := range slices.Concat(sink.list, sink.changed) {
 				if listed[worker.Name] = worker; worker.State == scheduler.Removed {
 					delete(listed, worker.Name)
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -94,7 +94,7 @@
 
 // recordViolation counts and logs a rule violation that was prevented.
 func (f *FrontEnd) recordViolation(violation execution.Violation, request *Request) {
-	f.guard.Count(violation)
+	f.guard.CountViolation(violation)
 	f.trace.violationPrevented(f.now, violation, request)
 }
 
--- a/internal/gateway/endpoint_changes.go
+++ b/internal/gateway/endpoint_changes.go
@@ -123,9 +123,9 @@
 // discoveryEvents implements discovery.Sink. It forwards the reports of endpoint discovery to an event loop.
 type discoveryEvents struct{ loop *EventLoop }
 
-// EndpointsChanged implements discovery.Sink. It waits until the list is handled, because later changes build on it.
-func (e discoveryEvents) EndpointsChanged(list []discovery.Worker) {
-	e.loop.postAndWait(stepEndpoints, func(now time.Duration) { e.loop.frontEnd.EndpointsChanged(now, list) })
+// EndpointsListed implements discovery.Sink. It waits until the list is handled, because later changes build on it.
+func (e discoveryEvents) EndpointsListed(list []discovery.Worker) {
+	e.loop.postAndWait(stepEndpoints, func(now time.Duration) { e.loop.frontEnd.EndpointsListed(now, list) })
 }
 
 // EndpointsUpdated implements discovery.Sink. It blocks while too many changes are pending.
--- a/internal/gateway/endpoint_steps_test.go
+++ b/internal/gateway/endpoint_steps_test.go
@@ -23,7 +23,7 @@
 }
 
 func (c changedEndpoints) Run(ctx context.Context, sink discovery.Sink) {
-	sink.EndpointsChanged(nil)
+	sink.EndpointsListed(nil)
 	sink.EndpointsUpdated(c.changed)
 	close(c.reported)
 	<-ctx.Done()
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -11,9 +11,9 @@
 // sweepInterval is the time between two sweeps. See FrontEnd.sweep.
 const sweepInterval = time.Second
 
-// EndpointsChanged handles a complete list of workers. The clients of draining and removed workers return their unsent
+// EndpointsListed handles a complete list of workers. The clients of draining and removed workers return their unsent
 // work before the scheduler is notified, so that nothing new can be sent to these workers afterwards.
-func (f *FrontEnd) EndpointsChanged(now time.Duration, list []discovery.Worker) {
+func (f *FrontEnd) EndpointsListed(now time.Duration, list []discovery.Worker) {
 	f.now = now
 	infos, listed := f.applyEntries(list)
 	for _, id := range sortedKeys(f.workers) {
@@ -26,7 +26,7 @@
 	f.runDeferred()
 }
 
-// EndpointsUpdated handles the workers that changed. Unlike EndpointsChanged, it does not process the unchanged
+// EndpointsUpdated handles the workers that changed. Unlike EndpointsListed, it does not process the unchanged
 // workers.
 func (f *FrontEnd) EndpointsUpdated(now time.Duration, changed []discovery.Worker) {
 	f.now = now
--- a/internal/gateway/endpoints_test.go
+++ b/internal/gateway/endpoints_test.go
@@ -50,7 +50,7 @@
 	harness := newHarness(t, 1, nil)
 	old := harness.clients["w0"]
 	request := harness.submit(idempotentClass)
-	harness.EndpointsChanged(harness.clock, []discovery.Worker{{Name: "w0", Address: "elsewhere:1", Scale: 1, State: scheduler.Ready}})
+	harness.EndpointsListed(harness.clock, []discovery.Worker{{Name: "w0", Address: "elsewhere:1", Scale: 1, State: scheduler.Ready}})
 	if harness.opened != 2 || !old.drained || old.stopped {
 		t.Fatalf("%d clients were opened, want 2; old client drained %t, want true; stopped %t, want false", harness.opened, old.drained, old.stopped)
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -164,7 +164,7 @@
 		}
 		list = append(list, w)
 	}
-	harness.EndpointsChanged(harness.clock, list)
+	harness.EndpointsListed(harness.clock, list)
 }
 
 func (harness *testHarness) submit(class int) *Request { return harness.submitTo(class, 2) }
--- a/internal/gateway/load_orders.go
+++ b/internal/gateway/load_orders.go
@@ -30,7 +30,7 @@
 		return
 	}
 	if replicas > 0 && worker.state != scheduler.Ready {
-		f.guard.Count(execution.StartAtDrainingWorker)
+		f.guard.CountViolation(execution.StartAtDrainingWorker)
 		worker.addLogFields(f.log.Error()).Stringer("violation", execution.StartAtDrainingWorker).Msg("rule violation prevented")
 		f.deferred = append(f.deferred, func() {
 			f.scheduler.LoadEnded(f.now, scheduler.LoadResult{Worker: to, Function: id, Status: scheduler.Overloaded})
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -44,7 +44,7 @@
 type fixedEndpoints []discovery.Worker
 
 func (f fixedEndpoints) Run(ctx context.Context, sink discovery.Sink) {
-	sink.EndpointsChanged(f)
+	sink.EndpointsListed(f)
 	<-ctx.Done()
 }
 func (f fixedEndpoints) Refresh() {}
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -126,7 +126,7 @@
 		return
 	}
 	check := &healthCheck{worker: w}
-	check.AskedAt = f.now
+	check.RequestedAt = f.now
 	w.readiness.check = check
 	f.healthChecks[&check.HealthCheck] = check
 	due := f.now + endpointlease.HealthCheckTimeout(f.settings.Scheduler.ConnectTimeout)
@@ -162,7 +162,7 @@
 	f.scheduler.HealthChecked(f.now, scheduler.HealthCheckResult{
 		Worker:     w.id,
 		Status:     status,
-		Latency:    f.now - check.AskedAt,
+		Latency:    f.now - check.RequestedAt,
 		LoadReport: loadReport,
 	})
 	f.trace.healthChecked(f.now, check, status)
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -92,7 +92,7 @@
 		return
 	}
 	if line := t.attempts.Info(); line.Enabled() {
-		line.Str("worker", check.worker.Name).Stringer("status", status).Dur("duration", now-check.AskedAt).
+		line.Str("worker", check.worker.Name).Stringer("status", status).Dur("duration", now-check.RequestedAt).
 			Int("waiting", len(check.worker.readiness.waiting.attempts)).Msg("health check ended")
 	}
 }
--- a/internal/native/muxclient/client.go
+++ b/internal/native/muxclient/client.go
@@ -103,7 +103,8 @@
 }
 
 // Abandon ends an attempt without reporting its result, unless the result has already been reported. It returns whether
-// the worker may have seen the attempt. If the attempt was in flight, the worker is told to cancel it.
+// the worker may have seen the attempt. If the attempt was in flight, a cancellation is sent. If moreover its permit has
+// ended and the worker is not known to have received it, the connection is closed, so that it does not arrive later.
 func (c *Client) Abandon(attempt *workerconn.Attempt) (mayHaveBeenSent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/platform/workerclient/connection_test.go
+++ b/internal/platform/workerclient/connection_test.go
@@ -164,15 +164,15 @@
 		}
 		c.Respond(workerframe.Frame{Code: workerframe.Healthy, ID: f.ID})
 	})
-	check := &workerconn.HealthCheck{AskedAt: time.Nanosecond}
+	check := &workerconn.HealthCheck{RequestedAt: time.Nanosecond}
 	if status := client.CheckHealth(check); status != 0 {
 		t.Fatal(status)
 	}
 	if status := <-recorder.healthChecks; status != scheduler.OK {
 		t.Errorf("the health check ended as %v", status)
 	}
-	if check.ConnectedAt <= check.AskedAt || check.SentAfter() != check.ConnectedAt {
-		t.Errorf("check sent after %v, requested at %v on a connection established at %v", check.SentAfter(), check.AskedAt, check.ConnectedAt)
+	if check.ConnectedAt <= check.RequestedAt || check.SentAfter() != check.ConnectedAt {
+		t.Errorf("check sent after %v, requested at %v on a connection established at %v", check.SentAfter(), check.RequestedAt, check.ConnectedAt)
 	}
 }
 
--- a/internal/workerconn/attempt.go
+++ b/internal/workerconn/attempt.go
@@ -78,15 +78,15 @@
 // isNewWork reports whether the order may make the worker load replicas, unlike a residency query.
 func (o *LoadOrder) isNewWork() bool { return o.Load.Replicas > 0 }
 
-// HealthCheck asks a worker whether it accepts new work. The caller sets AskedAt; the client sets ConnectedAt before it
+// HealthCheck asks a worker whether it accepts new work. The caller sets RequestedAt; the client sets ConnectedAt before it
 // reports the response. Both times are on the client's monotonic clock.
 type HealthCheck struct {
-	AskedAt     time.Duration
+	RequestedAt time.Duration
 	ConnectedAt time.Duration // when the connection that carried the check was established; 0: not known
 }
 
 // SentAfter returns a time before which the check cannot have been sent.
-func (h *HealthCheck) SentAfter() time.Duration { return max(h.AskedAt, h.ConnectedAt) }
+func (h *HealthCheck) SentAfter() time.Duration { return max(h.RequestedAt, h.ConnectedAt) }
 
 // Result describes how an attempt ended.
 type Result struct {
--- a/internal/workerconn/guard.go
+++ b/internal/workerconn/guard.go
@@ -52,8 +52,8 @@
 	return until == 0 || now <= until
 }
 
-// Count counts one violation.
-func (g *WriteGuard) Count(violation execution.Violation) {
+// CountViolation counts one violation.
+func (g *WriteGuard) CountViolation(violation execution.Violation) {
 	if g != nil {
 		g.violations[violation].Add(1)
 	}
--- a/internal/workerconn/write_batch.go
+++ b/internal/workerconn/write_batch.go
@@ -155,7 +155,7 @@
 		case frame.end <= written:
 			delivery.finishSending()
 			if frame.item.isLateWrite(now) {
-				guard.Count(execution.LateWrite)
+				guard.CountViolation(execution.LateWrite)
 			}
 		default:
 			delivery.cancel()
--- a/lab/invariant/score.go
+++ b/lab/invariant/score.go
@@ -47,20 +47,6 @@
 // Service returns the fraction of the offered weight that was earned in the whole run.
 func (s Score) Service() float64 { return s.Share() }
 
-// LowestService returns the lowest service over any period of the given number of seconds, or 1 if the run is shorter.
-func (s Score) LowestService(seconds int) float64 {
-	worst := 1.0
-	for i := 0; i+seconds <= len(s.Seconds); i++ {
-		var sum ServiceLevel
-		for _, p := range s.Seconds[i : i+seconds] {
-			sum.Offered += p.Offered
-			sum.Earned += p.Earned
-		}
-		worst = min(worst, sum.Share())
-	}
-	return worst
-}
-
 // Score computes the service level that clients saw. A request and its retries are recognized by their identifiers,
 // "REQUEST.NUMBER"; the best response among them counts.
 func (h *History) Score(classes map[string]scheduler.Class) Score {
--- a/lab/simulation/connection.go
+++ b/lab/simulation/connection.go
@@ -167,7 +167,7 @@
 }
 
 // discardConnection closes the connection at once, so that nothing that is on its way reaches the worker. The front end
-// is told afterwards, as it may be the caller.
+// is notified afterwards, because it may be the caller.
 func (c *workerClient) discardConnection() {
 	path := c.toWorker
 	path.Close()
--- a/lab/simulation/discovery.go
+++ b/lab/simulation/discovery.go
@@ -52,5 +52,5 @@
 		states[e.Name] = e.State
 	}
 	s.history.EndpointsUpdated(invariant.EndpointUpdate{At: s.clock.Now(), FrontEnd: f.name, States: states})
-	f.handleEvent(func(now time.Duration) { f.gateway.EndpointsChanged(now, list) })
+	f.handleEvent(func(now time.Duration) { f.gateway.EndpointsListed(now, list) })
 }
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -26,7 +26,7 @@
 
 // Report summarizes a run.
 type Report struct {
-	Requests, Served, Rejected, Failed, Cancelled int
+	Requests, Served, Rejected, Failed, Abandoned int
 	Attempts, Retries                             int            // all attempts, and those after a request's first
 	Faults                                        map[string]int // number of injected faults by name
 	Violations                                    []Violation
@@ -290,7 +290,7 @@
 	}
 	for _, request := range h.requests {
 		if request.AbandonedAt > 0 {
-			report.Cancelled++
+			report.Abandoned++
 		}
 		if len(request.Responses) == 0 {
 			continue
--- a/scheduler/finish_cause.go
+++ b/scheduler/finish_cause.go
@@ -1,7 +1,7 @@
 package scheduler
 
-// FinishCause says why a Scheduler itself gave a request its final response. It is used in logs and totals; what the
-// client is told depends on whether the request may have executed.
+// FinishCause says why a Scheduler itself gave a request its final response. It is used in logs and totals; the
+// response to the client depends on whether the request may have executed.
 type FinishCause int
 
 // The causes.
