Bound the health checks and pings that confirm receipt

A worker that answers requests but neither health checks nor pings would have made the table of unanswered ones grow with each retry of its connection. Above 64 no other is sent; an attempt that is not confirmed counts as one that may arrive later, which is the safe side. Tests hold both bounds.

--- a/internal/native/muxclient/client.go
+++ b/internal/native/muxclient/client.go
@@ -43,7 +43,7 @@
 	lastStreamID uint32                                     // most recently issued stream ID
 	conn         net.Conn                                   // nil while there is no connection
 	keepalive    *reconnect.Keepalive                       // keepalive state of conn
-	pings        []uint64                                   // for each ping without a pong: the frame that a pong confirms
+	pings        []uint64                                   // for each ping without a pong, oldest first: the frame that the pong confirms
 	draining     bool                                       // Drain was called: no new work is sent
 	closed       bool                                       // the client was stopped: nothing more is queued
 	writeLimit   workerconn.WriteLimit
@@ -213,8 +213,16 @@
 	return uint64(c.lastStreamID)
 }
 
-// ping queues a ping. Its pong confirms that the worker has read everything written so far. The caller must hold the lock.
+// maxPings is the number of pings without a pong above which no other is sent. An attempt that is not confirmed is
+// treated as one that may arrive later.
+const maxPings = 64
+
+// ping queues a ping, unless too many have no pong. Its pong confirms that the worker has read everything written so
+// far. Pongs come in the order of the pings. The caller must hold the lock.
 func (c *Client) ping() {
+	if len(c.pings) >= maxPings {
+		return
+	}
 	c.pings = append(c.pings, c.queue.LastWritten())
 	c.push(controlFrame{frameType: muxframe.TypePing})
 }
--- a/internal/native/muxclient/receipt_test.go
+++ b/internal/native/muxclient/receipt_test.go
@@ -70,3 +70,17 @@
 		t.Errorf("result %+v, want Reset because the abandoned attempt may not have been received", r)
 	}
 }
+
+// TestPing_WorkerSendsNoPong_PingsAreBounded guards against growth with each retry on a connection whose worker responds
+// to requests but not to pings.
+func TestPing_WorkerSendsNoPong_PingsAreBounded(t *testing.T) {
+	client, _ := newTestClient(t, startFakeWorker(t), nil)
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	for range 2 * maxPings {
+		client.ping()
+	}
+	if pings := len(client.pings); pings != maxPings {
+		t.Errorf("%d pings have no pong, want %d", pings, maxPings)
+	}
+}
--- a/internal/platform/workerclient/connection.go
+++ b/internal/platform/workerclient/connection.go
@@ -30,8 +30,8 @@
 	// Guarded by client.mu.
 	queue        workerconn.SendQueue[workerframe.Frame]
 	healthChecks map[uint64]*workerconn.HealthCheck // health checks without response, by number; limited by the caller
-	// receiptChecks holds the health checks of requestReceipt without response, by number: the frame that a response
-	// confirms. There is at most one for each attempt that was cancelled on netConn or has a permit.
+	// receiptChecks holds, for each health check of requestReceipt without response, the frame that a response confirms.
+	// There are at most maxReceiptChecks.
 	receiptChecks map[uint64]uint64
 	connectedAt   time.Duration // time at which netConn was established
 	netConn       net.Conn      // nil while not connected
--- a/internal/platform/workerclient/receipts.go
+++ b/internal/platform/workerclient/receipts.go
@@ -11,6 +11,10 @@
 // This file ensures that an attempt that was cancelled, or whose permit has ended, does not reach the worker later. The
 // client asks the worker with a health check behind the attempt: its response shows that the attempt has arrived.
 
+// maxReceiptChecks is the number of unanswered health checks of requestReceipt on a connection above which no other is
+// sent. An attempt that is not confirmed is treated as one that may arrive later.
+const maxReceiptChecks = 64
+
 // awaitReceipt limits how long the connection may stay open after an attempt on it was cancelled that the worker may not
 // have received. It requires that client.mu is held.
 func (c *connection) awaitReceipt(attempt *workerconn.Attempt) {
@@ -30,9 +34,9 @@
 }
 
 // requestReceipt queues a health check whose response confirms everything written so far. It does nothing if the client
-// itself may not send health checks. It requires that client.mu is held.
+// itself may not send health checks, or if too many are unanswered. It requires that client.mu is held.
 func (c *connection) requestReceipt() {
-	if !c.client.cfg.HealthChecksAllowed {
+	if !c.client.cfg.HealthChecksAllowed || len(c.receiptChecks) >= maxReceiptChecks {
 		return
 	}
 	number := c.client.randomNumber()
--- a/internal/platform/workerclient/receipts_test.go
+++ b/internal/platform/workerclient/receipts_test.go
@@ -1,6 +1,7 @@
 package workerclient
 
 import (
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -168,3 +169,20 @@
 		})
 	}
 }
+
+// TestRequestReceipt_WorkerAnswersNoHealthCheck_ChecksAreBounded guards against growth with each retry on a connection
+// whose worker answers requests but no health checks.
+func TestRequestReceipt_WorkerAnswersNoHealthCheck_ChecksAreBounded(t *testing.T) {
+	local, remote := net.Pipe()
+	defer func() { _ = remote.Close() }()
+	client, conn := newUnservedConnection(t, local)
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	client.cfg.HealthChecksAllowed = true
+	for range 2 * maxReceiptChecks {
+		conn.requestReceipt()
+	}
+	if checks := len(conn.receiptChecks); checks != maxReceiptChecks {
+		t.Errorf("%d health checks are unanswered, want %d", checks, maxReceiptChecks)
+	}
+}
