--- a/cmd/havencart/serveplatform_test.go
+++ b/cmd/havencart/serveplatform_test.go
@@ -130,18 +130,23 @@
 func (c *rpcClient) send(method string, parameters ...any) (failure, result any) {
 	c.t.Helper()
 	c.lastID++
-	raw, err := msgpack.Marshal([]any{0, c.lastID, method, parameters})
+	c.writeMessage([]any{0, c.lastID, method, parameters})
+	response, err := c.dec.DecodeSlice()
+	if err != nil || len(response) != 4 {
+		c.t.Fatalf("response to %s is %v, %v", method, response, err)
+	}
+	return response[2], response[3]
+}
+
+func (c *rpcClient) writeMessage(message []any) {
+	c.t.Helper()
+	raw, err := msgpack.Marshal(message)
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	if _, err := c.Write(raw); err != nil {
 		c.t.Fatal(err)
 	}
-	response, err := c.dec.DecodeSlice()
-	if err != nil || len(response) != 4 {
-		c.t.Fatalf("response to %s is %v, %v", method, response, err)
-	}
-	return response[2], response[3]
 }
 
 func (c *rpcClient) call(id int) (failure, result any) {
