Reuse the error of unconfirmed receipts in the simulation; clearer comments

The simulation had an error of its own with the text of workerconn.ErrNotReceived. Comments on receipts say what is recorded and when a connection is closed; that of the proxy names the kernel's state and says that it is also reached when both sides have closed. Two guard tests share their set-up; no assertion changed.

--- a/internal/gateway/guard_test.go
+++ b/internal/gateway/guard_test.go
@@ -8,16 +8,24 @@
 	"havencart/scheduler"
 )
 
-// TestRetry_UnsentWhenKeyExpires_FailsAtOnce checks a request that may have executed and whose second attempt waits
-// for a connection. Workers retain the idempotency key for one second, after which the attempt must not be sent.
-func TestRetry_UnsentWhenKeyExpires_FailsAtOnce(t *testing.T) {
-	harness := newHarness(t, 4, nil)
+// retryKeyed submits a keyed request whose first attempt fails after 100 ms and may have executed. Before the retry,
+// interrupt changes all workers.
+func (harness *testHarness) retryKeyed(interrupt func(*fakeWorkerClient)) *Request {
+	harness.Helper()
 	request := harness.submit(keyedClass)
 	harness.advance(100 * ms)
 	for _, worker := range harness.clients {
-		worker.holdsWrites = true
+		interrupt(worker)
 	}
 	harness.endWith(request, scheduler.Error)
+	return request
+}
+
+// TestRetry_UnsentWhenKeyExpires_FailsAtOnce checks a request that may have executed and whose second attempt waits
+// for a connection. Workers retain the idempotency key for one second, after which the attempt must not be sent.
+func TestRetry_UnsentWhenKeyExpires_FailsAtOnce(t *testing.T) {
+	harness := newHarness(t, 4, nil)
+	request := harness.retryKeyed(func(worker *fakeWorkerClient) { worker.holdsWrites = true })
 	worker, attempt := harness.sentAttempt(request)
 	if want := harness.clock - 100*ms + time.Second; attempt.NotAfter != want {
 		t.Errorf("the retry may be written until %v, want %v", attempt.NotAfter, want)
@@ -52,12 +60,7 @@
 // before the key expired, is held by an interrupted network path, and reaches its worker after the key has expired.
 func TestRetry_NotReceivedWhenKeyExpires_IsGivenUp(t *testing.T) {
 	harness := newHarness(t, 4, nil)
-	request := harness.submit(keyedClass)
-	harness.advance(100 * ms)
-	for _, worker := range harness.clients {
-		worker.unreachable = true
-	}
-	harness.endWith(request, scheduler.Error)
+	request := harness.retryKeyed(func(worker *fakeWorkerClient) { worker.unreachable = true })
 	worker, attempt := harness.sentAttempt(request)
 	harness.advance(attempt.NotAfter - harness.clock - ms)
 	if len(worker.sent) != 1 {
--- a/internal/native/muxclient/connection_read.go
+++ b/internal/native/muxclient/connection_read.go
@@ -53,7 +53,7 @@
 	return fmt.Errorf("%w: %v from a worker", muxframe.ErrMalformed, frame.Type)
 }
 
-// handlePong processes the response to the oldest ping. It ignores a pong that no ping asked for.
+// handlePong processes the response to the oldest ping. It ignores a pong without a ping.
 func (c *Client) handlePong() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/platform/workerclient/connection_read.go
+++ b/internal/platform/workerclient/connection_read.go
@@ -59,7 +59,7 @@
 	attempt     *workerconn.Attempt
 	load        *workerconn.LoadOrder
 	healthCheck *workerconn.HealthCheck
-	receipt     bool // the response is one that requestReceipt asked for
+	receipt     bool // the response answers a health check of requestReceipt
 }
 
 // handle reports the result that a response contains. A response that matches no unfinished item is dropped and counted
--- a/internal/platform/workerclient/receipts.go
+++ b/internal/platform/workerclient/receipts.go
@@ -9,7 +9,7 @@
 )
 
 // This file ensures that an attempt that was cancelled, or whose permit has ended, does not reach the worker later. The
-// client asks the worker with a health check behind the attempt: its response shows that the attempt has arrived.
+// client sends a health check behind the attempt; the response shows that the worker has read the attempt.
 
 // maxReceiptChecks is the number of unanswered health checks of requestReceipt on a connection above which no other is
 // sent. An attempt that is not confirmed is treated as one that may arrive later.
--- a/internal/workerconn/receipt.go
+++ b/internal/workerconn/receipt.go
@@ -8,7 +8,7 @@
 
 // This file tracks which of the frames written to a connection the worker is known to have read. A frame that was
 // written may still be held by the operating system, and reach the worker much later, when an interrupted network path
-// works again. As frames arrive in order, a response to a frame confirms that one and all frames before it.
+// works again. Because frames arrive in order, a response to a frame confirms that frame and all frames before it.
 
 // ErrNotReceived ends a connection that may still hold a cancelled attempt.
 var ErrNotReceived = errors.New("a cancelled attempt may not have been received")
@@ -21,8 +21,8 @@
 	awaited   []awaitedReceipt
 }
 
-// awaitedReceipt is a frame that the worker must be known to have read at a certain time, for the connection to stay
-// open.
+// awaitedReceipt is a frame with the time at which the connection must be closed unless the worker is known to have read
+// the frame.
 type awaitedReceipt struct {
 	frame uint64
 	until time.Duration
@@ -44,8 +44,8 @@
 	return attempt.delivery.frame > 0 && attempt.delivery.frame <= q.receipts.confirmed
 }
 
-// AwaitReceipt makes the connection unusable from the time until on, unless the worker is known by then to have read the
-// attempt. The owner must close the connection at the time that ReceiptDue returns.
+// AwaitReceipt records that the connection must be closed at the time until, unless the worker is known by then to have
+// read the attempt. The owner closes it at the time that ReceiptDue returns.
 func (q *SendQueue[Frame]) AwaitReceipt(attempt *Attempt, until time.Duration) {
 	q.receipts.awaited = append(q.receipts.awaited, awaitedReceipt{frame: attempt.delivery.frame, until: until})
 }
--- a/lab/faultproxy/reset.go
+++ b/lab/faultproxy/reset.go
@@ -23,11 +23,11 @@
 // isEOF reports whether a read ended because the other side closed the connection without a reset.
 func isEOF(err error) bool { return errors.Is(err, io.EOF) }
 
-// tcpClosed is the state of a TCP connection in the kernel after either side has reset it. After a regular close by the
-// other side, the connection is in another state.
+// tcpClosed is the kernel's state TCP_CLOSE, in which a connection is after either side has reset it or after both have
+// closed it. After a regular close by the other side alone, the connection is in another state.
 const tcpClosed = 7
 
-// hasBeenReset reports whether a connection has been reset or closed by this process. It consumes neither data nor the
+// hasBeenReset reports whether a connection has been reset, or closed on both sides. It consumes neither data nor the
 // error that a read returns.
 func hasBeenReset(conn *net.TCPConn) bool {
 	raw, err := conn.SyscallConn()
--- a/lab/simulation/connection.go
+++ b/lab/simulation/connection.go
@@ -16,8 +16,6 @@
 	errReset   = errors.New("connection reset")
 	errTimeout = errors.New("connection timed out")
 	errSilent  = errors.New("no sign of life")
-
-	errNotReceived = errors.New("a cancelled attempt may not have been received")
 )
 
 // connectionState is the state of a front end's connection to a worker.
@@ -173,7 +171,7 @@
 	path.Close()
 	c.sim.clock.After(0, func() {
 		if c.toWorker == path && c.state == connected && !c.stopped {
-			c.connectionEnded(errNotReceived)
+			c.connectionEnded(workerconn.ErrNotReceived)
 		}
 	})
 }
