--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -89,7 +89,18 @@
 
 // send sends a request. Its ID is made here.
 func (c *client) send(r *request) *request {
-	r.ID, r.answered = randomHex(16), make(chan struct{})
+	r.ID = randomHex(16)
+	return c.sendRequest(r)
+}
+
+// sendAgain sends a request, which crossed the end of another connection, once more.
+func (c *client) sendAgain(r *request) *request {
+	return c.sendRequest(&request{ID: r.ID, Class: r.Class, Key: r.Key, Once: r.Once, Wait: r.Wait, Attributes: r.Attributes, Body: r.Body})
+}
+
+// sendRequest writes a request.
+func (c *client) sendRequest(r *request) *request {
+	r.answered = make(chan struct{})
 	fields := map[string]string{"id": r.ID, "wait": strconv.FormatInt(r.Wait.Milliseconds(), 10), "key": r.Key}
 	if r.Once != "" {
 		fields["once"] = r.Once
