--- a/review/stand2/frontend.go
+++ b/review/stand2/frontend.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -23,6 +24,7 @@
 type frontEnd struct {
 	address   string
 	directory string // temporary; holds the configuration and the log
+	config    map[string]any
 	command   *exec.Cmd
 	exited    chan struct{}
 }
@@ -50,6 +52,7 @@
 	Cell    int
 	Site    string
 	Born    int64
+	Health  string // "" for up
 }
 
 // known returns the part of the configuration with the list of executors as event 1.
@@ -58,7 +61,7 @@
 	for _, h := range hosts {
 		list = append(list, map[string]any{
 			"host": fmt.Sprintf("s-%08x", h.ID), "dial": h.Address, "site": h.Site, "class": "std", "block": h.Cell,
-			"health": "up", "share": 1, "born_ms": h.Born,
+			"health": cmp.Or(h.Health, "up"), "share": 1, "born_ms": h.Born,
 		})
 	}
 	roster := map[string]any{"seq": 1, "whole": true, "hosts": list}
@@ -125,47 +128,85 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &frontEnd{address: listener.Addr().String(), exited: make(chan struct{})}
+	f := &frontEnd{address: listener.Addr().String()}
 	_ = listener.Close()
 	if f.directory, err = os.MkdirTemp("", "stand2-"); err != nil {
 		return nil, err
 	}
-	config, err := json.Marshal(map[string]any{
-		"name": "n0", "listen": f.address, "seed": fmt.Sprintf("%016x", time.Now().UnixNano()),
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"bulletin": bulletin, "known": known(hosts), "settings": settings,
-	})
-	if err != nil {
-		return nil, err
-	}
-	path := filepath.Join(f.directory, "config.json")
-	if err := os.WriteFile(path, config, 0o600); err != nil {
-		return nil, err
+	f.config = map[string]any{
+		"name": "n0", "listen": f.address, "bulletin": bulletin, "settings": settings,
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 	}
-	log, err := os.Create(filepath.Join(f.directory, "log"))
-	if err != nil {
+	if err := f.writeConfig(hosts); err != nil {
 		return nil, err
 	}
-	f.command = exec.Command("/bin/sh", "-c", run)
-	f.command.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_NAME=n0", "RELAY_LISTEN="+f.address)
-	f.command.Stdout, f.command.Stderr = log, log
-	if err := startOnCore(f.command, core); err != nil {
+	if err := f.launch(run, core); err != nil {
 		return nil, err
 	}
 	startedMu.Lock()
 	started = append(started, f)
 	startedMu.Unlock()
+	return f, f.awaitReady()
+}
+
+// writeConfig writes the configuration for a start, with the executors that are known then.
+func (f *frontEnd) writeConfig(hosts []host) error {
+	f.config["known"] = known(hosts)
+	f.config["seed"] = fmt.Sprintf("%016x", time.Now().UnixNano())
+	text, err := json.Marshal(f.config)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(f.directory, "config.json"), text, 0o600)
+}
+
+// launch starts the process.
+func (f *frontEnd) launch(run string, core int) error {
+	log, err := os.OpenFile(filepath.Join(f.directory, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	command, exited := exec.Command("/bin/sh", "-c", run), make(chan struct{})
+	command.Env = append(os.Environ(), "RELAY_CONFIG="+filepath.Join(f.directory, "config.json"), "RELAY_NAME=n0", "RELAY_LISTEN="+f.address)
+	command.Stdout, command.Stderr = log, log
+	if err := startOnCore(command, core); err != nil {
+		return err
+	}
+	f.command, f.exited = command, exited
 	go func() {
-		_ = f.command.Wait()
-		close(f.exited)
+		_ = command.Wait()
+		close(exited)
 	}()
-	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+	return nil
+}
+
+// restart kills the process and starts it again, with the executors that are known then.
+func (f *frontEnd) restart(hosts []host) error {
+	run, err := runCommand()
+	if err != nil {
+		return err
+	}
+	if err := f.writeConfig(hosts); err != nil {
+		return err
+	}
+	f.signal(syscall.SIGKILL)
+	<-f.exited
+	if err := f.launch(run, anyCore); err != nil {
+		return err
+	}
+	return f.awaitReady()
+}
+
+// awaitReady waits until the front end answers a heartbeat with true.
+func (f *frontEnd) awaitReady() error {
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
 		if f.isReady() {
-			return f, nil
+			return nil
 		}
 	}
 	f.stop()
-	return nil, errors.New("the front end is not ready within 10 s")
+	return errors.New("the front end is not ready within 10 s")
 }
 
 func (f *frontEnd) isReady() bool {
