--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x bin/havencart ] && [ -x bin/stand2 ] || exit 2
-exec bin/stand2 stale review/9/record.txt
+exec bin/stand2 gone review/9/record.txt
--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -60,6 +60,13 @@
 
 func (c *client) close() { _ = c.conn.Close() }
 
+// hasEnded reports whether the connection has ended.
+func (c *client) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 func (c *client) note(format string, args ...any) {
 	if c.recorder != nil {
 		c.recorder.add(format, args...)
@@ -113,6 +120,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ended { // the connection had ended before, as the client knows
+		close(r.answered)
+		return r
+	}
 	c.last++
 	r.number = c.last
 	c.open[r.number] = r
--- a/review/stand2/frontend.go
+++ b/review/stand2/frontend.go
@@ -120,6 +120,15 @@
 
 // startFrontEndOn starts a front end on one core.
 func startFrontEndOn(core int, settings map[string]any, bulletin string, hosts []host) (*frontEnd, error) {
+	return startConfigured(core, map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, settings, bulletin, hosts)
+}
+
+// startLimitedFrontEnd starts a front end with other limits than the usual ones.
+func startLimitedFrontEnd(memoryMB, descriptors int, settings map[string]any, bulletin string, hosts []host) (*frontEnd, error) {
+	return startConfigured(anyCore, map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": descriptors}, settings, bulletin, hosts)
+}
+
+func startConfigured(core int, limits, settings map[string]any, bulletin string, hosts []host) (*frontEnd, error) {
 	run, err := runCommand()
 	if err != nil {
 		return nil, err
@@ -134,8 +143,7 @@
 		return nil, err
 	}
 	f.config = map[string]any{
-		"name": "n0", "listen": f.address, "bulletin": bulletin, "settings": settings,
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"name": "n0", "listen": f.address, "bulletin": bulletin, "settings": settings, "limits": limits,
 	}
 	if err := f.writeConfig(hosts); err != nil {
 		return nil, err
