Bound unwritten responses by requests, so that responses that come together keep their connection

Cause: rpcserver closed a connection with more than 256 KiB queued, half of the 32 x 16 KiB that a conforming client may have coming; the event loop can queue all of it before the writing goroutine gets its turn. No log line or count told of it.

Now a request stays open until its response is taken for writing. A client cannot have received what was not written, so a conforming one never exceeds 32; the connection of another is not read further. Writes take batches of 32 KiB, each within the write timeout. Bodies are bounded by connection and, with an equal share each, over all connections; what does not fit becomes a failure instead of closing the connection. Failed writes are logged and counted.

--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -19,6 +19,7 @@
 	"havencart/internal/discovery"
 	"havencart/internal/native/muxframe"
 	"havencart/internal/periodic"
+	"havencart/internal/platform/rpcframe"
 	"havencart/internal/platform/rpcserver"
 	"havencart/internal/platform/workerclient"
 )
@@ -30,7 +31,6 @@
 	platformMaxInFlight      = 4096                   // requests in flight above which requests are rejected
 	platformDeadlineMargin   = 15 * time.Millisecond  // time between the final response and the client's timeout
 	platformMaxResponse      = 64 << 10               // maximum size of a worker's response in bytes
-	platformMaxQueuedBytes   = 256 << 10              // bytes of responses that a client has not read
 	platformWriteTimeout     = 2 * time.Second        // how long a client may stall while a response is written to it
 	platformMaxPerConnection = 32                     // requests in flight per connection, by the platform's rules
 	platformAcceptGrace      = 700 * time.Millisecond // clients are accepted this long after a shutdown has begun
@@ -43,6 +43,7 @@
 	platformLogInterval               = 5 * time.Second // time between two log lines with the totals
 	memoryLimitFraction               = 0.7             // fraction of the memory above which the GC works harder
 	bodyMemoryFraction                = 0.25            // fraction of the memory for the bodies of requests in flight
+	responseMemoryFraction            = 0.125           // fraction of the memory for the bodies of responses not yet written
 	functionsPerMB                    = 64              // functions remembered per MB; each takes about 1 KB
 	bytesPerMB                        = 1 << 20
 )
@@ -90,7 +91,7 @@
 		Rules:             clientRules(config.Settings),
 		MaxConnections:    clientConns,
 		MaxInFlight:       platformMaxPerConnection,
-		MaxQueuedBytes:    platformMaxQueuedBytes,
+		ResponseLimits:    responseLimits(config.MemoryMB),
 		WriteTimeout:      platformWriteTimeout,
 		AcceptGracePeriod: platformBacklogGrace,
 		ObserveWriteDelay: func(took time.Duration) { server.loop.ObserveLag(took) },
@@ -99,6 +100,15 @@
 	return server, nil
 }
 
+// responseLimits returns the limits of the responses that wait for clients to read them. A connection may have a
+// response of the maximum size waiting for each of its requests.
+func responseLimits(memoryMB int) connadmission.ResponseLimits {
+	return connadmission.ResponseLimits{
+		PerConnection: platformMaxPerConnection * rpcframe.MaxBody,
+		Total:         int64(responseMemoryFraction * float64(memoryMB) * bytesPerMB),
+	}
+}
+
 // Address returns the address on which the server accepts clients.
 func (p *PlatformServer) Address() string { return p.listener.Addr().String() }
 
--- a/internal/gateway/platform_server_test.go
+++ b/internal/gateway/platform_server_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"havencart/internal/config/platformconfig"
+	"havencart/internal/decide/connadmission"
 	"havencart/internal/platform/rpcframe"
 	"havencart/internal/platform/workerframe"
 	"havencart/lab/platformdiscovery"
@@ -300,3 +301,15 @@
 	server.expect(next, rpcframe.AppendServed(nil, 1, []byte("did ")))
 	server.shutDown()
 }
+
+// TestResponseLimits_EachMemory_FitAllResponsesOfAConnection checks that a single connection may have a response of the
+// maximum size waiting for each of its requests, whatever the memory of the process is.
+func TestResponseLimits_EachMemory_FitAllResponsesOfAConnection(t *testing.T) {
+	const all = platformMaxPerConnection * rpcframe.MaxBody
+	for _, memoryMB := range []int{16, 32, 192, 1024} {
+		queued := connadmission.QueuedResponses{Connection: all - rpcframe.MaxBody, Total: all - rpcframe.MaxBody, Connections: 64}
+		if !responseLimits(memoryMB).MayQueue(queued, rpcframe.MaxBody) {
+			t.Errorf("%d MB: the last response of a full connection may not be queued", memoryMB)
+		}
+	}
+}
--- a/internal/platform/rpcserver/conn.go
+++ b/internal/platform/rpcserver/conn.go
@@ -37,9 +37,10 @@
 	lastMessageID  uint32                     // message ID of the last request
 	hasSentRequest bool
 	input          inputState
-	stateSince     time.Time // when input last changed or a response was last queued
-	output         []byte    // unwritten responses; the connection is closed if they exceed MaxQueuedBytes
-	writing        bool      // the writing goroutine is running
+	stateSince     time.Time   // when input last changed or a response was last queued
+	output         outputQueue // empty once the connection is closed
+	outputChanged  *sync.Cond  // uses mu; signals changes of output, and the end of the connection
+	writing        bool        // the writing goroutine is running
 	lifecycle      lifecycle
 }
 
@@ -68,10 +69,12 @@
 
 func newConn(s *Server, netConn net.Conn) *conn {
 	arrivals := &socket.ArrivalConn{Conn: netConn}
-	return &conn{
+	c := &conn{
 		server: s, netConn: netConn, arrivals: arrivals, bufReader: bufio.NewReaderSize(arrivals, readBufferSize), inFlight: map[uint32]*pendingRequest{},
 		stateSince: time.Now(),
 	}
+	c.outputChanged = sync.NewCond(&c.mu)
+	return c
 }
 
 // snapshot returns the state that determines whether the connection may be closed.
@@ -141,6 +144,7 @@
 // closeLocked closes the connection at once, which also ends the reading goroutine. It requires that c.mu is held.
 func (c *conn) closeLocked() {
 	c.lifecycle = lifecycleClosed
+	c.changeOutput((*outputQueue).clear)
 	_ = c.netConn.Close() // the connection is not used any more, so an error does not matter
 }
 
@@ -182,11 +186,13 @@
 	} else if !errors.Is(err, rpcframe.ErrMalformed) {
 		return false // the input ended
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+		return true
+	case !errors.Is(err, net.ErrClosed): // else the connection was closed while the message was handled
 		c.reportViolation(message.MessageID, err)
-		return false
 	}
-	return true
+	return false
 }
 
 func (c *conn) setInput(state inputState) {
@@ -214,7 +220,7 @@
 	c.server.protocolErrors.Add(1)
 	c.server.log.Info().Err(reason).Msg("protocol violation by a client")
 	if messageID > 0 {
-		c.enqueue(func(output []byte) []byte { return rpcframe.AppendMalformed(output, messageID) })
+		c.enqueue(outgoing{kind: outgoingMalformed, messageID: messageID})
 	}
 }
 
@@ -248,6 +254,10 @@
 
 // addInFlight adds a request to the requests in flight. It returns an error if the request violates the protocol: if
 // too many requests are in flight or its message ID is not above all earlier ones.
+//
+// A client that conforms to the protocol counts requests with a queued response as open, so that requests in flight and
+// queued responses never exceed MaxInFlight together. The connection of any other client is not read further until
+// queued responses are written.
 func (c *conn) addInFlight(messageID uint32) (*pendingRequest, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -257,6 +267,10 @@
 	if messageID <= c.lastMessageID {
 		return nil, protocolError("number %d after %d", messageID, c.lastMessageID)
 	}
+	isFull := func() bool { return len(c.inFlight)+c.output.responses() >= c.server.cfg.MaxInFlight }
+	if !c.awaitOutputLocked(isFull) {
+		return nil, net.ErrClosed
+	}
 	c.lastMessageID, c.hasSentRequest = messageID, true
 	pending := &pendingRequest{}
 	c.inFlight[messageID] = pending
@@ -272,21 +286,33 @@
 	return pending
 }
 
+// handleHeartbeat responds to a heartbeat. The connection of a client that sends heartbeats and does not read the
+// responses is not read further until they are written.
 func (c *conn) handleHeartbeat(messageID uint32) {
+	ready := c.server.handler.Ready()
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.lastMessageID = max(c.lastMessageID, messageID)
 	c.hasSentRequest = true
-	c.mu.Unlock()
-	c.enqueue(func(output []byte) []byte {
-		return rpcframe.AppendHeartbeat(output, messageID, c.server.handler.Ready())
-	})
+	c.awaitOutputLocked(func() bool { return c.output.heartbeats >= c.server.cfg.MaxInFlight })
+	c.enqueueLocked(outgoing{kind: outgoingHeartbeat, messageID: messageID, ready: ready})
 }
 
-// cancelRequests cancels the requests with the given message IDs that are still in flight.
+// cancelRequests ends the requests with the given message IDs, whose responses the client no longer wants: it cancels
+// those in flight, and discards the responses that are queued.
 func (c *conn) cancelRequests(messageIDs []uint32) {
 	for _, messageID := range messageIDs {
 		if pending := c.removeInFlight(messageID); pending != nil {
 			pending.cancel()
+		} else {
+			c.discardResponse(messageID)
 		}
 	}
 }
+
+// discardResponse removes the response to a request from the output queue, if it is queued.
+func (c *conn) discardResponse(messageID uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changeOutput(func(queue *outputQueue) { queue.removeResponse(messageID) })
+}
--- a/internal/platform/rpcserver/helpers_test.go
+++ b/internal/platform/rpcserver/helpers_test.go
@@ -12,6 +12,8 @@
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/goleak"
+
+	"havencart/internal/decide/connadmission"
 )
 
 // stubHandler is a Handler that passes requests, and the IDs of cancelled requests, to the test.
@@ -45,6 +47,9 @@
 	MaxMemoryMB: 1000,
 }
 
+// limits are limits of queued responses that the tests do not reach unless they say so.
+var limits = connadmission.ResponseLimits{PerConnection: 1 << 20, Total: 1 << 20}
+
 // startServer starts a server and returns its handler and address. The server is shut down when the test ends.
 func startServer(t *testing.T, maxConns int) (stubHandler, string) {
 	t.Helper()
@@ -54,7 +59,7 @@
 		t.Fatal(err)
 	}
 	handler := stubHandler{make(chan *stubRequest, 64), make(chan string, 64)}
-	cfg := Config{Rules: rules, MaxConnections: maxConns, MaxInFlight: 4, MaxQueuedBytes: 1 << 20, WriteTimeout: time.Minute}
+	cfg := Config{Rules: rules, MaxConnections: maxConns, MaxInFlight: 4, ResponseLimits: limits, WriteTimeout: time.Minute}
 	server := New(cfg, handler, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
--- a/internal/platform/rpcserver/output.go
+++ b/internal/platform/rpcserver/output.go
@@ -4,48 +4,77 @@
 	"time"
 
 	"havencart/internal/clientconn"
-	"havencart/internal/platform/rpcframe"
+	"havencart/internal/decide/connadmission"
 )
 
-// respond queues the final response to a request. It discards the response if the request is no longer in flight.
+// respond queues the final response to a request. It discards the response if the request is no longer in flight. A
+// served response whose body does not fit within the limits is replaced by a failure, which needs no memory: the
+// request and all others on the connection still get their final response.
 func (c *conn) respond(messageID uint32, pending *pendingRequest, response Response) {
-	c.enqueue(func(output []byte) []byte {
-		if c.inFlight[messageID] != pending { // already responded to, cancelled, or abandoned by a disconnect
-			return output
-		}
-		delete(c.inFlight, messageID)
-		c.stateSince = time.Now()
-		return appendResponse(output, messageID, response)
-	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inFlight[messageID] != pending { // already responded to, cancelled, or abandoned by a disconnect
+		return
+	}
+	delete(c.inFlight, messageID)
+	c.stateSince = time.Now()
+	if !c.mayQueueLocked(response) {
+		c.server.responsesDropped.Add(1)
+		response = Response{Kind: Failed}
+	}
+	c.enqueueLocked(outgoing{kind: outgoingResponse, messageID: messageID, response: response})
 }
 
-func appendResponse(output []byte, messageID uint32, response Response) []byte {
-	switch response.Kind {
-	case Served:
-		return rpcframe.AppendServed(output, messageID, response.Body)
-	case Rejected:
-		return rpcframe.AppendRejected(output, messageID, response.RetryAfter)
+// mayQueueLocked reports whether a response fits within the limits of queued responses. It requires that c.mu is held.
+func (c *conn) mayQueueLocked(response Response) bool {
+	queued := connadmission.QueuedResponses{
+		Connection:  c.output.bodyBytes,
+		Total:       c.server.queuedBodyBytes.Load(),
+		Connections: c.server.conns.Len(),
 	}
-	return rpcframe.AppendFailed(output, messageID)
+	return c.server.cfg.ResponseLimits.MayQueue(queued, int64(len(response.Body)))
 }
 
-// enqueue calls encode with c.mu held to append a response to the output, and starts the writing goroutine if it is not
-// running. It never waits for the client. If more than MaxQueuedBytes are queued, it closes the connection.
-func (c *conn) enqueue(encode func([]byte) []byte) {
+// enqueue is like enqueueLocked but acquires c.mu.
+func (c *conn) enqueue(message outgoing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.output = encode(c.output)
-	switch {
-	case c.lifecycle == lifecycleClosed || len(c.output) == 0:
-		c.output = nil
-	case len(c.output) > c.server.cfg.MaxQueuedBytes:
-		c.output = nil
-		c.closeLocked()
-	case !c.writing:
-		c.writing = true
-		queuedAt := time.Now()
-		c.server.tasks.Go(func() { c.writeQueued(queuedAt) })
+	c.enqueueLocked(message)
+}
+
+// enqueueLocked queues a message and starts the writing goroutine if it is not running. It never waits for the client.
+// It requires that c.mu is held.
+func (c *conn) enqueueLocked(message outgoing) {
+	if c.lifecycle == lifecycleClosed {
+		return
 	}
+	c.changeOutput(func(queue *outputQueue) { queue.push(message) })
+	if c.writing {
+		return
+	}
+	c.writing = true
+	queuedAt := time.Now()
+	c.server.tasks.Go(func() { c.writeQueued(queuedAt) })
+}
+
+// changeOutput changes the output queue, keeps the total of all connections up to date, and wakes the reading goroutine
+// if it waits for room in the queue. It requires that c.mu is held.
+func (c *conn) changeOutput(change func(*outputQueue)) {
+	before := c.output.bodyBytes
+	change(&c.output)
+	c.server.queuedBodyBytes.Add(c.output.bodyBytes - before)
+	c.outputChanged.Broadcast()
+}
+
+// awaitOutputLocked waits until isFull returns false or the connection is closed, and reports whether the connection is
+// still open. isFull is called with c.mu held and may return true only while messages are queued; the writing goroutine
+// then runs, and either takes them or closes the connection when the write timeout has passed. It requires that c.mu is
+// held.
+func (c *conn) awaitOutputLocked(isFull func() bool) (open bool) {
+	for c.lifecycle != lifecycleClosed && isFull() {
+		c.outputChanged.Wait()
+	}
+	return c.lifecycle != lifecycleClosed
 }
 
 // writeQueued is the writing goroutine. It ends when no output is queued or the connection is closed.
@@ -63,26 +92,37 @@
 		}
 		clientconn.SetWriteTimeout(c.netConn, c.server.cfg.WriteTimeout)
 		if _, err := c.netConn.Write(batch); err != nil {
-			c.mu.Lock()
-			c.closeLocked()
-			c.mu.Unlock()
+			c.closeAfterWriteError(err)
 		}
 	}
 }
 
-// nextBatch returns the queued output and reuses the buffer of the batch that was written before for the queue. It
-// returns nil if the writing goroutine must end.
-func (c *conn) nextBatch(written []byte) []byte {
+// nextBatch returns the next part of the output, in the memory of the batch that was written before. It returns nil if
+// the writing goroutine must end.
+func (c *conn) nextBatch(written []byte) (batch []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	batch := c.output
-	if len(batch) > 0 && c.lifecycle != lifecycleClosed {
-		c.output = written[:0]
+	if len(c.output.messages) > 0 {
+		c.changeOutput(func(queue *outputQueue) { batch = queue.takeBatch(written) })
 		return batch
 	}
-	c.writing, c.output = false, nil
+	c.writing = false
+	c.output.clear()
 	if c.lifecycle == lifecycleDraining {
 		c.closeLocked()
 	}
 	return nil
 }
+
+// closeAfterWriteError closes the connection after a write failed, mostly because the client did not read for
+// WriteTimeout or has disconnected. The requests that are open on it get no response.
+func (c *conn) closeAfterWriteError(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lifecycle != lifecycleClosed {
+		c.server.writeFailed.Add(1)
+		c.server.log.Info().Err(err).Int("in-flight", len(c.inFlight)).Int("unwritten", len(c.output.messages)).
+			Msg("client connection closed: a write failed")
+	}
+	c.closeLocked()
+}
--- /dev/null
+++ b/internal/platform/rpcserver/output_queue.go
@@ -0,0 +1,99 @@
+package rpcserver
+
+import (
+	"slices"
+
+	"havencart/internal/platform/rpcframe"
+)
+
+// maxBatchBytes is the number of encoded bytes above which no further message is added to a batch. A connection whose
+// client does not read holds one batch in addition to its queue.
+const maxBatchBytes = 32 << 10
+
+// outgoingKind is the kind of a message to a client.
+type outgoingKind int
+
+const (
+	outgoingResponse  outgoingKind = iota + 1 // the final response to a request
+	outgoingMalformed                         // the error response to a request that violated the protocol
+	outgoingHeartbeat                         // the response to a heartbeat
+)
+
+// outgoing is a message that waits to be encoded and written to a client.
+type outgoing struct {
+	kind      outgoingKind
+	messageID uint32
+	response  Response // set for outgoingResponse
+	ready     bool     // whether the server accepts requests; set for outgoingHeartbeat
+}
+
+// appendTo appends the encoded message to buffer.
+func (o outgoing) appendTo(buffer []byte) []byte {
+	switch o.kind {
+	case outgoingHeartbeat:
+		return rpcframe.AppendHeartbeat(buffer, o.messageID, o.ready)
+	case outgoingMalformed:
+		return rpcframe.AppendMalformed(buffer, o.messageID)
+	}
+	switch o.response.Kind {
+	case Served:
+		return rpcframe.AppendServed(buffer, o.messageID, o.response.Body)
+	case Rejected:
+		return rpcframe.AppendRejected(buffer, o.messageID, o.response.RetryAfter)
+	}
+	return rpcframe.AppendFailed(buffer, o.messageID)
+}
+
+// outputQueue holds the messages of a connection of which no part was passed to the operating system. The client has
+// certainly not received them, so that it counts their requests as open. The zero value is an empty queue.
+type outputQueue struct {
+	messages   []outgoing // bounded by conn.addInFlight and conn.handleHeartbeat
+	heartbeats int        // number of messages of kind outgoingHeartbeat
+	bodyBytes  int64      // total size of the bodies
+}
+
+// responses returns the number of messages that respond to a request.
+func (q *outputQueue) responses() int { return len(q.messages) - q.heartbeats }
+
+// push adds a message at the end.
+func (q *outputQueue) push(message outgoing) {
+	q.messages = append(q.messages, message)
+	q.count(message, 1)
+}
+
+// removeResponse removes the response to a request, if it is queued.
+func (q *outputQueue) removeResponse(messageID uint32) {
+	i := slices.IndexFunc(q.messages, func(message outgoing) bool {
+		return message.kind != outgoingHeartbeat && message.messageID == messageID
+	})
+	if i < 0 {
+		return
+	}
+	q.count(q.messages[i], -1)
+	q.messages = slices.Delete(q.messages, i, i+1)
+}
+
+// takeBatch removes messages from the front, at least one if there is any, and returns them encoded. The batch reuses
+// the memory of buffer.
+func (q *outputQueue) takeBatch(buffer []byte) []byte {
+	batch := buffer[:0]
+	taken := 0
+	for taken < len(q.messages) && len(batch) < maxBatchBytes {
+		batch = q.messages[taken].appendTo(batch)
+		q.count(q.messages[taken], -1)
+		taken++
+	}
+	q.messages = slices.Delete(q.messages, 0, taken)
+	return batch
+}
+
+// clear removes all messages and releases their memory.
+func (q *outputQueue) clear() { *q = outputQueue{} }
+
+// count adds a message to the totals, or removes it if sign is -1.
+func (q *outputQueue) count(message outgoing, sign int) {
+	if message.kind == outgoingHeartbeat {
+		q.heartbeats += sign
+	}
+	q.bodyBytes += int64(sign * len(message.response.Body))
+}
--- a/internal/platform/rpcserver/server.go
+++ b/internal/platform/rpcserver/server.go
@@ -37,9 +37,9 @@
 	// MaxConnections is the maximum number of connections. When it is reached, an idle connection is evicted to make
 	// room for a new one. If none is idle, the new connection is rejected.
 	MaxConnections int
-	MaxInFlight    int           // maximum requests in flight on a connection; exceeding it violates the protocol
-	MaxQueuedBytes int           // maximum bytes of unwritten responses; a connection that exceeds it is closed
-	WriteTimeout   time.Duration // timeout of one write of queued responses
+	MaxInFlight    int                          // maximum requests in flight on a connection; exceeding it violates the protocol
+	ResponseLimits connadmission.ResponseLimits // a response that exceeds them is replaced by a failure
+	WriteTimeout   time.Duration                // timeout of one write of at most about maxBatchBytes
 	// ObserveWriteDelay, if not nil, is called by the writing goroutines with the time from the queuing of a response
 	// to the start of its write. That time does not depend on the client.
 	ObserveWriteDelay func(delay time.Duration)
@@ -54,6 +54,9 @@
 	Evicted        uint64 // idle connections closed to make room for new ones
 	IdleClosed     uint64 // connections closed because they sent no request in time
 	ProtocolErrors uint64 // requests that violated the protocol
+	WriteFailed    uint64 // connections closed because a response could not be written, mostly to clients that do not read
+	// ResponsesDropped counts served responses that were replaced by failures because too many bytes were unwritten.
+	ResponsesDropped uint64
 }
 
 // Server serves the connections of clients. Its methods are safe for concurrent use.
@@ -68,7 +71,9 @@
 	listener     net.Listener // set when Serve starts
 	shuttingDown bool
 
-	accepted, rejected, evicted, idleClosed, protocolErrors atomic.Uint64
+	accepted, rejected, evicted, idleClosed, protocolErrors, writeFailed, responsesDropped atomic.Uint64
+
+	queuedBodyBytes atomic.Int64 // total size of the response bodies in the output queues of all connections
 }
 
 // New returns a Server that passes requests to handler.
@@ -84,6 +89,9 @@
 		Evicted:        s.evicted.Load(),
 		IdleClosed:     s.idleClosed.Load(),
 		ProtocolErrors: s.protocolErrors.Load(),
+		WriteFailed:    s.writeFailed.Load(),
+
+		ResponsesDropped: s.responsesDropped.Load(),
 	}
 }
 
