Answer requests that are sent again after a reset, from the history of the first sending

Cause: an identifier counted as used whatever had become of its request, and eight known identifiers in a row ended the connection; 32 requests may be open and be sent again.

An identifier whose connection ended before the response may be used again. The execution history of the first request decides: wait for the attempt in flight and take its response, admit, or fail. The limit of rejections in a row is now one above the requests that may be open.

TestPlatformServer_RequestsSentAgainAfterReset_AllAnswered failed before with 1, 8, 12 and 30 requests (Malformed, then EOF).

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -21,12 +21,20 @@
 		return
 	}
 	request.deadline = request.StartedAt + request.Timeout - f.settings.DeadlineMargin - f.lag.DeadlineMargin(now)
+	f.admitOrReject(request)
+	f.runDeferred()
+}
+
+// admitOrReject admits a request, rejects it, or handles it as one that was sent again.
+func (f *FrontEnd) admitOrReject(request *Request) {
+	if request.Resent && !f.mayAdmitResent(request) {
+		return
+	}
 	if reason := f.rejectionReason(request); reason != noReason {
 		f.reject(request, reason)
-	} else {
-		f.admit(request)
+		return
 	}
-	f.runDeferred()
+	f.admit(request)
 }
 
 // rejectionReason returns the reason to reject a request regardless of its tenant and function, or noReason.
@@ -76,7 +84,8 @@
 		return
 	}
 	request.id = f.nextRequestID()
-	request.record = execution.NewRecord(&f.settings.Scheduler.Classes[request.Class])
+	record := execution.NewRecord(&f.settings.Scheduler.Classes[request.Class])
+	request.record = &record
 	request.enter(requestInFlight)
 	f.fillNames(request)
 	f.requests[request.id] = request
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -246,6 +246,9 @@
 	}
 	f.scheduler.AttemptEnded(f.now, outcome)
 	f.removeIfDone(request)
+	if request.state == requestDisconnected {
+		f.resolveWaiting(attempt, result)
+	}
 }
 
 // countAttempt counts an attempt that ended without a response from the worker.
--- a/internal/gateway/counts.go
+++ b/internal/gateway/counts.go
@@ -27,6 +27,9 @@
 	// Expired counts the requests that got their final response from the expiry timer, because the event loop did not
 	// give it in time. Those that the loop had admitted also count as Failed and PastDeadline.
 	Expired uint64
+	// ResentAnswered counts the requests that were sent again after their connection had ended, and got the outcome of
+	// the attempt before instead of being admitted.
+	ResentAnswered uint64
 	// Violations counts rule violations, both those that were prevented and those that were not.
 	Violations ViolationCounts
 	// ShadowDifferences counts the decisions that would have been different with the shadow settings.
@@ -74,6 +77,7 @@
 	c.LateResponses += other.LateResponses
 	c.PastDeadline += other.PastDeadline
 	c.Expired += other.Expired
+	c.ResentAnswered += other.ResentAnswered
 	for violation, count := range other.Violations {
 		c.Violations[violation] += count
 	}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -113,6 +113,12 @@
 	l.post(stepDisconnect, func(now time.Duration) { l.frontEnd.ClientDisconnected(now, request) })
 }
 
+// Abandon reports that the connection of a request's client has ended before the final response, so that the client may
+// send the request again, with the same ID and Request.Resent.
+func (l *EventLoop) Abandon(request *Request) {
+	l.post(stepDisconnect, func(now time.Duration) { l.frontEnd.RequestAbandoned(now, request) })
+}
+
 // Counts returns the loop's totals, or the zero value if the loop has ended. It waits for the loop to process the
 // query.
 func (l *EventLoop) Counts() Counts { return l.Snapshot().Counts }
@@ -278,6 +284,9 @@
 // may have arrived; after a stall of the process, that can be before the time at which the request was read. The send
 // lease is renewed first, because a request can be the first thing that the loop handles after a stall.
 func (l *EventLoop) receive(request *Request) {
+	if request.Resent {
+		l.drainEvents() // the client's disconnect was posted before the request was sent again
+	}
 	l.renewLease(l.Now())
 	request.StartedAt = l.stalls.EarliestArrival(request.StartedAt, request.ArrivedAfter)
 	now := l.Now()
--- a/internal/gateway/expiry.go
+++ b/internal/gateway/expiry.go
@@ -66,7 +66,10 @@
 // RequestExpired ends the work for a request that got its final response from the expiry timer.
 func (f *FrontEnd) RequestExpired(now time.Duration, request *Request) {
 	f.now = now
-	if request.state == requestInFlight {
+	switch request.state {
+	case requestSubmitted: // it waited for an attempt of before; see resolveWaiting
+		request.enter(requestCompleted)
+	case requestInFlight:
 		f.respondPastDeadline(request)
 	}
 	f.runDeferred()
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -138,6 +138,7 @@
 	retiring      map[scheduler.WorkerID]*worker // workers with clients that sweep has to stop
 	overridden    map[scheduler.WorkerID]*worker // state or start is not as listed; until the list is confirmed
 	functions     *functionTable
+	abandoned     abandonedRequests
 
 	// Numbers that stand for names in the scheduler, assigned in the order in which the names are first seen.
 	zones map[string]int
--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -116,19 +116,24 @@
 func (p *PlatformServer) Ready() bool { return !p.draining.Load() }
 
 // Handle implements rpcserver.Handler. An error that it returns wraps rpcserver.ErrProtocol.
-func (p *PlatformServer) Handle(received *rpcserver.Request, respond func(rpcserver.Response)) (disconnect func(), err error) {
-	if !p.recentIDs.admit(received.ID) {
+func (p *PlatformServer) Handle(received *rpcserver.Request, respond func(rpcserver.Response)) (cancel func(rpcserver.CancelCause), err error) {
+	resent, ok := p.recentIDs.admit(received.ID)
+	if !ok {
 		return nil, fmt.Errorf("%w: id %s was used before", rpcserver.ErrProtocol, received.ID)
 	}
 	size := int64(len(received.Body))
-	release := sync.OnceFunc(func() { // called at the final response or the client's disconnect, whichever comes first
-		p.recentIDs.release(received.ID)
-		p.bodyBytes.Add(-size)
-	})
+	var released sync.Once // at the final response or the client's disconnect, whichever comes first
+	release := func(mayBeResent bool) {
+		released.Do(func() {
+			p.recentIDs.release(received.ID, mayBeResent)
+			p.bodyBytes.Add(-size)
+		})
+	}
 	request := NewRequestWithCallback(func(response FinalResponse) {
-		release()
+		release(false)
 		respond(response.rpcResponse())
 	})
+	request.Resent = resent
 	p.fillRequest(request, received)
 	if p.bodyBytes.Add(size) > p.maxBodyBytes() {
 		request.complete(FinalResponse{
@@ -136,12 +141,17 @@
 			Reason:     TooManyBodyBytes.String(),
 			RetryAfter: p.config.Settings.Scheduler.MaxRetryAfter,
 		})
-		return func() {}, nil
+		return func(rpcserver.CancelCause) {}, nil
 	}
 	p.loop.Submit(request)
-	return func() {
-		release()
-		p.loop.Disconnect(request)
+	return func(cause rpcserver.CancelCause) {
+		if cause != rpcserver.ConnectionEnded {
+			release(false)
+			p.loop.Disconnect(request)
+			return
+		}
+		p.loop.Abandon(request)
+		release(true) // only now, so that the loop learns of the end before the request is sent again
 	}, nil
 }
 
--- a/internal/gateway/platform_server_test.go
+++ b/internal/gateway/platform_server_test.go
@@ -313,3 +313,82 @@
 		}
 	}
 }
+
+// TestPlatformServer_RequestsSentAgainAfterReset_AllAnswered guards against a connection that is closed, with new
+// requests on it, because its client sent the requests of a connection that was reset once more.
+func TestPlatformServer_RequestsSentAgainAfterReset_AllAnswered(t *testing.T) {
+	for _, count := range []int{1, 8, 12, 30} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			received := make(chan uint64, 64)
+			responding := make(chan bool)
+			server := startPlatform(t, func(c *platformworker.Conn, f workerframe.Frame) {
+				if f.Code != workerframe.Request {
+					return
+				}
+				received <- f.ID
+				select {
+				case <-responding:
+					respondServed(c, f)
+				default:
+				}
+			})
+			first := server.connect().(*net.TCPConn)
+			for i := range count {
+				server.sendRequest(first, i+1, "quote", i+1)
+			}
+			<-received // at least one has reached the worker
+			server.awaitIDs(count, func(id string) bool { return server.recentIDs.inFlight[id] })
+			_ = first.SetLinger(0)
+			_ = first.Close()
+			server.awaitIDs(count, func(id string) bool {
+				state, known := server.recentIDs.find(id)
+				return known && state == idAbandoned
+			})
+			close(responding)
+			second := server.connect()
+			for i := range count + 2 {
+				server.sendRequest(second, i+1, "quote", i+1)
+			}
+			reader := rpcResponses(t, second)
+			for range count + 2 {
+				if id, kind := reader(); kind != "served" {
+					t.Errorf("request %d: response %s, want served", id, kind)
+				}
+			}
+			server.shutDown()
+		})
+	}
+}
+
+// awaitIDs waits until holds returns true for the IDs of the requests 1 to count. holds may use the recent IDs.
+func (server *platformHarness) awaitIDs(count int, holds func(id string) bool) {
+	for id := 1; id <= count; {
+		server.recentIDs.mu.Lock()
+		reached := holds(fmt.Sprintf("%016x", id))
+		server.recentIDs.mu.Unlock()
+		if reached {
+			id++
+			continue
+		}
+		runtime.Gosched()
+	}
+}
+
+// rpcResponses returns a function that reads the next response of a connection: its message ID and "served" or the name
+// of the error.
+func rpcResponses(t *testing.T, c net.Conn) func() (id int, kind string) {
+	decoder := msgpack.NewDecoder(c)
+	decoder.UseLooseInterfaceDecoding(true)
+	return func() (int, string) {
+		t.Helper()
+		message, err := decoder.DecodeSlice()
+		if err != nil {
+			t.Fatal(err)
+		}
+		id, _ := message[1].(int64)
+		if failure, isError := message[2].([]any); isError {
+			return int(id), fmt.Sprint(failure[0])
+		}
+		return int(id), "served"
+	}
+}
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -22,9 +22,10 @@
 	TooManyBodyBytes      // the bodies of the requests in flight use up the memory reserved for them
 
 	// Reasons to end an admitted request.
-	NoWorkerInTime // the scheduler rejected the request
-	NoResponse     // the deadline passed without a decision by the scheduler
-	Aborted        // the front end is stopping
+	MayHaveExecuted // the client sent the request again, and it may have executed before
+	NoWorkerInTime  // the scheduler rejected the request
+	NoResponse      // the deadline passed without a decision by the scheduler
+	Aborted         // the front end is stopping
 
 	// Reasons to end an attempt.
 	attemptDisconnected      // the client disconnected
@@ -50,6 +51,7 @@
 	OverTenantQuota:          tenancy.OverQuota.String(),
 	OverTenantShare:          tenancy.OverShare.String(),
 	TooManyBodyBytes:         "too much in hand",
+	MayHaveExecuted:          "it may have run before",
 	NoWorkerInTime:           "no worker could answer in time",
 	NoResponse:               "no answer in time",
 	Aborted:                  "this front end stops",
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -22,6 +22,7 @@
 	Timeout        time.Duration // time from StartedAt until the client gives up
 	StartedAt      time.Duration // when the client sent the request, on the event loop's clock
 	ArrivedAfter   time.Duration // lower bound of the arrival time; see looplag.StallTracker.EarliestArrival
+	Resent         bool          // sent again with the same ID, as its connection ended before the final response
 
 	queuedAt    time.Duration // when the request entered the event loop's queue; 0 if it was not queued
 	response    chan FinalResponse
@@ -31,11 +32,11 @@
 	expired     bool        // whether the expiry timer gave the final response
 	state       requestState
 	id          scheduler.RequestID
-	deadline    time.Duration    // when the final response is due
-	attempts    int              // number of attempts so far
-	current     *requestAttempt  // the attempt in flight, or nil
-	timer       timer            // gives the final response past the deadline; see setRequestTimer
-	record      execution.Record // execution history of the attempts; set at admission
+	deadline    time.Duration     // when the final response is due
+	attempts    int               // number of attempts so far
+	current     *requestAttempt   // the attempt in flight, or nil
+	timer       timer             // gives the final response past the deadline; see setRequestTimer
+	record      *execution.Record // execution history of the attempts; nil before the admission
 	function    *function
 	runTime     time.Duration // execution time as reported by the worker; 0 if it was not
 	lastStatus  scheduler.Status
@@ -64,7 +65,9 @@
 	}
 	r.state = next
 	if next.isFinal() {
-		r.record.Close()
+		if r.record != nil {
+			r.record.Close()
+		}
 		r.stopExpiry()
 	}
 	return true
--- a/internal/platform/rpcserver/conn.go
+++ b/internal/platform/rpcserver/conn.go
@@ -16,11 +16,6 @@
 // and little memory.
 const readBufferSize = 2 << 10
 
-// maxConsecutiveRejections is the number of consecutive requests that the Handler must reject as protocol violations
-// before the connection is closed. The limit is above 1 because a conforming client can have a request rejected, if
-// another client already uses the same request ID; the other requests on its connection must not be lost.
-const maxConsecutiveRejections = 8
-
 // conn is the connection of one client. A reading goroutine runs from the admission of the connection to the end of its
 // input. A writing goroutine runs while responses are queued.
 type conn struct {
@@ -64,7 +59,7 @@
 
 // pendingRequest is a request without a response.
 type pendingRequest struct {
-	cancel func() // nil until Handler.Handle has returned
+	cancel func(CancelCause) // nil until Handler.Handle has returned
 }
 
 func newConn(s *Server, netConn net.Conn) *conn {
@@ -154,7 +149,7 @@
 	for c.readMessage(reader) {
 	}
 	for _, pending := range c.endInput() {
-		pending.cancel()
+		pending.cancel(ConnectionEnded)
 	}
 	c.server.conns.Remove(c)
 }
@@ -239,7 +234,7 @@
 	if err != nil {
 		c.removeInFlight(message.MessageID)
 		c.consecutiveRejections++
-		if c.consecutiveRejections >= maxConsecutiveRejections {
+		if c.tooManyRejections() {
 			return err
 		}
 		c.reportViolation(message.MessageID, err)
@@ -252,6 +247,12 @@
 	return nil
 }
 
+// tooManyRejections reports whether the connection must be closed because the Handler rejected more than MaxInFlight
+// consecutive requests as protocol violations. A conforming client can have that many rejected: if its connection was
+// reset, it sends the requests that were open on it again, possibly before the server has noticed the reset. The other
+// requests on its new connection must not be lost.
+func (c *conn) tooManyRejections() bool { return c.consecutiveRejections > c.server.cfg.MaxInFlight }
+
 // addInFlight adds a request to the requests in flight. It returns an error if the request violates the protocol: if
 // too many requests are in flight or its message ID is not above all earlier ones.
 //
@@ -303,7 +304,7 @@
 func (c *conn) cancelRequests(messageIDs []uint32) {
 	for _, messageID := range messageIDs {
 		if pending := c.removeInFlight(messageID); pending != nil {
-			pending.cancel()
+			pending.cancel(CancelledByClient)
 		} else {
 			c.discardResponse(messageID)
 		}
--- a/internal/platform/rpcserver/handler.go
+++ b/internal/platform/rpcserver/handler.go
@@ -42,6 +42,15 @@
 	RetryAfter time.Duration // advised delay before a rejected request is sent again, 0 for no advice
 }
 
+// CancelCause is why a request is cancelled.
+type CancelCause int
+
+// The causes.
+const (
+	CancelledByClient CancelCause = iota + 1 // the client no longer wants a response
+	ConnectionEnded                          // the client may send the request again on another connection
+)
+
 // Handler handles the requests of all connections. Its methods must be safe for concurrent use.
 type Handler interface {
 	// Handle starts a request. It must not block, because the connection reads no other message until Handle returns.
@@ -50,7 +59,7 @@
 	//
 	// The connection calls cancel at most once, if the client cancels the request or disconnects before the response. A
 	// response that is passed to respond after that is discarded.
-	Handle(request *Request, respond func(Response)) (cancel func(), err error)
+	Handle(request *Request, respond func(Response)) (cancel func(CancelCause), err error)
 	// Ready reports whether the server is ready to accept requests. The server calls it to respond to heartbeats.
 	Ready() bool
 }
--- a/internal/platform/rpcserver/server.go
+++ b/internal/platform/rpcserver/server.go
@@ -4,7 +4,7 @@
 //
 // If a client violates the protocol, the server sends an error response, provided that the message ID is known,
 // and closes the connection, which cancels all other requests in flight on it. Conforming clients do not violate
-// the protocol. A single request that the Handler rejects does not close the connection: see maxConsecutiveRejections.
+// the protocol. A single request that the Handler rejects does not close the connection: see conn.tooManyRejections.
 package rpcserver
 
 import (
