Begin the endpoint lease with the first confirmation, so that a start in an outage asks the workers

Cause: the start of the process counted as a confirmation, twice: for the list, and for each worker, as one that never accepted work counted as having accepted some at time 0. Both let work through for half of the drain grace.

The lease begins with the first confirmation and only real acceptances count. Where workers may not be asked, work waits for the first confirmation, at most 1.2 s after the start, as every start there would otherwise reject for up to a second.

--- a/internal/decide/endpointlease/endpointlease.go
+++ b/internal/decide/endpointlease/endpointlease.go
@@ -15,6 +15,13 @@
 // Unlimited is the expiry time of a lease that never expires.
 const Unlimited = time.Duration(math.MaxInt64)
 
+// neverValid is the expiry time of a lease that has not begun. It is before the start of the process.
+const neverValid = time.Duration(-1)
+
+// FirstConfirmationWait is how long new work may wait, from the start of the process, for the first confirmation of the
+// endpoint list. A service that can be reached confirms a list within a second.
+const FirstConfirmationWait = 1200 * time.Millisecond
+
 // ruleSlack is the tolerance that the platform adds to each time in its rules.
 const ruleSlack = 50 * time.Millisecond
 
@@ -72,18 +79,21 @@
 // Lease tracks how long an endpoint list is valid. It has value semantics: a copy is independent of the original.
 type Lease struct {
 	rules       Rules
-	confirmedAt time.Duration // last time at which the list was known to match the service's
+	confirmed   bool          // whether the list was ever confirmed
+	confirmedAt time.Duration // last time at which the list was known to match the service's; the start before that
 	notifiedAt  time.Duration // time at which this front end counts as notified of any later change
 }
 
-// New returns the lease on a list that was received at now and that the service has not confirmed since. A change made
-// at that moment may have been missed, for example by a process that starts while the service is unreachable.
+// New returns the lease on a list that was received at now and that the service has not confirmed since. It begins with
+// the first confirmation: a process that starts while the service is unreachable cannot know how old its list is, and
+// may count as notified of changes from long before its start.
 func New(rules Rules, now time.Duration) Lease {
 	return Lease{rules: rules, confirmedAt: now, notifiedAt: now}
 }
 
 // Confirm records that the list matched the service's at the time asOf.
 func (l *Lease) Confirm(asOf time.Duration) {
+	l.confirmed = true
 	l.confirmedAt = max(l.confirmedAt, asOf)
 	l.notifiedAt = l.confirmedAt + l.rules.NotifiedAfterSilence
 }
@@ -113,5 +123,8 @@
 	if l.rules.NotifiedAfterSilence == 0 {
 		return Unlimited
 	}
+	if !l.confirmed {
+		return neverValid
+	}
 	return l.notifiedAt + l.rules.startMargin()
 }
--- a/internal/gateway/deadlines.go
+++ b/internal/gateway/deadlines.go
@@ -72,6 +72,8 @@
 		}
 	case healthCheckTimer:
 		f.expireHealthCheck(t.healthCheck)
+	case firstConfirmationTimer:
+		f.endFirstConfirmationWait()
 	case requestTimer:
 		if t.request.state == requestInFlight {
 			f.respondPastDeadline(t.request)
--- a/internal/gateway/endpoint_lease.go
+++ b/internal/gateway/endpoint_lease.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"havencart/internal/decide/endpointlease"
+	"havencart/scheduler"
 )
 
 // EndpointLeaseChanged handles a change of the lease on the endpoint list. isComplete reports whether the FrontEnd
@@ -18,16 +19,51 @@
 	f.logLeaseChange()
 	if f.listIsConfirmed() {
 		f.endOverrides()
+		f.endFirstConfirmationWait()
 		f.runDeferred()
 	}
 }
 
+// beginFirstConfirmationWait starts the time in which new work may wait for the first confirmation of the endpoint list.
+// Where workers may not be asked, a front end could otherwise use no worker for the first second after each start.
+func (f *FrontEnd) beginFirstConfirmationWait() {
+	if f.listIsConfirmed() {
+		return
+	}
+	f.awaitsFirstConfirmation = true
+	f.timers.add(&timer{kind: firstConfirmationTimer, due: f.now + endpointlease.FirstConfirmationWait})
+}
+
+// endFirstConfirmationWait ends that time because the list is confirmed, discovery cannot be reached, or it took too
+// long. The work that waited without a health check is sent if the list is confirmed, and else ended.
+func (f *FrontEnd) endFirstConfirmationWait() {
+	if !f.awaitsFirstConfirmation {
+		return
+	}
+	f.awaitsFirstConfirmation = false
+	f.logLeaseChange()
+	for _, id := range sortedKeys(f.workers) {
+		w := f.workers[id]
+		switch {
+		case w.readiness.check != nil: // the response to the health check decides
+		case f.listIsConfirmed():
+			f.sendWaiting(w)
+		default:
+			f.endWaiting(w, scheduler.NotSent)
+		}
+	}
+}
+
 // listIsConfirmed reports whether the endpoint lease is valid. While it is, workers that are listed as ready may be
 // sent new work without a confirmation of their own.
 func (f *FrontEnd) listIsConfirmed() bool { return f.now <= f.lease.ValidUntil() }
 
-// logLeaseChange logs when the lease on the endpoint list ends and when it is valid again.
+// logLeaseChange logs when the lease on the endpoint list ends and when it is valid again. It logs nothing at a start at
+// which the list is confirmed without delay.
 func (f *FrontEnd) logLeaseChange() {
+	if f.awaitsFirstConfirmation {
+		return
+	}
 	if ended := !f.listIsConfirmed(); ended != f.leaseEnded {
 		f.leaseEnded = ended
 		line := f.log.Info()
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -203,6 +203,7 @@
 	f.now = now
 	f.log.Warn().Err(cause).Msg("endpoint watch failed; the endpoint list remains in use until its lease ends")
 	f.scheduler.WatchFailed(now)
+	f.endFirstConfirmationWait()
 	f.runDeferred()
 }
 
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -120,10 +120,12 @@
 	incarnations *incarnation.Tracker
 	lease        endpointlease.Lease // endpoint lease
 	leaseEnded   bool                // whether the end of the endpoint lease was logged
-	shedder      loadshed.Shedder
-	tenancy      *tenancy.Limiter
-	lag          looplag.Estimator
-	now          time.Duration // time of the event that is being handled
+	// awaitsFirstConfirmation is whether the endpoint list may still be confirmed for the first time without delay.
+	awaitsFirstConfirmation bool
+	shedder                 loadshed.Shedder
+	tenancy                 *tenancy.Limiter
+	lag                     looplag.Estimator
+	now                     time.Duration // time of the event that is being handled
 
 	timers        timerHeap
 	requestTimers timerHeap // these fire early, by the margin for the event loop's lag
@@ -188,6 +190,7 @@
 		frontEnd.scheduler = scheduler.New(now, settings.Scheduler, frontEnd)
 	}
 	frontEnd.timers.add(&timer{kind: sweepTimer, due: now + sweepInterval})
+	frontEnd.beginFirstConfirmationWait()
 	return frontEnd
 }
 
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -59,10 +59,12 @@
 }
 
 // acceptsNewWork reports whether a worker may be sent new work now, and until when the worker itself has confirmed
-// that it accepts new work. Without this check, a worker that starts to drain while discovery is unreachable would be
+// that it accepts new work, or 0 if it never has. Without this check, a worker that starts to drain while discovery is unreachable would be
 // sent new work, although the platform regards this front end as notified of the drain.
 func (f *FrontEnd) acceptsNewWork(w *worker) (confirmedUntil time.Duration, allowed bool) {
-	confirmedUntil = f.settings.EndpointRules.AcceptanceValidUntil(w.readiness.acceptedAt)
+	if w.readiness.acceptedAt > 0 {
+		confirmedUntil = f.settings.EndpointRules.AcceptanceValidUntil(w.readiness.acceptedAt)
+	}
 	return confirmedUntil, f.listIsConfirmed() || f.now <= confirmedUntil
 }
 
@@ -103,12 +105,15 @@
 	}
 }
 
-// requestConfirmation asks a worker whether it accepts new work. If health checks are not allowed, it ends the work
-// that waits for the worker instead.
+// requestConfirmation asks a worker whether it accepts new work. If health checks are not allowed, the work that waits
+// for the worker is ended instead, unless the endpoint list is about to be confirmed for the first time.
 func (f *FrontEnd) requestConfirmation(w *worker) {
-	if f.settings.Scheduler.HealthChecksAllowed {
+	switch {
+	case f.settings.Scheduler.HealthChecksAllowed:
 		f.checkHealth(w)
 		return
+	case f.awaitsFirstConfirmation:
+		return
 	}
 	f.deferred = append(f.deferred, func() { f.endWaiting(w, scheduler.NotSent) })
 }
--- a/internal/gateway/readiness_test.go
+++ b/internal/gateway/readiness_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -201,11 +202,60 @@
 		settings.EndpointRules = leaseRules
 		settings.Scheduler.HealthChecksAllowed = true
 	})
+	harness.submit(idempotentClass) // at the start already
+	worker := harness.onlyChecked()
+	if harness.sentAnywhere() > 0 {
+		t.Error("an attempt was sent by a list of unknown age")
+	}
+	worker.healthChecks = nil
 	harness.advance(300 * ms)
 	harness.submit(idempotentClass)
 	harness.onlyChecked()
 }
 
+// TestSend_ListNeverConfirmed_HealthChecksNotAllowed_WaitsBriefly checks that a process that starts and may not ask the
+// workers holds its first requests until discovery confirms the list, and rejects them if that does not happen soon.
+func TestSend_ListNeverConfirmed_HealthChecksNotAllowed_WaitsBriefly(t *testing.T) {
+	for name, test := range map[string]struct {
+		happens func(*testHarness)
+		served  bool
+	}{
+		"list confirmed":    {func(harness *testHarness) { harness.advance(time.Second); harness.confirmList() }, true},
+		"discovery silent":  {func(harness *testHarness) { harness.advance(endpointlease.FirstConfirmationWait) }, false},
+		"discovery refused": {func(harness *testHarness) { harness.WatchFailed(harness.clock, errors.New("refused")) }, false},
+		"list changes to draining": {func(harness *testHarness) {
+			harness.listWorkers(1, map[string]scheduler.WorkerState{"w0": scheduler.Draining})
+			harness.confirmList()
+			harness.advance(2 * time.Second)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, 1, func(settings *Settings) { settings.EndpointRules = leaseRules })
+			var requests []*Request
+			for class := idempotentClass; class <= nonIdempotentClass; class++ {
+				request := harness.submit(class)
+				harness.wantResponse(request, 0)
+				requests = append(requests, request)
+			}
+			if harness.sentAnywhere() > 0 {
+				t.Fatal("an attempt was sent by a list of unknown age")
+			}
+			test.happens(harness)
+			if !test.served && harness.sentAnywhere() > 0 {
+				t.Error("an attempt was sent by a list that was not confirmed")
+			}
+			for _, request := range requests {
+				if !test.served {
+					harness.wantResponse(request, Rejected)
+					continue
+				}
+				harness.endWith(request, scheduler.OK)
+				harness.wantResponse(request, Served)
+			}
+		})
+	}
+}
+
 func TestAwaitingAttempt_ClientDisconnectsOrDeadlinePasses_NothingIsSent(t *testing.T) {
 	for name, end := range map[string]func(*testHarness, *Request){
 		"client disconnects": func(harness *testHarness, request *Request) { harness.ClientDisconnected(harness.clock, request) },
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -9,12 +9,13 @@
 type timerKind uint8
 
 const (
-	schedulerTimer   timerKind = iota + 1 // set by the scheduler, which receives schedulerToken
-	sweepTimer                            // the next periodic sweep
-	attemptTimer                          // the response timeout of attempt, or the end of its permit to be sent
-	loadOrderTimer                        // the timeout of loadOrder
-	requestTimer                          // the request is past its deadline and has no final response
-	healthCheckTimer                      // the timeout of healthCheck
+	schedulerTimer         timerKind = iota + 1 // set by the scheduler, which receives schedulerToken
+	sweepTimer                                  // the next periodic sweep
+	attemptTimer                                // the response timeout of attempt, or the end of its permit to be sent
+	loadOrderTimer                              // the timeout of loadOrder
+	requestTimer                                // the request is past its deadline and has no final response
+	healthCheckTimer                            // the timeout of healthCheck
+	firstConfirmationTimer                      // the end of the wait for the first confirmation of the endpoint list
 )
 
 // timer is an action that is due at a certain time. A timer must not be copied while it is in a heap.
