End an attempt that waits for its worker's confirmation when its client goes

Cause: such an attempt is neither sent nor held by a worker's client, and only the clients were asked to drop what is unsent. With cancelling it ended, but stayed in the waiting work.

It counts as unsent now and leaves the waiting work when it ends, on every path.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -214,6 +214,9 @@
 // endAttempt ends an attempt and reports its outcome to the scheduler, at most once. If the worker served the request,
 // the request gets its final response before the scheduler is notified.
 func (f *FrontEnd) endAttempt(attempt *requestAttempt, result workerconn.Result) {
+	if attempt.state == attemptAwaitingWorker && attempt.worker != nil {
+		attempt.worker.readiness.removeAttempt(attempt)
+	}
 	if !attempt.enter(attemptEnded) {
 		return
 	}
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"havencart/internal/decide/endpointlease"
@@ -24,7 +25,7 @@
 
 // waitingWork is new work for a worker that waits for the response to a health check.
 type waitingWork struct {
-	attempts []*requestAttempt // may include attempts that have ended meanwhile
+	attempts []*requestAttempt // at most one for each request in flight
 	orders   []*loadOrder
 }
 
@@ -35,6 +36,12 @@
 	return waiting
 }
 
+// removeAttempt removes an attempt from the waiting work, if it is there. An attempt that has ended must not keep its body
+// in memory until the worker responds.
+func (r *readiness) removeAttempt(attempt *requestAttempt) {
+	r.waiting.attempts = slices.DeleteFunc(r.waiting.attempts, func(waiting *requestAttempt) bool { return waiting == attempt })
+}
+
 // endWaiting ends the work that waits for a worker's confirmation, without sending it.
 func (f *FrontEnd) endWaiting(w *worker, status scheduler.Status) {
 	waiting := w.readiness.removeWaiting()
--- a/internal/gateway/readiness_test.go
+++ b/internal/gateway/readiness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -256,23 +257,73 @@
 	}
 }
 
+// TestAwaitingAttempt_ClientDisconnectsOrDeadlinePasses_NothingIsSent guards against an attempt that begins after its
+// client has gone, because it was neither sent nor held by a worker client when the client disconnected.
 func TestAwaitingAttempt_ClientDisconnectsOrDeadlinePasses_NothingIsSent(t *testing.T) {
 	for name, end := range map[string]func(*testHarness, *Request){
 		"client disconnects": func(harness *testHarness, request *Request) { harness.ClientDisconnected(harness.clock, request) },
+		"connection ends":    func(harness *testHarness, request *Request) { harness.RequestAbandoned(harness.clock, request) },
 		"deadline passes":    func(harness *testHarness, _ *Request) { harness.advance(3 * time.Second) },
+		"request has expired": func(harness *testHarness, request *Request) {
+			request.delivery.expire()
+			harness.RequestExpired(harness.clock, request)
+		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			harness := newLeaseHarness(t, 1, nil)
-			harness.endLease()
-			request := harness.submit(idempotentClass)
-			worker := harness.onlyChecked()
-			check := worker.healthChecks[0]
-			end(harness, request)
-			harness.HealthChecked(harness.clock, check, scheduler.OK, nil)
-			if harness.sentAnywhere() > 0 || len(harness.attempts) > 0 {
-				t.Errorf("%d attempts sent and %d in flight, want none", harness.sentAnywhere(), len(harness.attempts))
+		for _, mayCancel := range []bool{true, false} {
+			for class := idempotentClass; class <= nonIdempotentClass; class++ {
+				t.Run(fmt.Sprintf("%s, may cancel %v, class %d", name, mayCancel, class), func(t *testing.T) {
+					harness := newLeaseHarness(t, 1, func(s *Settings) { s.Scheduler.CancelAllowed = mayCancel })
+					harness.endLease()
+					request := harness.submit(class)
+					worker := harness.onlyChecked()
+					check := worker.healthChecks[0]
+					end(harness, request)
+					harness.HealthChecked(harness.clock, check, scheduler.OK, nil)
+					if harness.sentAnywhere() > 0 || len(harness.attempts) > 0 {
+						t.Errorf("%d attempts sent and %d in flight, want none", harness.sentAnywhere(), len(harness.attempts))
+					}
+				})
 			}
+		}
+	}
+}
+
+// TestAwaitingAttempt_FirstConfirmationAwaited_ClientDisconnects_NothingIsSent is the same check for attempts that wait
+// for discovery, as workers may not be asked.
+func TestAwaitingAttempt_FirstConfirmationAwaited_ClientDisconnects_NothingIsSent(t *testing.T) {
+	for _, mayCancel := range []bool{true, false} {
+		harness := newHarness(t, 1, func(settings *Settings) {
+			settings.EndpointRules = leaseRules
+			settings.Scheduler.CancelAllowed = mayCancel
 		})
+		gone, stays := harness.submit(idempotentClass), harness.submit(idempotentClass)
+		harness.ClientDisconnected(harness.clock, gone)
+		harness.confirmList()
+		if got := harness.sentAnywhere(); got != 1 {
+			t.Errorf("may cancel %v: %d attempts were sent, want 1", mayCancel, got)
+		}
+		harness.endWith(stays, scheduler.OK)
+		harness.wantResponse(stays, Served)
+	}
+}
+
+// TestAwaitingAttempt_ManyClientsDisconnect_AreNotKept checks that clients that send and give up while a worker is asked
+// cannot make the front end keep their requests, and that the request of a client that stays is sent.
+func TestAwaitingAttempt_ManyClientsDisconnect_AreNotKept(t *testing.T) {
+	for _, mayCancel := range []bool{true, false} {
+		harness := newLeaseHarness(t, 1, func(s *Settings) { s.Scheduler.CancelAllowed = mayCancel })
+		harness.endLease()
+		stays := harness.submit(idempotentClass)
+		worker := harness.onlyChecked()
+		for range 1000 {
+			harness.ClientDisconnected(harness.clock, harness.submit(idempotentClass))
+		}
+		if got := len(harness.workers[stays.current.worker.id].readiness.waiting.attempts); got != 1 {
+			t.Errorf("may cancel %v: %d attempts are kept, want 1", mayCancel, got)
+		}
+		harness.respondToHealthCheck(worker, scheduler.OK)
+		harness.endWith(stays, scheduler.OK)
+		harness.wantResponse(stays, Served)
 	}
 }
 
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -32,9 +32,12 @@
 	return line.Str("worker", w.Name).Str("worker-id", strconv.FormatUint(uint64(w.id), 16))
 }
 
-// cancelUnsent cancels an attempt at the client that holds it, if no part of it was written, and reports whether it
-// did.
+// cancelUnsent cancels an attempt if no part of it was written, and reports whether it did. The attempt either waits for
+// the worker's confirmation, in which case endAttempt removes it, or is held by a client.
 func (w *worker) cancelUnsent(attempt *requestAttempt) bool {
+	if attempt.state == attemptAwaitingWorker {
+		return true
+	}
 	cancel := func(client WorkerClient) bool { return client.CancelUnsent(&attempt.Attempt) }
 	return cancel(w.client) || slices.ContainsFunc(w.previousClients, cancel)
 }
