Keep waiting for the first confirmation while the stream moves; answer waiting requests at a stop

Also, a request that was sent again and waits for an attempt is failed when the front end stops; before, TestResent_FrontEndStopsWhileWaiting_Fails would have had no response.

--- a/internal/decide/endpointlease/endpointlease.go
+++ b/internal/decide/endpointlease/endpointlease.go
@@ -19,8 +19,9 @@
 const neverValid = time.Duration(-1)
 
 // FirstConfirmationWait is how long new work may wait, from the start of the process, for the first confirmation of the
-// endpoint list. A service that can be reached confirms a list within a second.
-const FirstConfirmationWait = 1200 * time.Millisecond
+// endpoint list. A service that can be reached confirms a list within a second of each connection, and a connection that
+// breaks or moves to another address is replaced meanwhile.
+const FirstConfirmationWait = 3 * time.Second
 
 // ruleSlack is the tolerance that the platform adds to each time in its rules.
 const ruleSlack = 50 * time.Millisecond
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -48,6 +48,9 @@
 	ListConfirmed(asOf time.Time)
 }
 
+// ErrUnreachable is wrapped by the error of a watch that failed because no connection to the service could be made.
+var ErrUnreachable = errors.New("discovery is unreachable")
+
 // Source follows an endpoint list.
 type Source interface {
 	// Run reports to sink until ctx ends. It may be called only once, and releases its resources before it returns.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"strconv"
 	"time"
 
@@ -203,7 +204,9 @@
 	f.now = now
 	f.log.Warn().Err(cause).Msg("endpoint watch failed; the endpoint list remains in use until its lease ends")
 	f.scheduler.WatchFailed(now)
-	f.endFirstConfirmationWait()
+	if errors.Is(cause, discovery.ErrUnreachable) {
+		f.endFirstConfirmationWait()
+	}
 	f.runDeferred()
 }
 
--- a/internal/gateway/resend.go
+++ b/internal/gateway/resend.go
@@ -113,3 +113,16 @@
 	request.queuedAt = 0 // it was not the event loop that it waited for
 	f.admitOrReject(request)
 }
+
+// failWaiting fails the requests that were sent again and wait for an attempt, because the front end stops.
+func (f *FrontEnd) failWaiting() {
+	for _, abandoned := range f.abandoned.order {
+		request := abandoned.waiting
+		if request == nil || request.state != requestSubmitted {
+			continue
+		}
+		abandoned.waiting = nil
+		f.counts.ResentAnswered++
+		request.complete(FinalResponse{Kind: Failed, Reason: Aborted.String()})
+	}
+}
--- a/internal/gateway/resend_test.go
+++ b/internal/gateway/resend_test.go
@@ -134,3 +134,14 @@
 	again := harness.resend(oldest)
 	harness.wantResponse(again, Failed)
 }
+
+// TestResent_FrontEndStopsWhileWaiting_Fails checks that a request that waits for an attempt gets its final response when
+// the front end stops before the attempt has ended.
+func TestResent_FrontEndStopsWhileWaiting_Fails(t *testing.T) {
+	harness := newHarness(t, 1, func(s *Settings) { s.Scheduler.CancelAllowed = false })
+	first := harness.submit(nonIdempotentClass)
+	harness.sentAttempt(first)
+	again := harness.resend(first)
+	harness.Abort(harness.clock)
+	harness.wantResponse(again, Failed)
+}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -15,6 +15,7 @@
 		f.abort(f.requests[id], Aborted)
 		f.runDeferred()
 	}
+	f.failWaiting()
 	for _, id := range sortedKeys(f.workers) {
 		w := f.workers[id]
 		for _, client := range append(w.previousClients, w.client) {
--- a/lab/experiment/stored_counts.go
+++ b/lab/experiment/stored_counts.go
@@ -27,6 +27,7 @@
 	AttemptsNotSent    uint64           `json:"AttemptsNotSent,omitempty"`
 	AttemptsUnanswered uint64           `json:"AttemptsUnanswered,omitempty"`
 	Expired            uint64           `json:"Expired,omitempty"`
+	ResentAnswered     uint64           `json:"ResentAnswered,omitempty"`
 	Violations         storedViolations `json:"Violations,omitzero"`
 }
 
@@ -59,6 +60,7 @@
 		LateResponses:      counts.LateResponses,
 		PastDeadline:       counts.PastDeadline,
 		Expired:            counts.Expired,
+		ResentAnswered:     counts.ResentAnswered,
 		Retries:            counts.Retries,
 		AttemptsNotSent:    counts.AttemptsNotSent,
 		AttemptsUnanswered: counts.AttemptsUnanswered,
@@ -90,6 +92,7 @@
 		LateResponses:      s.LateResponses,
 		PastDeadline:       s.PastDeadline,
 		Expired:            s.Expired,
+		ResentAnswered:     s.ResentAnswered,
 		Retries:            s.Retries,
 		AttemptsNotSent:    s.AttemptsNotSent,
 		AttemptsUnanswered: s.AttemptsUnanswered,
--- a/lab/experiment/stored_test.go
+++ b/lab/experiment/stored_test.go
@@ -102,6 +102,7 @@
 func setLaterFields(c *Cell) {
 	counts := &c.Result.Counts
 	counts.Retries, counts.AttemptsNotSent, counts.AttemptsUnanswered, counts.Expired = 201, 202, 203, 204
+	counts.ResentAnswered = 205
 	for violation := range counts.Violations {
 		counts.Violations[violation] = uint64(300 + violation)
 	}
