Add havencart flood: a front end's memory and its usual clients' service beside floods

The logs had heap-kb and sys-kb every 5 s, which cannot tell apart what holds the memory at a peak of a few milliseconds, and nothing measured what usual clients get meanwhile. The command runs a front end as a process beside one kind of flood, with a usual load of 40 requests a second, and reports the peak of RssAnon and the outcomes of both groups of clients.

--- a/cmd/havencart/main.go
+++ b/cmd/havencart/main.go
@@ -128,6 +128,7 @@
 		cellCommand(),
 		faultSearchCommand(),
 		soakCommand(),
+		floodCommand(),
 	)
 	return root
 }
