--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -22,7 +22,10 @@
 
 // AttemptEnded implements muxclient.Events.
 func (e workerEvents) AttemptEnded(attempt *workerconn.Attempt, r workerconn.Result) {
-	e.loop.post(stepWorker, func(now time.Duration) { e.loop.frontEnd.AttemptEnded(now, attempt, r) })
+	e.loop.post(stepWorker, func(now time.Duration) {
+		e.loop.frontEnd.AttemptEnded(now, attempt, r)
+		r.Memory.Release()
+	})
 }
 
 // LoadEnded implements muxclient.Events.
--- a/internal/gateway/platform_config.go
+++ b/internal/gateway/platform_config.go
@@ -74,6 +74,7 @@
 		LoadReportFields:     settings.Scheduler.LoadReportFields,
 		HealthChecksAllowed:  settings.Scheduler.HealthChecksAllowed,
 		Budget:               p.budget,
+		ResponseMemory:       p.memory.workerResponses,
 		Seed:                 settings.Scheduler.Seed ^ uint64(id),
 		Now:                  runtime.Now,
 		Guard:                runtime.Guard,
--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -8,7 +8,6 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,9 +15,9 @@
 	"havencart/internal/config/platformconfig"
 	"havencart/internal/decide/connadmission"
 	"havencart/internal/decide/looplag"
+	"havencart/internal/decide/memoryshare"
 	"havencart/internal/discovery"
 	"havencart/internal/native/muxframe"
-	"havencart/internal/periodic"
 	"havencart/internal/platform/rpcframe"
 	"havencart/internal/platform/rpcserver"
 	"havencart/internal/platform/workerclient"
@@ -41,9 +40,6 @@
 	platformNotifiedAfterSilence      = 4 * time.Second // time after the stream fell silent
 	platformNotifiedAfterInterruption = 2 * time.Second // time after the stream broke off
 	platformLogInterval               = 5 * time.Second // time between two log lines with the totals
-	memoryLimitFraction               = 0.7             // fraction of the memory above which the GC works harder
-	bodyMemoryFraction                = 0.25            // fraction of the memory for the bodies of requests in flight
-	responseMemoryFraction            = 0.125           // fraction of the memory for the bodies of responses not yet written
 	functionsPerMB                    = 64              // functions remembered per MB; each takes about 1 KB
 	bytesPerMB                        = 1 << 20
 )
@@ -61,19 +57,28 @@
 	draining  atomic.Bool                 // whether the shutdown has begun
 	afterFunc func(time.Duration, func()) // calls a function after a delay; replaced in tests
 	recentIDs recentIDs
-	bodyBytes atomic.Int64 // total size of the bodies of requests in flight
+	memory    memoryBudgets
 }
 
 // NewPlatformServer creates a front end and opens its listener, which Run closes. It sets two limits of the whole
 // process: GOMAXPROCS and the memory limit of the Go runtime.
 func NewPlatformServer(config *platformconfig.Config, log zerolog.Logger) (*PlatformServer, error) {
 	runtime.GOMAXPROCS(max(1, int(config.Cores+0.5)))
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(config.MemoryMB) * bytesPerMB))
 	log = sampled(log)
 	clientConns, workerConns := connadmission.SplitDescriptors(config.MaxDescriptors)
+	memoryBytes := int64(config.MemoryMB) * bytesPerMB
+	workerConns = min(workerConns, memoryshare.MaxWorkerConnections(memoryBytes))
+	division := memoryshare.Divide(memoryshare.Process{
+		MemoryBytes:       memoryBytes,
+		ClientConnections: clientConns,
+		WorkerConnections: workerConns,
+		Functions:         functionsPerMB * config.MemoryMB,
+	})
+	debug.SetMemoryLimit(division.RuntimeLimit)
 	server := &PlatformServer{
 		config:    config,
 		log:       log,
+		memory:    newMemoryBudgets(division),
 		budget:    workerclient.NewConnectionBudget(workerConns),
 		afterFunc: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 	}
@@ -91,7 +96,9 @@
 		Rules:             clientRules(config.Settings),
 		MaxConnections:    clientConns,
 		MaxInFlight:       platformMaxPerConnection,
-		ResponseLimits:    responseLimits(config.MemoryMB),
+		RequestMemory:     server.memory.requests,
+		ResponseMemory:    server.memory.clientResponses,
+		MaxQueuedBytes:    platformMaxPerConnection * rpcframe.MaxBody,
 		WriteTimeout:      platformWriteTimeout,
 		AcceptGracePeriod: platformBacklogGrace,
 		ObserveWriteDelay: func(took time.Duration) { server.loop.ObserveLag(took) },
@@ -100,15 +107,6 @@
 	return server, nil
 }
 
-// responseLimits returns the limits of the responses that wait for clients to read them. A connection may have a
-// response of the maximum size waiting for each of its requests.
-func responseLimits(memoryMB int) connadmission.ResponseLimits {
-	return connadmission.ResponseLimits{
-		PerConnection: platformMaxPerConnection * rpcframe.MaxBody,
-		Total:         int64(responseMemoryFraction * float64(memoryMB) * bytesPerMB),
-	}
-}
-
 // Address returns the address on which the server accepts clients.
 func (p *PlatformServer) Address() string { return p.listener.Addr().String() }
 
@@ -121,13 +119,10 @@
 	if !ok {
 		return nil, fmt.Errorf("%w: id %s was used before", rpcserver.ErrProtocol, received.ID)
 	}
-	size := int64(len(received.Body))
+	id := received.ID      // the functions below must not keep received, whose body is released earlier
 	var released sync.Once // at the final response or the client's disconnect, whichever comes first
 	release := func(mayBeResent bool) {
-		released.Do(func() {
-			p.recentIDs.release(received.ID, mayBeResent)
-			p.bodyBytes.Add(-size)
-		})
+		released.Do(func() { p.recentIDs.release(id, mayBeResent) })
 	}
 	request := NewRequestWithCallback(func(response FinalResponse) {
 		release(false)
@@ -135,7 +130,7 @@
 	})
 	request.Resent = resent
 	p.fillRequest(request, received)
-	if p.bodyBytes.Add(size) > p.maxBodyBytes() {
+	if received.Memory == nil {
 		request.complete(FinalResponse{
 			Kind:       Rejected,
 			Reason:     TooManyBodyBytes.String(),
@@ -163,6 +158,7 @@
 	request.IdempotencyKey = received.IdempotencyKey
 	request.WorkEstimate = received.WorkEstimate
 	request.Body = received.Body
+	request.memory = received.Memory
 	request.Timeout = received.Timeout
 	request.StartedAt = received.ReceivedAt.Sub(p.loop.cfg.ClockStart)
 	request.ArrivedAfter = looplag.AnyArrival
@@ -177,12 +173,6 @@
 	}
 }
 
-// maxBodyBytes returns the limit of the total size of the bodies of requests in flight. Requests that would exceed it
-// are rejected immediately.
-func (p *PlatformServer) maxBodyBytes() int64 {
-	return int64(bodyMemoryFraction * float64(p.config.MemoryMB) * bytesPerMB)
-}
-
 // rpcKinds maps the kinds of final responses to those that the platform's clients receive.
 var rpcKinds = map[ResponseKind]rpcserver.ResponseKind{
 	Served:   rpcserver.Served,
@@ -273,30 +263,3 @@
 		Bool("cancel-allowed", rules.CancelAllowed).Bool("load-orders-allowed", rules.LoadOrdersAllowed).
 		Msg("rule settings")
 }
-
-// logTotals logs the totals at regular intervals until ctx ends.
-func (p *PlatformServer) logTotals(ctx context.Context) {
-	periodic.Run(ctx, platformLogInterval, p.logTotalsOnce)
-}
-
-// logTotalsOnce logs the totals and the resource usage of the process.
-func (p *PlatformServer) logTotalsOnce() {
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
-	loop := p.loop.Snapshot()
-	p.log.Info().Interface("counts", loop.Counts).Interface("clients", p.clients.Counts()).
-		Interface("loop", loop.Times).Int("workers", loop.Workers).Int("functions", loop.Functions).Uint64("functions-evicted", loop.FunctionsEvicted).Int("in-flight", loop.InFlight).
-		Int("client-connections", p.clients.ConnectionCount()).Int("worker-connections", p.budget.Used()).
-		Dur("processor-time", processorTime()).Uint32("collections", memory.NumGC).Float64("collector-part", memory.GCCPUFraction).
-		Int("goroutines", runtime.NumGoroutine()).Uint64("heap-kb", memory.HeapAlloc>>10).Uint64("sys-kb", memory.Sys>>10).
-		Msg("totals")
-}
-
-// processorTime returns the CPU time that the process has used since its start, or 0 if it is not available.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
--- a/internal/gateway/platform_server_test.go
+++ b/internal/gateway/platform_server_test.go
@@ -16,8 +16,8 @@
 	"go.uber.org/goleak"
 
 	"havencart/internal/config/platformconfig"
-	"havencart/internal/decide/connadmission"
 	"havencart/internal/platform/rpcframe"
+	"havencart/internal/platform/rpcserver"
 	"havencart/internal/platform/workerframe"
 	"havencart/lab/platformdiscovery"
 	"havencart/lab/platformworker"
@@ -301,9 +301,30 @@
 	server.shutDown()
 }
 
-// TestPlatformServer_BodiesBeyondMemory_Rejected checks that requests are rejected immediately when the bodies in
-// flight reach their limit, and that a final response or a disconnect releases the memory of its request.
+// largeRequestBytes is the memory of a request with a body of the maximum size.
+const largeRequestBytes = rpcserver.RequestOverhead + rpcframe.MaxBody
+
+// fillRequestMemory reserves memory for requests, from many accounts, until only that many bytes are left. It returns how
+// much is reserved.
+func (server *platformHarness) fillRequestMemory(left int64) (reserved int64) {
+	server.t.Helper()
+	const fraction = 5 // one new account may take a fifth of what is left
+	for {
+		counts := server.memory.requests.Counts()
+		excess := counts.Limit - counts.Total - left
+		if excess <= 0 {
+			return counts.Total
+		}
+		if server.memory.requests.NewAccount().Reserve(min(excess, (counts.Limit-counts.Total)/fraction)) == nil {
+			server.t.Fatalf("memory is not granted: %+v", counts)
+		}
+	}
+}
+
+// TestPlatformServer_BodiesBeyondMemory_Rejected checks that requests are rejected immediately when the requests in
+// flight reach the limit of their memory, and that the end of a request releases it.
 func TestPlatformServer_BodiesBeyondMemory_Rejected(t *testing.T) {
+	const fit = 8 // large requests that one new connection may hold
 	received, respond := make(chan bool, 64), make(chan bool)
 	server := startPlatform(t, func(c *platformworker.Conn, f workerframe.Frame) {
 		if f.Code == workerframe.Request {
@@ -312,38 +333,73 @@
 			respondServed(c, workerframe.Frame{ID: f.ID})
 		}
 	})
-	server.config.MemoryMB = 1 // a quarter of it is for bodies
 	large := make([]byte, rpcframe.MaxBody)
+	filled := server.fillRequestMemory(5 * fit * largeRequestBytes) // one new connection may hold a fifth of what is left
 	c := server.connect()
-	for i := range 16 {
+	for i := range fit {
 		server.sendRequestWithBody(c, 1+i, "quote", 1+i, large)
 	}
 	<-received
-	server.sendRequestWithBody(c, 17, "quote", 17, large)
-	server.expect(c, rpcframe.AppendError(nil, 17, "Backoff", "after", "500"))
+	server.sendRequestWithBody(c, fit+1, "quote", fit+1, large)
+	server.expect(c, rpcframe.AppendError(nil, fit+1, "Backoff", "after", "500"))
 	if err := c.Close(); err != nil {
 		t.Fatal(err)
 	}
 	close(respond)
-	for server.bodyBytes.Load() > 0 { // until the disconnect is handled
+	for server.memory.requests.Counts().Total > filled { // until the disconnect is handled
 		runtime.Gosched()
 	}
 	next := server.connect()
-	server.sendRequestWithBody(next, 1, "quote", 18, large)
+	server.sendRequestWithBody(next, 1, "quote", fit+2, large)
 	server.expect(next, rpcframe.AppendServed(nil, 1, []byte("did ")))
 	server.shutDown()
 }
 
-// TestResponseLimits_EachMemory_FitAllResponsesOfAConnection checks that a single connection may have a response of the
-// maximum size waiting for each of its requests, whatever the memory of the process is.
-func TestResponseLimits_EachMemory_FitAllResponsesOfAConnection(t *testing.T) {
-	const all = platformMaxPerConnection * rpcframe.MaxBody
-	for _, memoryMB := range []int{16, 32, 192, 1024} {
-		queued := connadmission.QueuedResponses{Connection: all - rpcframe.MaxBody, Total: all - rpcframe.MaxBody, Connections: 64}
-		if !responseLimits(memoryMB).MayQueue(queued, rpcframe.MaxBody) {
-			t.Errorf("%d MB: the last response of a full connection may not be queued", memoryMB)
+// TestPlatformServer_FloodOfLargeRequests_LeavesRoomForUsualClient guards against clients that send as many large requests
+// as they can, and are given all memory, so that the requests of a usual client are rejected.
+func TestPlatformServer_FloodOfLargeRequests_LeavesRoomForUsualClient(t *testing.T) {
+	const floodClients, usualRequests = 24, 16
+	respond := make(chan bool)
+	server := startPlatform(t, func(c *platformworker.Conn, f workerframe.Frame) {
+		if f.Code == workerframe.Request && len(f.Body) == rpcframe.MaxBody {
+			<-respond
+		}
+		if f.Code == workerframe.Request {
+			respondServed(c, workerframe.Frame{ID: f.ID})
+		}
+	})
+	large, small := make([]byte, rpcframe.MaxBody), make([]byte, 100)
+	server.fillRequestMemory(64 * largeRequestBytes) // of the 768 requests of the flood
+	usual := server.connect()
+	id := 0
+	sendUsual := func(count int) {
+		t.Helper()
+		for range count {
+			id++
+			server.sendRequestWithBody(usual, id, "quote", id, small)
+			server.expect(usual, rpcframe.AppendServed(nil, uint32(id), []byte("did ")))
 		}
 	}
+	sendUsual(usualRequests) // before the flood
+	for i := range floodClients {
+		c := server.connect()
+		for number := 1; number <= platformMaxPerConnection; number++ {
+			server.sendRequestWithBody(c, number, "quote", 1000*(i+1)+number, large)
+		}
+		next := rpcResponses(t, c)
+		for number := 0; number < platformMaxPerConnection; { // the last request comes after the ones before have taken what they may
+			var kind string
+			if number, kind = next(); kind != "Backoff" {
+				t.Fatalf("request %d of flooding client %d ended as %q, want that only rejections come", number, i, kind)
+			}
+		}
+	}
+	sendUsual(usualRequests)
+	if counts := server.memory.requests.Counts(); counts.Highest > counts.Limit || counts.Refused == 0 {
+		t.Errorf("counts %+v, want refused requests and no more memory than the limit", counts)
+	}
+	close(respond)
+	server.shutDown()
 }
 
 // TestPlatformServer_RequestsSentAgainAfterReset_AllAnswered guards against a connection that is closed, with new
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"havencart/internal/decide/execution"
+	"havencart/internal/memorybudget"
 	"havencart/internal/native/muxframe"
 	"havencart/scheduler"
 )
@@ -24,6 +25,9 @@
 	ArrivedAfter   time.Duration // lower bound of the arrival time; see looplag.StallTracker.EarliestArrival
 	Resent         bool          // sent again with the same ID, as its connection ended before the final response
 
+	// memory is the reservation for the request and its body. It is released when no attempt refers to the body any more.
+	memory *memorybudget.Reservation
+
 	queuedAt    time.Duration // when the request entered the event loop's queue; 0 if it was not queued
 	response    chan FinalResponse
 	deliver     func(FinalResponse)
@@ -67,6 +71,8 @@
 	if next.isFinal() {
 		if r.record != nil {
 			r.record.Close()
+		} else {
+			r.releaseMemory() // it was not admitted, so no attempt follows
 		}
 		r.stopExpiry()
 	}
@@ -96,6 +102,12 @@
 // NewRequestWithCallback.
 func (r *Request) Response() <-chan FinalResponse { return r.response }
 
+// releaseMemory releases the body and its reservation. Calls after the first have no effect.
+func (r *Request) releaseMemory() {
+	r.Body = nil
+	r.memory.Release()
+}
+
 // complete enters the state requestCompleted and delivers the final response, unless the expiry timer has already
 // done so. It reports whether the state changed. All final responses except those of the expiry timer are given by
 // this method.
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -132,4 +132,5 @@
 	delete(f.requests, request.id)
 	f.requestTimers.remove(&request.timer)
 	f.functions.release(f.now, request.function)
+	request.releaseMemory()
 }
--- a/internal/layering/layers_test.go
+++ b/internal/layering/layers_test.go
@@ -34,6 +34,7 @@
 		"internal/platform/workerframe",
 		"internal/simwire",
 	}},
+	{edges, []string{"internal/memorybudget"}},
 	{edges, []string{"internal/clientconn", "internal/periodic", "internal/socket", "internal/workerconn"}},
 	{edges, []string{
 		"internal/discovery",
--- /dev/null
+++ b/internal/memorybudget/memorybudget.go
@@ -0,0 +1,154 @@
+// Package memorybudget counts the memory that the peers of a process make it hold. Memory is reserved before it is
+// allocated and released when it is no longer referenced. How much a peer may hold is decided by package memoryshare.
+package memorybudget
+
+import (
+	"sync"
+
+	"havencart/internal/decide/memoryshare"
+)
+
+// Budget limits the memory that all peers of one kind hold together. Its methods, and those of its accounts and their
+// reservations, are safe for concurrent use.
+type Budget struct {
+	limit      int64 // bytes
+	thresholds memoryshare.Thresholds
+
+	mu      sync.Mutex
+	total   int64         // bytes that are reserved
+	highest int64         // largest total so far
+	refused uint64        // calls of Account.Reserve that returned nil
+	waited  uint64        // calls of Account.Await that had to wait
+	changed chan struct{} // closed at the next release; nil if no call of Await waits
+}
+
+// New returns a Budget of limit bytes, of which the peers take parts within the thresholds.
+func New(limit int64, thresholds memoryshare.Thresholds) *Budget {
+	return &Budget{limit: limit, thresholds: thresholds}
+}
+
+// Counts are the state of a Budget and its totals since its start. The field names appear in the log and in
+// docs/oncall.md.
+type Counts struct {
+	Limit   int64  // bytes
+	Total   int64  // bytes that are reserved
+	Highest int64  // largest Total so far
+	Refused uint64 // reservations that were refused
+	Waited  uint64 // reservations that had to wait
+}
+
+// Counts returns the state of the budget and its totals.
+func (b *Budget) Counts() Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Counts{Limit: b.limit, Total: b.total, Highest: b.highest, Refused: b.refused, Waited: b.waited}
+}
+
+// NewAccount returns the account of a peer that holds nothing. A nil Budget has accounts without a limit.
+func (b *Budget) NewAccount() *Account { return &Account{budget: b} }
+
+// Account is what one peer holds of a Budget. An account that holds nothing needs no cleanup.
+type Account struct {
+	budget *Budget // nil: nothing is counted
+
+	// Guarded by budget.mu.
+	held    int64 // bytes
+	history memoryshare.History
+}
+
+// Reserve reserves memory. It returns nil if the peer may not hold that much now.
+func (a *Account) Reserve(bytes int64) *Reservation {
+	if a.budget == nil {
+		return &Reservation{}
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if !a.mayTakeLocked(bytes) {
+		a.history.RecordRefused()
+		a.budget.refused++
+		return nil
+	}
+	return a.takeLocked(bytes)
+}
+
+// Await reserves memory once the peer may hold that much. It returns nil if done is closed first.
+func (a *Account) Await(done <-chan struct{}, bytes int64) *Reservation {
+	if a.budget == nil {
+		return &Reservation{}
+	}
+	reservation, changed := a.reserveOrWatch(bytes)
+	if reservation != nil {
+		return reservation
+	}
+	a.budget.countWait()
+	for reservation == nil {
+		select {
+		case <-changed:
+		case <-done:
+			return nil
+		}
+		reservation, changed = a.reserveOrWatch(bytes)
+	}
+	return reservation
+}
+
+// reserveOrWatch reserves memory, or returns a channel that is closed at the next release.
+func (a *Account) reserveOrWatch(bytes int64) (reservation *Reservation, changed <-chan struct{}) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.mayTakeLocked(bytes) {
+		return a.takeLocked(bytes), nil
+	}
+	if a.budget.changed == nil {
+		a.budget.changed = make(chan struct{})
+	}
+	return nil, a.budget.changed
+}
+
+// mayTakeLocked reports whether the peer may hold that many more bytes. It requires that the budget's lock is held.
+func (a *Account) mayTakeLocked(bytes int64) bool {
+	usage := memoryshare.Usage{Limit: a.budget.limit, Total: a.budget.total, Held: a.held}
+	return memoryshare.MayTake(usage, bytes, a.history.Threshold(a.budget.thresholds))
+}
+
+// takeLocked reserves memory. It requires that the budget's lock is held.
+func (a *Account) takeLocked(bytes int64) *Reservation {
+	a.held += bytes
+	a.budget.total += bytes
+	a.budget.highest = max(a.budget.highest, a.budget.total)
+	return &Reservation{account: a, bytes: bytes}
+}
+
+func (b *Budget) countWait() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waited++
+}
+
+// Reservation is memory that a peer holds. A nil Reservation holds nothing.
+type Reservation struct {
+	account  *Account // nil: nothing is counted
+	bytes    int64
+	released bool // guarded by the budget's lock
+}
+
+// Release returns the memory to the budget. Calls after the first have no effect.
+func (r *Reservation) Release() {
+	if r == nil || r.account == nil {
+		return
+	}
+	budget := r.account.budget
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	if r.released {
+		return
+	}
+	r.released = true
+	r.account.held -= r.bytes
+	r.account.history.RecordReturned()
+	budget.total -= r.bytes
+	if budget.changed != nil {
+		close(budget.changed)
+		budget.changed = nil
+	}
+}
--- a/internal/platform/rpcframe/message.go
+++ b/internal/platform/rpcframe/message.go
@@ -45,8 +45,10 @@
 	MessageID uint32 // assigned by the client; the response repeats it
 	Method    string // MethodHeartbeat, MethodCancel or the name of a request class
 	Params    Params
-	Body      []byte   // nil if the request has no body, as for a heartbeat
-	Cancelled []uint32 // message IDs of the requests to cancel
+	Body      []byte // nil if the request has no body, as for a heartbeat, or if it was skipped
+	// BodySkipped is whether the request has a body that was not kept, because Reader.ReserveBody refused memory for it.
+	BodySkipped bool
+	Cancelled   []uint32 // message IDs of the requests to cancel
 }
 
 // Params are the named fields of a request as sent by the client. Message.Request validates them. Fields with unknown
--- a/internal/platform/rpcframe/reader.go
+++ b/internal/platform/rpcframe/reader.go
@@ -18,10 +18,18 @@
 }
 
 // Reader reads messages from one client's connection. It is not safe for concurrent use.
-type Reader struct{ decoder *msgpack.Decoder }
+type Reader struct {
+	source  Source
+	decoder *msgpack.Decoder
+	// ReserveBody, if not nil, is called with the size of a body in bytes before memory is allocated for the body. If it
+	// returns false, the body is skipped, and Message.BodySkipped is set.
+	ReserveBody func(size int) bool
+}
 
 // NewReader returns a Reader that reads from source.
-func NewReader(source Source) *Reader { return &Reader{msgpack.NewDecoder(source)} }
+func NewReader(source Source) *Reader {
+	return &Reader{source: source, decoder: msgpack.NewDecoder(source)}
+}
 
 // Next reads the next message. If the message is malformed, the error wraps ErrMalformed, and the returned message has
 // its MessageID set if that could be read. Nothing more can be read after a malformed message. Other errors come from the
@@ -93,11 +101,45 @@
 		return message, err
 	}
 	if length == 2 {
-		message.Body, err = r.readBinary("body", MaxBody)
+		message.Body, message.BodySkipped, err = r.readBody()
 	}
 	return message, err
 }
 
+// readBody reads a value of MessagePack's binary type of at most MaxBody bytes, or skips it if ReserveBody refuses
+// memory for it. A string is malformed.
+func (r *Reader) readBody() (body []byte, skipped bool, err error) {
+	const what = "body"
+	code, err := r.decoder.PeekCode()
+	if err != nil {
+		return nil, false, readError(what, err)
+	}
+	if !msgpcode.IsBin(code) {
+		return nil, false, malformed("%s of kind %x", what, code)
+	}
+	length, err := r.readLength(what, MaxBody)
+	if err != nil {
+		return nil, false, err
+	}
+	if r.ReserveBody != nil && !r.ReserveBody(length) {
+		return nil, true, r.skip(what, length)
+	}
+	body, err = r.readBytes(what, length)
+	return body, false, err
+}
+
+// skip reads length bytes without keeping them.
+func (r *Reader) skip(what string, length int) error {
+	skipped, err := io.CopyN(io.Discard, r.source, int64(length))
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, io.EOF) && skipped > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return readError(what, err)
+}
+
 // readCancellation reads the elements that follow the type of a notification. The only valid notification cancels
 // requests.
 func (r *Reader) readCancellation() (message Message, err error) {
@@ -166,28 +208,28 @@
 	return string(raw), err
 }
 
-// readBinary reads a value of MessagePack's binary type of at most limit bytes. A string is malformed.
-func (r *Reader) readBinary(what string, limit int) ([]byte, error) {
-	code, err := r.decoder.PeekCode()
+// readLengthPrefixed reads a value that is preceded by its length, which must be at most limit.
+func (r *Reader) readLengthPrefixed(what string, limit int) ([]byte, error) {
+	length, err := r.readLength(what, limit)
 	if err != nil {
-		return nil, readError(what, err)
+		return nil, err
 	}
-	if !msgpcode.IsBin(code) {
-		return nil, malformed("%s of kind %x", what, code)
-	}
-	return r.readLengthPrefixed(what, limit)
+	return r.readBytes(what, length)
 }
 
-// readLengthPrefixed reads a value that is preceded by its length. It checks that the length is at most limit before it
-// allocates memory.
-func (r *Reader) readLengthPrefixed(what string, limit int) ([]byte, error) {
+// readLength reads the length of a value. It returns an error if the length is above limit.
+func (r *Reader) readLength(what string, limit int) (int, error) {
 	length, err := r.decoder.DecodeBytesLen()
 	if err != nil {
-		return nil, readError(what, err)
+		return 0, readError(what, err)
 	}
 	if length < 0 || length > limit {
-		return nil, malformed("%s of %d bytes", what, length)
+		return 0, malformed("%s of %d bytes", what, length)
 	}
+	return length, nil
+}
+
+func (r *Reader) readBytes(what string, length int) ([]byte, error) {
 	raw := make([]byte, length)
 	if err := r.decoder.ReadFull(raw); err != nil {
 		return nil, readError(what, err)
--- a/internal/platform/rpcframe/reader_test.go
+++ b/internal/platform/rpcframe/reader_test.go
@@ -114,3 +114,43 @@
 		}
 	})
 }
+
+// TestNext_NoMemoryForBody_SkipsBody guards against bodies that are read into memory before anything counts them.
+func TestNext_NoMemoryForBody_SkipsBody(t *testing.T) {
+	body := bytes.Repeat([]byte{1}, MaxBody)
+	request := encode(t, []any{0, 7, "call", []any{map[string]string{"id": "9b1f03aa5c7e2d41", "key": "9b1f03aa5c7e2d41", "wait": "1500"}, body}})
+	raw := append(append([]byte{}, request...), request...)
+	reader := NewReader(bufio.NewReader(bytes.NewReader(raw)))
+	var sizes []int
+	reader.ReserveBody = func(size int) bool {
+		sizes = append(sizes, size)
+		return len(sizes) > 1
+	}
+	message, err := reader.Next()
+	if err != nil || !message.BodySkipped || message.Body != nil || message.MessageID != 7 {
+		t.Errorf("read message %d with %d bytes, skipped %t, error %v; want its body skipped", message.MessageID, len(message.Body), message.BodySkipped, err)
+	}
+	if parsed, err := message.Request(); err != nil || parsed.Timeout == 0 {
+		t.Errorf("request without its body is %+v, error %v; want it valid", parsed, err)
+	}
+	message, err = reader.Next()
+	if err != nil || message.BodySkipped || !bytes.Equal(message.Body, body) {
+		t.Errorf("the message after it has %d bytes, skipped %t, error %v; want its whole body", len(message.Body), message.BodySkipped, err)
+	}
+	if len(sizes) != 2 || sizes[0] != MaxBody || sizes[1] != MaxBody {
+		t.Errorf("memory was reserved for bodies of %v bytes, want two of %d", sizes, MaxBody)
+	}
+}
+
+// TestNext_InputEndsInSkippedBody_IsNoViolation checks that a client that disconnects within a body that is skipped does
+// not count as one that violates the protocol.
+func TestNext_InputEndsInSkippedBody_IsNoViolation(t *testing.T) {
+	raw := encode(t, []any{0, 7, "call", []any{map[string]string{}, make([]byte, MaxBody)}})
+	for _, missing := range []int{1, MaxBody} {
+		reader := NewReader(bufio.NewReader(bytes.NewReader(raw[:len(raw)-missing])))
+		reader.ReserveBody = func(int) bool { return false }
+		if _, err := reader.Next(); err == nil || errors.Is(err, ErrMalformed) {
+			t.Errorf("%d bytes missing: error %v, want that the input ended", missing, err)
+		}
+	}
+}
--- a/internal/platform/rpcframe/request.go
+++ b/internal/platform/rpcframe/request.go
@@ -29,7 +29,7 @@
 	Tenant         OptionalString // name of the tenant
 	Timeout        time.Duration  // time for which the client waits for the response; above 0
 	Attributes     []Attribute    // in the order sent; among attributes of the same kind the last takes precedence
-	Body           []byte         // not nil, may be empty
+	Body           []byte         // nil if it was skipped, otherwise not nil, may be empty
 }
 
 // Attribute is a property of a request or of its function.
@@ -70,7 +70,7 @@
 		Tenant: params.Tenant, Body: m.Body,
 	}
 	switch {
-	case m.Body == nil:
+	case m.Body == nil && !m.BodySkipped:
 		return Request{}, malformed("no body")
 	case !isHex(params.ID, idDigits):
 		return Request{}, malformed("id %q", params.ID)
--- a/internal/platform/rpcserver/close_test.go
+++ b/internal/platform/rpcserver/close_test.go
@@ -36,7 +36,7 @@
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	local, remote := net.Pipe()
 	handler := pausingHandler{stubHandler{make(chan *stubRequest, 1), make(chan string, 1)}, make(chan bool), make(chan bool)}
-	server := New(Config{Rules: rules, MaxConnections: 4, MaxInFlight: 4, ResponseLimits: limits, WriteTimeout: time.Minute}, handler, zerolog.Nop())
+	server := New(Config{Rules: rules, MaxConnections: 4, MaxInFlight: 4, ResponseMemory: limits.memory(), MaxQueuedBytes: limits.perConnection, WriteTimeout: time.Minute}, handler, zerolog.Nop())
 	server.admit(local)
 	always := func(connadmission.Connection) bool { return true }
 	connection := server.conns.All()[0]
--- a/internal/platform/rpcserver/conn.go
+++ b/internal/platform/rpcserver/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"havencart/internal/decide/connadmission"
+	"havencart/internal/memorybudget"
 	"havencart/internal/platform/rpcframe"
 	"havencart/internal/socket"
 )
@@ -30,6 +31,11 @@
 	// consecutiveRejections is the number of requests that the Handler rejected since it last accepted one. It is used
 	// by the reading goroutine only.
 	consecutiveRejections int
+	requestMemory         *memorybudget.Account
+	responseMemory        *memorybudget.Account
+	// bodyMemory is the reservation for the message that is being read, nil if it has no body or there is no memory for
+	// it. It is used by the reading goroutine only.
+	bodyMemory *memorybudget.Reservation
 
 	mu             sync.Mutex                 // guards the fields below
 	inFlight       map[uint32]*pendingRequest // requests without a response, by message ID; at most MaxInFlight
@@ -71,6 +77,7 @@
 	arrivals := &socket.ArrivalConn{Conn: netConn}
 	c := &conn{
 		server: s, netConn: netConn, arrivals: arrivals, bufReader: bufio.NewReaderSize(arrivals, readBufferSize), inFlight: map[uint32]*pendingRequest{},
+		requestMemory: s.cfg.RequestMemory.NewAccount(), responseMemory: s.cfg.ResponseMemory.NewAccount(),
 		stateSince: time.Now(),
 	}
 	c.outputChanged = sync.NewCond(&c.mu)
@@ -152,6 +159,7 @@
 // read handles messages until the input ends and then cancels the requests in flight. It is the reading goroutine.
 func (c *conn) read() {
 	reader := rpcframe.NewReader(c.bufReader)
+	reader.ReserveBody = c.reserveBody
 	for c.readMessage(reader) {
 	}
 	abandoned := c.endInput()
@@ -180,6 +188,8 @@
 		return false
 	}
 	c.setInput(inputPartial)
+	c.bodyMemory = nil
+	defer func() { c.bodyMemory.Release() }() // unless handleRequest has passed it on
 	message, err := reader.Next()
 	c.setInput(inputComplete)
 	defer c.setInput(inputIdle)
@@ -197,6 +207,17 @@
 	return false
 }
 
+// RequestOverhead is the memory in bytes that a request takes in addition to its body: the records of the request and of
+// its attempt, and the frame that is encoded for the worker.
+const RequestOverhead = 4 << 10
+
+// reserveBody reserves memory for the request that is being read, whose body has that size. It reports whether there is
+// memory for it.
+func (c *conn) reserveBody(size int) bool {
+	c.bodyMemory = c.requestMemory.Reserve(int64(RequestOverhead + size))
+	return c.bodyMemory != nil
+}
+
 func (c *conn) setInput(state inputState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -231,22 +252,28 @@
 	if err != nil {
 		return err
 	}
+	request.Memory = c.bodyMemory
 	request.ReceivedAt = time.Now()
 	request.ArrivedAfter = c.arrivals.ArrivedAfter()
-	pending, err := c.addInFlight(message.MessageID)
+	messageID := message.MessageID // respond must not keep the message, whose body is released earlier
+	pending, err := c.addInFlight(messageID)
 	if err != nil {
 		return err
 	}
-	cancel, err := c.server.handler.Handle(request, func(r Response) { c.respond(message.MessageID, pending, r) })
+	if request.Memory == nil {
+		c.server.requestsRefused.Add(1)
+	}
+	cancel, err := c.server.handler.Handle(request, func(r Response) { c.respond(messageID, pending, r) })
 	if err != nil {
-		c.removeInFlight(message.MessageID)
+		c.removeInFlight(messageID)
 		c.consecutiveRejections++
 		if c.tooManyRejections() {
 			return err
 		}
-		c.reportViolation(message.MessageID, err)
+		c.reportViolation(messageID, err)
 		return nil
 	}
+	c.bodyMemory = nil // the Handler releases it
 	c.consecutiveRejections = 0
 	c.mu.Lock()
 	pending.cancel = cancel
--- a/internal/platform/rpcserver/handler.go
+++ b/internal/platform/rpcserver/handler.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"havencart/internal/memorybudget"
 )
 
 // ErrProtocol is wrapped by errors about requests that violate the protocol or do not conform to the Rules.
@@ -20,9 +22,12 @@
 	Concurrency    int           // number of requests that a replica executes at a time, 0 if unknown
 	LoadTime       time.Duration // time to load a replica, 0 if unknown
 	WorkEstimate   time.Duration // expected execution time of this request, 0 if unknown
-	Body           []byte
-	ReceivedAt     time.Time // when the last byte of the request was read
-	ArrivedAfter   time.Time // lower bound of the time at which the last byte arrived; zero if unknown
+	Body           []byte        // nil if Memory is nil
+	// Memory is the reservation for the request, which the Handler releases when the request no longer takes memory. It is
+	// nil if there is no memory for the request, which the Handler must reject.
+	Memory       *memorybudget.Reservation
+	ReceivedAt   time.Time // when the last byte of the request was read
+	ArrivedAfter time.Time // lower bound of the time at which the last byte arrived; zero if unknown
 }
 
 // ResponseKind is the outcome that a final response reports.
@@ -55,7 +60,8 @@
 type Handler interface {
 	// Handle starts a request. It must not block, because the connection reads no other message until Handle returns.
 	// The Handler passes the final response to respond, once. It may call respond from any goroutine, also before
-	// Handle returns. If the request violates the protocol, Handle returns an error and respond must not be called.
+	// Handle returns. If the request violates the protocol, Handle returns an error, respond must not be called, and
+	// Request.Memory remains with the connection.
 	//
 	// The connection calls cancel at most once, if the client cancels the request or disconnects before the response. A
 	// response that is passed to respond after that is discarded.
--- a/internal/platform/rpcserver/helpers_test.go
+++ b/internal/platform/rpcserver/helpers_test.go
@@ -13,7 +13,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/goleak"
 
-	"havencart/internal/decide/connadmission"
+	"havencart/internal/decide/memoryshare"
+	"havencart/internal/memorybudget"
 )
 
 // stubHandler is a Handler that passes requests, and the IDs of cancelled requests, to the test.
@@ -51,7 +52,19 @@
 const testMaxInFlight = 4
 
 // limits are limits of queued responses that the tests do not reach unless they say so.
-var limits = connadmission.ResponseLimits{PerConnection: 1 << 20, Total: 1 << 20}
+var limits = responseLimits{perConnection: 1 << 20, total: 1 << 20}
+
+// responseLimits limit the bodies of responses that are not written yet.
+type responseLimits struct {
+	perConnection int64 // bytes in the queue of one connection
+	total         int64 // bytes of all connections together
+}
+
+// memory returns a new budget for the responses. One connection alone may hold half of a budget, so the budget is twice as
+// large as what the connections of a test hold together.
+func (l responseLimits) memory() *memorybudget.Budget {
+	return memorybudget.New(2*l.total, memoryshare.ClientResponseThresholds())
+}
 
 // startServer starts a server and returns its handler and address. The server is shut down when the test ends.
 func startServer(t *testing.T, maxConns int) (stubHandler, string) {
@@ -62,7 +75,7 @@
 		t.Fatal(err)
 	}
 	handler := stubHandler{make(chan *stubRequest, 64), make(chan string, 64)}
-	cfg := Config{Rules: rules, MaxConnections: maxConns, MaxInFlight: testMaxInFlight, ResponseLimits: limits, WriteTimeout: time.Minute}
+	cfg := Config{Rules: rules, MaxConnections: maxConns, MaxInFlight: testMaxInFlight, ResponseMemory: limits.memory(), MaxQueuedBytes: limits.perConnection, WriteTimeout: time.Minute}
 	server := New(cfg, handler, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
--- a/internal/platform/rpcserver/output.go
+++ b/internal/platform/rpcserver/output.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"havencart/internal/clientconn"
-	"havencart/internal/decide/connadmission"
+	"havencart/internal/memorybudget"
 )
 
 // respond queues the final response to a request. It discards the response if the request is no longer in flight. A
@@ -18,21 +18,22 @@
 	}
 	delete(c.inFlight, messageID)
 	c.stateSince = time.Now()
-	if !c.mayQueueLocked(response) {
+	memory := c.reserveResponseLocked(response)
+	if memory == nil {
 		c.server.responsesDropped.Add(1)
 		response = Response{Kind: Failed}
 	}
-	c.enqueueLocked(outgoing{kind: outgoingResponse, messageID: messageID, response: response})
+	c.enqueueLocked(outgoing{kind: outgoingResponse, messageID: messageID, response: response, memory: memory})
 }
 
-// mayQueueLocked reports whether a response fits within the limits of queued responses. It requires that c.mu is held.
-func (c *conn) mayQueueLocked(response Response) bool {
-	queued := connadmission.QueuedResponses{
-		Connection:  c.output.bodyBytes,
-		Total:       c.server.queuedBodyBytes.Load(),
-		Connections: c.server.conns.Len(),
+// reserveResponseLocked reserves memory for a response until it is written. It returns nil if the response exceeds the
+// limits of queued responses, which one without a body never does. It requires that c.mu is held.
+func (c *conn) reserveResponseLocked(response Response) *memorybudget.Reservation {
+	size := int64(len(response.Body))
+	if size > 0 && c.output.bodyBytes+size > c.server.cfg.MaxQueuedBytes {
+		return nil
 	}
-	return c.server.cfg.ResponseLimits.MayQueue(queued, int64(len(response.Body)))
+	return c.responseMemory.Reserve(size)
 }
 
 // enqueue is like enqueueLocked but acquires c.mu.
@@ -46,6 +47,7 @@
 // It requires that c.mu is held.
 func (c *conn) enqueueLocked(message outgoing) {
 	if c.lifecycle == lifecycleClosed {
+		message.memory.Release()
 		return
 	}
 	c.changeOutput(func(queue *outputQueue) { queue.push(message) })
@@ -57,12 +59,10 @@
 	c.server.tasks.Go(func() { c.writeQueued(queuedAt) })
 }
 
-// changeOutput changes the output queue, keeps the total of all connections up to date, and wakes the reading goroutine
-// if it waits for room in the queue. It requires that c.mu is held.
+// changeOutput changes the output queue and wakes the reading goroutine if it waits for room in the queue. It requires
+// that c.mu is held.
 func (c *conn) changeOutput(change func(*outputQueue)) {
-	before := c.output.bodyBytes
 	change(&c.output)
-	c.server.queuedBodyBytes.Add(c.output.bodyBytes - before)
 	c.outputChanged.Broadcast()
 }
 
@@ -85,15 +85,13 @@
 	if c.server.cfg.ObserveWriteDelay != nil {
 		c.server.cfg.ObserveWriteDelay(time.Since(queuedAt))
 	}
-	var batch []byte
-	for {
-		if batch = c.nextBatch(batch); batch == nil {
-			return
-		}
+	var batch outputBatch
+	for c.nextBatch(&batch) {
 		clientconn.SetWriteTimeout(c.netConn, c.writeTimeout())
-		if _, err := c.netConn.Write(batch); err != nil {
+		if _, err := c.netConn.Write(batch.bytes); err != nil {
 			c.closeAfterWriteError(err)
 		}
+		batch.release()
 	}
 }
 
@@ -107,21 +105,21 @@
 	return min(c.server.cfg.WriteTimeout, time.Until(c.drainBy))
 }
 
-// nextBatch returns the next part of the output, in the memory of the batch that was written before. It returns nil if
-// the writing goroutine must end.
-func (c *conn) nextBatch(written []byte) (batch []byte) {
+// nextBatch moves the next part of the output to batch, which must be empty. It returns false if the writing goroutine
+// must end.
+func (c *conn) nextBatch(batch *outputBatch) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.output.messages) > 0 {
-		c.changeOutput(func(queue *outputQueue) { batch = queue.takeBatch(written) })
-		return batch
+		c.changeOutput(func(queue *outputQueue) { queue.takeBatch(batch) })
+		return true
 	}
 	c.writing = false
 	c.output.clear()
 	if c.lifecycle == lifecycleDraining {
 		c.closeLocked()
 	}
-	return nil
+	return false
 }
 
 // closeAfterWriteError closes the connection after a write failed, mostly because the client did not read for
--- a/internal/platform/rpcserver/output_limits_test.go
+++ b/internal/platform/rpcserver/output_limits_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/rs/zerolog"
 
-	"havencart/internal/decide/connadmission"
 	"havencart/internal/platform/rpcframe"
 )
 
@@ -26,11 +25,11 @@
 }
 
 // startPipeServer must be called within a synctest bubble. The caller must call stop.
-func startPipeServer(maxInFlight int, limits connadmission.ResponseLimits) pipeServer {
+func startPipeServer(maxInFlight int, limits responseLimits) pipeServer {
 	local, remote := net.Pipe()
 	handler := stubHandler{make(chan *stubRequest, 4*maxInFlight), make(chan string, 4*maxInFlight)}
 	server := New(Config{
-		Rules: rules, MaxConnections: 4, MaxInFlight: maxInFlight, ResponseLimits: limits, WriteTimeout: writeTimeout,
+		Rules: rules, MaxConnections: 4, MaxInFlight: maxInFlight, ResponseMemory: limits.memory(), MaxQueuedBytes: limits.perConnection, WriteTimeout: writeTimeout,
 	}, handler, zerolog.Nop())
 	server.admit(local)
 	toSend := make(chan []byte, 64)
@@ -42,6 +41,9 @@
 	return pipeServer{Server: server, handler: handler, client: remote, toSend: toSend}
 }
 
+// unwrittenBytes returns the size of the bodies of responses that are queued or being written.
+func (s pipeServer) unwrittenBytes() int64 { return s.cfg.ResponseMemory.Counts().Total }
+
 func (s pipeServer) stop() {
 	close(s.toSend)
 	_ = s.client.Close()
@@ -99,7 +101,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				limit := int64(test.count * rpcframe.MaxBody)
-				server := startPipeServer(test.count, connadmission.ResponseLimits{PerConnection: limit, Total: limit})
+				server := startPipeServer(test.count, responseLimits{perConnection: limit, total: limit})
 				defer server.stop()
 				server.sendRequests(t, 1, test.count)
 				respondAll(server.received(), test.size)
@@ -116,7 +118,7 @@
 	const maxInFlight = 4
 	const size = maxBatchBytes // one response a batch
 	synctest.Test(t, func(t *testing.T) {
-		server := startPipeServer(maxInFlight, connadmission.ResponseLimits{PerConnection: 1 << 20, Total: 1 << 20})
+		server := startPipeServer(maxInFlight, responseLimits{perConnection: 1 << 20, total: 1 << 20})
 		defer server.stop()
 		accepted := 0
 		for id := range 20 {
@@ -128,8 +130,8 @@
 		if want := maxInFlight + 1; accepted != want { // one response is being written
 			t.Fatalf("%d requests were accepted without a response being read, want %d", accepted, want)
 		}
-		if got, want := server.queuedBodyBytes.Load(), int64(maxInFlight*size); got != want {
-			t.Errorf("%d bytes are queued, want %d", got, want)
+		if got, want := server.unwrittenBytes(), int64((maxInFlight+1)*size); got != want { // with the one being written
+			t.Errorf("%d bytes are not written, want %d", got, want)
 		}
 		expect(t, server.client, servedMessages(1, 1, size))
 		requests := server.received()
@@ -143,7 +145,7 @@
 func TestHeartbeats_ResponsesNotRead_AreNotReadFurther(t *testing.T) {
 	const maxInFlight, heartbeats = 4, 1000
 	synctest.Test(t, func(t *testing.T) {
-		server := startPipeServer(maxInFlight, connadmission.ResponseLimits{PerConnection: 1, Total: 1})
+		server := startPipeServer(maxInFlight, responseLimits{perConnection: 1, total: 1})
 		defer server.stop()
 		var raw, want []byte
 		for id := range heartbeats {
@@ -206,9 +208,9 @@
 				if got := len(server.handler.cancelled); got != len(pending) {
 					t.Errorf("%d requests were cancelled, want the %d without a response", got, len(pending))
 				}
-				if server.ConnectionCount() != 0 || server.queuedBodyBytes.Load() != 0 {
-					t.Errorf("%d connections are open and %d bytes queued, want none",
-						server.ConnectionCount(), server.queuedBodyBytes.Load())
+				if server.ConnectionCount() != 0 || server.unwrittenBytes() != 0 {
+					t.Errorf("%d connections are open and %d bytes not written, want none",
+						server.ConnectionCount(), server.unwrittenBytes())
 				}
 				if got := server.Counts(); got.WriteFailed != 1 || got.ProtocolErrors != 0 {
 					t.Errorf("counts are %+v, want one failed write and no protocol error", got)
@@ -239,7 +241,7 @@
 func TestRespond_OverTheLimits_FailedAndOthersServed(t *testing.T) {
 	const size = 1000
 	synctest.Test(t, func(t *testing.T) {
-		server := startPipeServer(5, connadmission.ResponseLimits{PerConnection: 2*size + 1, Total: 1 << 20})
+		server := startPipeServer(5, responseLimits{perConnection: 2*size + 1, total: 1 << 20})
 		defer server.stop()
 		server.sendRequests(t, 1, 5)
 		requests := server.received()
--- a/internal/platform/rpcserver/output_queue.go
+++ b/internal/platform/rpcserver/output_queue.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"havencart/internal/memorybudget"
 	"havencart/internal/platform/rpcframe"
 )
 
@@ -10,6 +11,12 @@
 // client does not read holds one batch in addition to its queue.
 const maxBatchBytes = 32 << 10
 
+// maxRetainedBytes is the maximum capacity of a buffer that is kept for the next batch.
+const maxRetainedBytes = 4 << 10
+
+// maxEnvelopeBytes is the maximum number of bytes by which an encoded response is longer than its body.
+const maxEnvelopeBytes = 64
+
 // outgoingKind is the kind of a message to a client.
 type outgoingKind int
 
@@ -26,6 +33,7 @@
 	response  Response // set for outgoingResponse
 	ready     bool     // whether the server accepts requests; set for outgoingHeartbeat
 	unwanted  bool     // whether the client has cancelled the request since
+	memory    *memorybudget.Reservation
 }
 
 // appendTo appends the encoded message to buffer.
@@ -45,6 +53,30 @@
 	return rpcframe.AppendFailed(buffer, o.messageID)
 }
 
+// outputBatch holds the encoded messages of one write, and their memory until the write has ended.
+type outputBatch struct {
+	bytes  []byte
+	memory []*memorybudget.Reservation
+}
+
+func (b *outputBatch) add(message outgoing) {
+	b.bytes = message.appendTo(b.bytes)
+	b.memory = append(b.memory, message.memory)
+}
+
+// release empties the batch. A large buffer is not kept, because a connection may never need it again.
+func (b *outputBatch) release() {
+	for i, memory := range b.memory {
+		memory.Release()
+		b.memory[i] = nil
+	}
+	b.memory = b.memory[:0]
+	b.bytes = b.bytes[:0]
+	if cap(b.bytes) > maxRetainedBytes {
+		b.bytes = nil
+	}
+}
+
 // outputQueue holds the messages of a connection of which no part was passed to the operating system. The client has
 // certainly not received them, so that it counts their requests as open. The zero value is an empty queue.
 type outputQueue struct {
@@ -76,27 +108,34 @@
 	q.messages = slices.DeleteFunc(q.messages, func(message outgoing) bool {
 		if message.unwanted {
 			q.count(message, -1)
+			message.memory.Release()
 		}
 		return message.unwanted
 	})
 }
 
-// takeBatch removes messages from the front, at least one if there is any, and returns them encoded. The batch reuses
-// the memory of buffer.
-func (q *outputQueue) takeBatch(buffer []byte) []byte {
-	batch := buffer[:0]
-	taken := 0
-	for taken < len(q.messages) && len(batch) < maxBatchBytes {
-		batch = q.messages[taken].appendTo(batch)
-		q.count(q.messages[taken], -1)
+// takeBatch moves messages from the front, at least one if there is any, to batch, which must be empty.
+func (q *outputQueue) takeBatch(batch *outputBatch) {
+	taken, size := 0, 0
+	for taken < len(q.messages) && size < maxBatchBytes {
+		size += maxEnvelopeBytes + len(q.messages[taken].response.Body)
 		taken++
 	}
+	batch.bytes = slices.Grow(batch.bytes, size)
+	for _, message := range q.messages[:taken] {
+		batch.add(message)
+		q.count(message, -1)
+	}
 	q.messages = slices.Delete(q.messages, 0, taken)
-	return batch
 }
 
 // clear removes all messages and releases their memory.
-func (q *outputQueue) clear() { *q = outputQueue{} }
+func (q *outputQueue) clear() {
+	for _, message := range q.messages {
+		message.memory.Release()
+	}
+	*q = outputQueue{}
+}
 
 // count adds a message to the totals, or removes it if sign is -1.
 func (q *outputQueue) count(message outgoing, sign int) {
--- a/internal/platform/rpcserver/output_test.go
+++ b/internal/platform/rpcserver/output_test.go
@@ -19,7 +19,7 @@
 	handler := stubHandler{make(chan *stubRequest, 4), make(chan string, 4)}
 	delays := make(chan time.Duration, 4)
 	server := New(Config{
-		Rules: rules, MaxConnections: 4, MaxInFlight: 4, ResponseLimits: limits, WriteTimeout: time.Minute,
+		Rules: rules, MaxConnections: 4, MaxInFlight: 4, ResponseMemory: limits.memory(), MaxQueuedBytes: limits.perConnection, WriteTimeout: time.Minute,
 		ObserveWriteDelay: func(delay time.Duration) { delays <- delay },
 	}, handler, zerolog.Nop())
 	server.admit(local)
--- a/internal/platform/rpcserver/server.go
+++ b/internal/platform/rpcserver/server.go
@@ -18,6 +18,7 @@
 
 	"havencart/internal/clientconn"
 	"havencart/internal/decide/connadmission"
+	"havencart/internal/memorybudget"
 	"havencart/internal/periodic"
 )
 
@@ -37,9 +38,12 @@
 	// MaxConnections is the maximum number of connections. When it is reached, an idle connection is evicted to make
 	// room for a new one. If none is idle, the new connection is rejected.
 	MaxConnections int
-	MaxInFlight    int                          // maximum requests in flight on a connection; exceeding it violates the protocol
-	ResponseLimits connadmission.ResponseLimits // a response that exceeds them is replaced by a failure
-	WriteTimeout   time.Duration                // timeout of one write of at most about maxBatchBytes
+	MaxInFlight    int // maximum requests in flight on a connection; exceeding it violates the protocol
+	// RequestMemory limits the memory of the requests that are in flight, and ResponseMemory that of the bodies of
+	// responses that are not written yet. If they are nil, there is no limit.
+	RequestMemory, ResponseMemory *memorybudget.Budget
+	MaxQueuedBytes                int64         // maximum bytes of the bodies in a connection's output queue
+	WriteTimeout                  time.Duration // timeout of one write of at most about maxBatchBytes
 	// ObserveWriteDelay, if not nil, is called by the writing goroutines with the time from the queuing of a response
 	// to the start of its write. That time does not depend on the client.
 	ObserveWriteDelay func(delay time.Duration)
@@ -49,12 +53,13 @@
 
 // Counts are totals of a Server since its start. The field names appear in the log and in docs/oncall.md.
 type Counts struct {
-	Accepted       uint64 // connections accepted
-	Rejected       uint64 // connections closed at once because the limit was reached
-	Evicted        uint64 // idle connections closed to make room for new ones
-	IdleClosed     uint64 // connections closed because they sent no request in time
-	ProtocolErrors uint64 // requests that violated the protocol
-	WriteFailed    uint64 // connections closed because a response could not be written, mostly to clients that do not read
+	Accepted        uint64 // connections accepted
+	Rejected        uint64 // connections closed at once because the limit was reached
+	Evicted         uint64 // idle connections closed to make room for new ones
+	IdleClosed      uint64 // connections closed because they sent no request in time
+	ProtocolErrors  uint64 // requests that violated the protocol
+	WriteFailed     uint64 // connections closed because a response could not be written, mostly to clients that do not read
+	RequestsRefused uint64 // requests whose body was skipped for lack of memory
 	// ResponsesDropped counts served responses that were replaced by failures because too many bytes were unwritten.
 	ResponsesDropped uint64
 }
@@ -71,9 +76,7 @@
 	listener     net.Listener // set when Serve starts
 	shuttingDown bool
 
-	accepted, rejected, evicted, idleClosed, protocolErrors, writeFailed, responsesDropped atomic.Uint64
-
-	queuedBodyBytes atomic.Int64 // total size of the response bodies in the output queues of all connections
+	accepted, rejected, evicted, idleClosed, protocolErrors, writeFailed, requestsRefused, responsesDropped atomic.Uint64
 }
 
 // New returns a Server that passes requests to handler.
@@ -91,6 +94,7 @@
 		ProtocolErrors: s.protocolErrors.Load(),
 		WriteFailed:    s.writeFailed.Load(),
 
+		RequestsRefused:  s.requestsRefused.Load(),
 		ResponsesDropped: s.responsesDropped.Load(),
 	}
 }
--- a/internal/platform/rpcserver/shutdown_test.go
+++ b/internal/platform/rpcserver/shutdown_test.go
@@ -35,7 +35,7 @@
 		}
 		gated := gatedListener{listener.(*net.TCPListener), make(chan bool)}
 		handler := stubHandler{make(chan *stubRequest, 4), make(chan string, 4)}
-		cfg := Config{Rules: rules, MaxConnections: 4, MaxInFlight: 4, ResponseLimits: limits, WriteTimeout: time.Minute, AcceptGracePeriod: time.Minute}
+		cfg := Config{Rules: rules, MaxConnections: 4, MaxInFlight: 4, ResponseMemory: limits.memory(), MaxQueuedBytes: limits.perConnection, WriteTimeout: time.Minute, AcceptGracePeriod: time.Minute}
 		server := New(cfg, handler, zerolog.Nop())
 		ctx, cancel := context.WithCancel(context.Background())
 		served := make(chan error, 1)
--- a/internal/platform/workerclient/client.go
+++ b/internal/platform/workerclient/client.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"havencart/internal/decide/connpool"
+	"havencart/internal/memorybudget"
 	"havencart/internal/platform/workerframe"
 	"havencart/internal/workerconn"
 	"havencart/scheduler"
@@ -28,7 +29,7 @@
 // randomStream is the second seed word of a client's random number generator. The first one is Config.Seed.
 const randomStream = 0x65786563
 
-// Config is the configuration of a Client. All fields except HealthChecksAllowed and Guard are required.
+// Config is the configuration of a Client. All fields except ResponseMemory, HealthChecksAllowed and Guard are required.
 type Config struct {
 	Worker               string // worker's name in the endpoint list
 	Address              string // host:port
@@ -40,6 +41,7 @@
 	LoadReportFields     []string               // names of the values to read from load reports
 	HealthChecksAllowed  bool                   // the client itself may send health checks
 	Budget               *ConnectionBudget      // shared by the clients of all workers
+	ResponseMemory       *memorybudget.Budget   // for the responses that Events has not handled; nil: no limit
 	Guard                *workerconn.WriteGuard // shared with the event loop; if nil, no new work is held back
 	Seed                 uint64                 // seed of the random numbers of load orders and health checks
 	Now                  func() time.Duration   // monotonic clock
@@ -54,6 +56,8 @@
 	tasks  sync.WaitGroup // goroutines of the connections
 	done   chan struct{}  // closed after Stop once the goroutines have ended
 
+	responseMemory *memorybudget.Account
+
 	mu sync.Mutex // guards the fields below, and fields of the connections as noted there
 
 	connections []*connection
@@ -71,7 +75,7 @@
 
 // New returns a Client that opens connections on demand. The caller must call Stop when the client is no longer needed.
 func New(cfg Config, events workerconn.Events) *Client {
-	return &Client{cfg: cfg, events: events, done: make(chan struct{})}
+	return &Client{cfg: cfg, events: events, done: make(chan struct{}), responseMemory: cfg.ResponseMemory.NewAccount()}
 }
 
 // ensureInitialized initializes the fields that connections need. It requires that c.mu is held.
--- a/internal/platform/workerclient/connection_read.go
+++ b/internal/platform/workerclient/connection_read.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"havencart/internal/decide/connpool"
+	"havencart/internal/memorybudget"
 	"havencart/internal/platform/workerframe"
 	"havencart/internal/workerconn"
 	"havencart/scheduler"
@@ -30,24 +31,43 @@
 func (c *connection) read(netConn net.Conn) error {
 	source := bufio.NewReaderSize(netConn, readBufferSize)
 	reader := workerframe.NewReader(source, workerframe.MagicWorker, c.client.cfg.MaxResponse)
+	var memory *memorybudget.Reservation // for the body of the frame that is being read; nil if it has none
+	reader.ReserveBody = func(size int) (err error) {
+		memory, err = c.reserveResponse(size)
+		return err
+	}
 	reader.OnFrameStart = func() {
 		_ = netConn.SetReadDeadline(time.Now().Add(connpool.FrameTimeout())) // fails only if the connection is closed
 	}
 	for {
+		memory = nil
 		frame, err := reader.Next()
 		switch {
 		case err == nil:
 			_ = netConn.SetReadDeadline(time.Time{})
-			err = c.handle(frame)
+			err = c.handle(frame, memory)
 		case isTimeout(err):
 			err = fmt.Errorf("%w: an answer stopped short", workerframe.ErrMalformed)
 		}
+		if err != nil {
+			memory.Release()
+		}
 		if err != nil {
 			return fmt.Errorf("read from %s: %w", c.client.cfg.Worker, err)
 		}
 	}
 }
 
+// reserveResponse waits until there is memory for a response whose body has that size. It returns an error if the client
+// is stopped first.
+func (c *connection) reserveResponse(size int) (*memorybudget.Reservation, error) {
+	memory := c.client.responseMemory.Await(c.client.ctx.Done(), int64(size))
+	if memory == nil {
+		return nil, errStopped
+	}
+	return memory, nil
+}
+
 // isTimeout reports whether err is a network timeout, such as an exceeded read deadline.
 func isTimeout(err error) bool {
 	var netErr net.Error
@@ -62,15 +82,18 @@
 	receipt     bool // the response answers a health check of requestReceipt
 }
 
-// handle reports the result that a response contains. A response that matches no unfinished item is dropped and counted
-// as late.
-func (c *connection) handle(frame workerframe.Frame) error {
+// handle reports the result that a response contains, with the reservation for its body. A response that matches no
+// unfinished item is dropped and counted as late. If handle returns an error, the reservation remains with the caller.
+func (c *connection) handle(frame workerframe.Frame, memory *memorybudget.Reservation) error {
 	fields, err := workerframe.ParseResponseFields(frame.Fields, c.client.cfg.LoadReportFields)
 	if err != nil {
 		return err
 	}
 	finished := c.finish(frame)
 	events := c.client.events
+	if finished.attempt == nil {
+		memory.Release()
+	}
 	switch {
 	case finished.attempt != nil:
 		events.AttemptEnded(finished.attempt, workerconn.Result{
@@ -79,6 +102,7 @@
 			LoadReport: fields.LoadReport,
 			ReceivedAt: c.client.cfg.Now(),
 			Response:   &workerconn.Response{Body: frame.Body, Length: int64(len(frame.Body))},
+			Memory:     memory,
 		})
 	case finished.load != nil:
 		events.LoadEnded(finished.load, statusOfCode[frame.Code], fields.Replicas)
--- a/internal/platform/workerframe/frame.go
+++ b/internal/platform/workerframe/frame.go
@@ -27,6 +27,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"slices"
 )
 
 // Code is the type of a frame.
@@ -85,6 +86,7 @@
 	if len(frame.Fields) > maxFieldsSize || len(frame.Body) > MaxBody {
 		return buffer, fmt.Errorf("%w: fields of %d bytes, body of %d", ErrMalformed, len(frame.Fields), len(frame.Body))
 	}
+	buffer = slices.Grow(buffer, headerSize+len(frame.Fields)+len(frame.Body)+checksumSize)
 	buffer = append(buffer, magic, byte(frame.Code))
 	buffer = binary.BigEndian.AppendUint16(buffer, uint16(len(frame.Fields)))
 	buffer = binary.BigEndian.AppendUint32(buffer, uint32(len(frame.Body)))
@@ -101,8 +103,11 @@
 	source  io.Reader
 	magic   byte
 	maxBody int // bytes
-	// OnFrameStart, if set, is called after the header of a frame has been read and before its fields and body are
-	// read.
+	// ReserveBody, if set, is called with the size of a body in bytes, unless that is 0, before memory is allocated for the
+	// body. Next returns its error.
+	ReserveBody func(size int) error
+	// OnFrameStart, if set, is called after the header of a frame has been read and memory for its body was reserved, and
+	// before its fields and body are read.
 	OnFrameStart func()
 }
 
@@ -131,6 +136,11 @@
 	case fieldsLength > maxFieldsSize || uint64(bodyLength) > uint64(r.maxBody):
 		return frame, fmt.Errorf("%w: fields of %d bytes, body of %d", ErrMalformed, fieldsLength, bodyLength)
 	}
+	if r.ReserveBody != nil && bodyLength > 0 {
+		if err := r.ReserveBody(int(bodyLength)); err != nil {
+			return frame, err
+		}
+	}
 	if r.OnFrameStart != nil {
 		r.OnFrameStart()
 	}
--- a/internal/platform/workerframe/frame_test.go
+++ b/internal/platform/workerframe/frame_test.go
@@ -87,3 +87,29 @@
 		}
 	})
 }
+
+// TestReader_ReserveBody_CalledBeforeBody checks that memory is asked for before a body is read, and only for frames that
+// have one.
+func TestReader_ReserveBody_CalledBeforeBody(t *testing.T) {
+	var raw []byte
+	for _, f := range []Frame{{Code: Healthy, ID: 1, Fields: "rep=queue:2"}, {Code: OK, ID: 2, Body: []byte("hello")}} {
+		var err error
+		if raw, err = Append(raw, MagicWorker, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	refused := errors.New("no memory")
+	r := NewReader(bytes.NewReader(raw), MagicWorker, MaxBody)
+	r.ReserveBody = func(size int) error {
+		if size != len("hello") {
+			t.Errorf("memory was reserved for %d bytes, want %d", size, len("hello"))
+		}
+		return refused
+	}
+	if f, err := r.Next(); err != nil || f.ID != 1 {
+		t.Errorf("read %+v, error %v; want the frame without a body", f, err)
+	}
+	if f, err := r.Next(); !errors.Is(err, refused) || f.Body != nil {
+		t.Errorf("read %+v, error %v; want the error of ReserveBody", f, err)
+	}
+}
--- a/internal/workerconn/attempt.go
+++ b/internal/workerconn/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"havencart/internal/memorybudget"
 	"havencart/internal/native/muxframe"
 	"havencart/scheduler"
 )
@@ -98,6 +99,8 @@
 	RunTime    time.Duration // execution time without time spent queued; 0 if not reported
 	Response   *Response     // nil if the worker sent none
 	ReceivedAt time.Duration // when the response was read, on the client's monotonic clock; 0 if not recorded
+	// Memory is the reservation for Response, which the receiver of the result releases once it has handled the result.
+	Memory *memorybudget.Reservation
 }
 
 // Response is a worker's response to an attempt.
--- a/internal/workerconn/write_batch.go
+++ b/internal/workerconn/write_batch.go
@@ -17,7 +17,10 @@
 
 // maxBatchBytes limits how much one write passes to the operating system, so that the frames queued behind it can still
 // be cancelled.
-const maxBatchBytes = 64 << 10
+const maxBatchBytes = 16 << 10
+
+// maxRetainedBytes is the maximum capacity of a buffer that is kept for the next batch of a connection.
+const maxRetainedBytes = 4 << 10
 
 // WriteBatch holds the frames of one write. Its owner reuses one WriteBatch for all writes to a connection.
 type WriteBatch[Frame any] struct {
@@ -36,9 +39,13 @@
 	end  int // offset in WriteBatch.Bytes just after the frame
 }
 
-// reset empties the batch but keeps its buffers.
+// reset empties the batch. It keeps its buffers, except for a large one, because a connection may never need it again.
 func (b *WriteBatch[Frame]) reset() {
 	b.Bytes = b.Bytes[:0]
+	if cap(b.Bytes) > maxRetainedBytes {
+		b.Bytes = nil
+	}
+	clear(b.frames)
 	b.Unencodable = nil
 	b.Expired = nil
 	b.DeferredNewWork = false
