Keep a client connection in the table until its descriptor is closed

Cause: the reading goroutine removed its connection from the server's table at the end of its input. While responses were still being written, the descriptor stayed open, and a new connection took the place in the table.

Change: a closed connection leaves the table once neither of its goroutines uses it. The selection for eviction passes over closed connections.

--- a/internal/platform/rpcserver/conn.go
+++ b/internal/platform/rpcserver/conn.go
@@ -46,6 +46,7 @@
 	output         outputQueue // empty once the connection is closed
 	outputChanged  *sync.Cond  // uses mu; signals changes of output, and the end of the connection
 	writing        bool        // the writing goroutine is running
+	inputEnded     bool        // the reading goroutine reads no more
 	lifecycle      lifecycle
 	drainBy        time.Time // when a draining connection must have written its queued responses
 }
@@ -162,14 +163,14 @@
 	reader.ReserveBody = c.reserveBody
 	for c.readMessage(reader) {
 	}
-	abandoned := c.endInput()
-	c.server.conns.Remove(c) // before the requests are cancelled, because their clients may connect again at once
-	for _, pending := range abandoned {
+	for _, pending := range c.endInput() {
 		pending.cancel(ConnectionEnded)
 	}
 }
 
-// endInput drains the connection. It removes and returns the requests in flight, whose responses are no longer needed.
+// endInput drains the connection. It removes and returns the requests in flight, whose responses are no longer needed. The
+// caller cancels them, after the connection has left the table of the server if nothing is being written, because their
+// clients may connect again at once.
 func (c *conn) endInput() []*pendingRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -178,10 +179,20 @@
 		abandoned = append(abandoned, pending)
 		delete(c.inFlight, messageID)
 	}
+	c.inputEnded = true
 	c.drainLocked()
+	c.removeIfUnusedLocked()
 	return abandoned
 }
 
+// removeIfUnusedLocked removes a closed connection from the table of the server once no goroutine uses it, since the
+// operating system keeps its descriptor until then. It requires that c.mu is held.
+func (c *conn) removeIfUnusedLocked() {
+	if c.lifecycle == lifecycleClosed && c.inputEnded && !c.writing {
+		c.server.conns.Remove(c)
+	}
+}
+
 // readMessage reads and handles the next message. It reports whether another message may follow.
 func (c *conn) readMessage(reader *rpcframe.Reader) bool {
 	if _, err := c.bufReader.Peek(1); err != nil {
--- a/internal/platform/rpcserver/output.go
+++ b/internal/platform/rpcserver/output.go
@@ -119,6 +119,7 @@
 	if c.lifecycle == lifecycleDraining {
 		c.closeLocked()
 	}
+	c.removeIfUnusedLocked()
 	return false
 }
 
--- a/internal/platform/rpcserver/server.go
+++ b/internal/platform/rpcserver/server.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -149,10 +150,10 @@
 	return true
 }
 
-// snapshots returns the connections and their states, in the same order.
+// snapshots returns the connections that are not closed and their states, in the same order.
 func (s *Server) snapshots() ([]*conn, []connadmission.Connection) {
 	now := time.Now()
-	conns := s.conns.All()
+	conns := slices.DeleteFunc(s.conns.All(), (*conn).isClosed)
 	states := make([]connadmission.Connection, len(conns))
 	for i, c := range conns {
 		states[i] = c.snapshot(now)
