Trust clients by returned memory and the rate of their refusals; shed trusted clients' requests last

Two causes: - The limit of the loop's queue, derived from the measured rate of decisions, applies to all clients alike. While the goroutines that read and reject the flood take the processor, the rate and thus the limit falls to a few requests, which the flood takes. - Requests that were shed gave their memory back, which made the flooding clients trusted; and usual clients that were refused once more often than they were served stayed untrusted as long as the flood lasted.

Change: a request that is rejected before it is admitted counts as a refusal. Refusals are the level of a leaky bucket (20 a second), so that clients that wait before they send again stay trusted and those that do not are found within 17 requests. Requests of trusted clients have four times the queue limit, at least 16, and four times the delay before they are shed (partial buffer sharing with two thresholds).

--- a/internal/decide/loadshed/loadshed.go
+++ b/internal/decide/loadshed/loadshed.go
@@ -22,6 +22,21 @@
 	rateWindow = interval / 10
 	// rateDecay is the factor by which the best decision rate decays with each window.
 	rateDecay = 0.95
+	// preferredFactor is the factor by which the limits of preferred requests are above those of others. What others take
+	// below their limits therefore leaves as much to the preferred ones.
+	preferredFactor = 4
+	// minPreferredLimit is the least limit of the queue for preferred requests. Where other work of the process delays the event
+	// loop, the measured rate of its decisions is too low to derive the limit from it.
+	minPreferredLimit = 16
+)
+
+// Priority is the priority of a request among those that may have to be shed.
+type Priority int
+
+// The priorities.
+const (
+	Normal    Priority = iota
+	Preferred          // shed only when there are too many of its kind
 )
 
 // Shedder distinguishes a short burst from a standing queue. Its signal is that of CoDel (K. Nichols, V. Jacobson,
@@ -47,14 +62,18 @@
 
 // ShouldReject records that a request left the queue at now after it had waited for delay, and reports whether the
 // event loop must reject it.
-func (s *Shedder) ShouldReject(now, delay time.Duration) bool {
+func (s *Shedder) ShouldReject(now, delay time.Duration, priority Priority) bool {
 	if aboveTarget := delay >= target; aboveTarget != s.aboveTarget {
 		s.aboveTarget, s.since = aboveTarget, now
 	}
 	if now-s.since >= interval {
 		s.standing = s.aboveTarget
 	}
-	reject := s.standing && delay >= maxDelay
+	longest := maxDelay
+	if priority == Preferred {
+		longest *= preferredFactor
+	}
+	reject := s.standing && delay >= longest
 	s.decisions.observe(now, !reject)
 	return reject
 }
@@ -78,6 +97,14 @@
 	return max(1, int(s.decisions.bestRate*admittedDelay.Seconds()))
 }
 
+// LimitFor returns the limit of the queue, as QueueLimit returns it, for a request of the given priority.
+func LimitFor(limit int, priority Priority) int {
+	if priority == Preferred && limit <= math.MaxInt/preferredFactor {
+		return max(minPreferredLimit, preferredFactor*limit)
+	}
+	return limit
+}
+
 // rateMeter measures the number of decisions per second that the event loop makes while its queue is not empty.
 type rateMeter struct {
 	bestRate float64       // decayed maximum of the rates of recent windows, in decisions per second
--- a/internal/decide/memoryshare/memoryshare.go
+++ b/internal/decide/memoryshare/memoryshare.go
@@ -3,6 +3,8 @@
 // peer may take. The package does no I/O and measures nothing.
 package memoryshare
 
+import "time"
+
 // Process describes what a process may use and hold.
 type Process struct {
 	MemoryBytes       int64 // limit of the process's anonymous memory
@@ -116,41 +118,49 @@
 }
 
 const (
-	// minReturned is how often a peer must have returned memory recently to be trusted.
+	// minReturned is how often a peer must have returned memory to be trusted.
 	minReturned = 16
-	// maxHistory is the number of recorded events at which the older ones count half.
-	maxHistory = 128
+	// maxRefusalLevel is the level of refusals above which a peer is not trusted.
+	maxRefusalLevel = 16
+	// refusalLeakRate is by how much the level of refusals falls in a second. Clients that wait before they send a rejected
+	// request again stay below it.
+	refusalLeakRate = 20
 )
 
-// History is how often a peer was refused memory recently, and how often it returned what it took. Only memory that was
-// returned counts in favour of a peer, so that a burst of a new peer cannot. The zero value is that of a new peer.
-type History struct{ returned, refused int }
+// History is how often a peer returned memory, and how often it was refused memory recently, as the level of a leaky
+// bucket. Only memory that was returned counts in favour of a peer, so that the first burst of a new peer does not. The
+// zero value is that of a new peer. Times are durations since the start of the process.
+type History struct {
+	returned     int           // at most minReturned
+	refusalLevel float64       // at levelAt
+	levelAt      time.Duration // time of the last refusal
+}
 
 // RecordReturned records that the peer returned memory.
-func (h *History) RecordReturned() {
-	h.returned++
-	h.age()
+func (h *History) RecordReturned() { h.returned = min(h.returned+1, minReturned) }
+
+// RecordRefused records that the peer was refused memory at now, or that its request was rejected as soon as it had
+// memory.
+func (h *History) RecordRefused(now time.Duration) {
+	h.refusalLevel = h.levelOf(now) + 1
+	h.levelAt = now
 }
 
-// RecordRefused records that the peer was refused memory.
-func (h *History) RecordRefused() {
-	h.refused++
-	h.age()
+// levelOf returns the level of refusals at now.
+func (h *History) levelOf(now time.Duration) float64 {
+	return max(0, h.refusalLevel-refusalLeakRate*(now-h.levelAt).Seconds())
 }
 
-// age halves the counts when there are many.
-func (h *History) age() {
-	if h.returned+h.refused >= maxHistory {
-		h.returned /= 2
-		h.refused /= 2
-	}
+// IsTrusted reports whether the peer returns what it takes. A peer that asks again and again for what it is refused is not
+// trusted.
+func (h *History) IsTrusted(now time.Duration) bool {
+	return h.returned >= minReturned && h.levelOf(now) <= maxRefusalLevel
 }
 
-// Threshold returns the one of the thresholds that applies to the peer. A peer that asks again and again for what it is
-// refused is given less than one that asks for what it can get.
-func (h *History) Threshold(thresholds Thresholds) Threshold {
-	if h.returned < minReturned || h.refused > h.returned {
-		return thresholds.Untrusted
+// Threshold returns the one of the thresholds that applies to the peer at now.
+func (h *History) Threshold(now time.Duration, thresholds Thresholds) Threshold {
+	if h.IsTrusted(now) {
+		return thresholds.Trusted
 	}
-	return thresholds.Trusted
+	return thresholds.Untrusted
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -41,7 +41,7 @@
 func (f *FrontEnd) rejectionReason(request *Request) Reason {
 	// The shedder must observe the queue delay of every request, including requests rejected for another reason.
 	queued := request.queuedAt > 0
-	overloaded := queued && f.shedder.ShouldReject(f.now, f.now-request.queuedAt)
+	overloaded := queued && f.shedder.ShouldReject(f.now, f.now-request.queuedAt, request.Priority)
 	switch {
 	case f.shuttingDown:
 		return ShuttingDown
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"havencart/internal/decide/endpointlease"
+	"havencart/internal/decide/loadshed"
 	"havencart/internal/decide/looplag"
 	"havencart/internal/discovery"
 	"havencart/internal/native/muxclient"
@@ -88,7 +89,7 @@
 
 // enqueue puts a request into the queue and returns noReason, or returns the reason why the request must be rejected.
 func (l *EventLoop) enqueue(request *Request) Reason {
-	if int64(len(l.requests)) >= l.gate.limit.Load() {
+	if len(l.requests) >= loadshed.LimitFor(int(l.gate.limit.Load()), request.Priority) {
 		return LoopOverloaded
 	}
 	select {
--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -14,6 +14,7 @@
 
 	"havencart/internal/config/platformconfig"
 	"havencart/internal/decide/connadmission"
+	"havencart/internal/decide/loadshed"
 	"havencart/internal/decide/looplag"
 	"havencart/internal/decide/memoryshare"
 	"havencart/internal/discovery"
@@ -159,6 +160,9 @@
 	request.WorkEstimate = received.WorkEstimate
 	request.Body = received.Body
 	request.memory = received.Memory
+	if received.Memory.Trusted() {
+		request.Priority = loadshed.Preferred
+	}
 	request.Timeout = received.Timeout
 	request.StartedAt = received.ReceivedAt.Sub(p.loop.cfg.ClockStart)
 	request.ArrivedAfter = looplag.AnyArrival
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"havencart/internal/decide/execution"
+	"havencart/internal/decide/loadshed"
 	"havencart/internal/memorybudget"
 	"havencart/internal/native/muxframe"
 	"havencart/scheduler"
@@ -23,7 +24,8 @@
 	Timeout        time.Duration // time from StartedAt until the client gives up
 	StartedAt      time.Duration // when the client sent the request, on the event loop's clock
 	ArrivedAfter   time.Duration // lower bound of the arrival time; see looplag.StallTracker.EarliestArrival
-	Resent         bool          // sent again with the same ID, as its connection ended before the final response
+	Priority       loadshed.Priority
+	Resent         bool // sent again with the same ID, as its connection ended before the final response
 
 	// memory is the reservation for the request and its body. It is released when no attempt refers to the body any more.
 	memory *memorybudget.Reservation
@@ -72,7 +74,8 @@
 		if r.record != nil {
 			r.record.Close()
 		} else {
-			r.releaseMemory() // it was not admitted, so no attempt follows
+			r.Body = nil // it was not admitted, so no attempt follows
+			r.memory.Refuse()
 		}
 		r.stopExpiry()
 	}
@@ -102,7 +105,7 @@
 // NewRequestWithCallback.
 func (r *Request) Response() <-chan FinalResponse { return r.response }
 
-// releaseMemory releases the body and its reservation. Calls after the first have no effect.
+// releaseMemory releases the body of an admitted request and its reservation. Calls after the first have no effect.
 func (r *Request) releaseMemory() {
 	r.Body = nil
 	r.memory.Release()
--- a/internal/memorybudget/memorybudget.go
+++ b/internal/memorybudget/memorybudget.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"havencart/internal/decide/memoryshare"
 )
@@ -13,6 +14,7 @@
 type Budget struct {
 	limit      int64 // bytes
 	thresholds memoryshare.Thresholds
+	start      time.Time
 
 	mu      sync.Mutex
 	total   int64         // bytes that are reserved
@@ -24,9 +26,12 @@
 
 // New returns a Budget of limit bytes, of which the peers take parts within the thresholds.
 func New(limit int64, thresholds memoryshare.Thresholds) *Budget {
-	return &Budget{limit: limit, thresholds: thresholds}
+	return &Budget{limit: limit, thresholds: thresholds, start: time.Now()}
 }
 
+// now returns the time since the budget was created.
+func (b *Budget) now() time.Duration { return time.Since(b.start) }
+
 // Counts are the state of a Budget and its totals since its start. The field names appear in the log and in
 // docs/oncall.md.
 type Counts struct {
@@ -64,7 +69,7 @@
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
 	if !a.mayTakeLocked(bytes) {
-		a.history.RecordRefused()
+		a.history.RecordRefused(a.budget.now())
 		a.budget.refused++
 		return nil
 	}
@@ -108,7 +113,7 @@
 // mayTakeLocked reports whether the peer may hold that many more bytes. It requires that the budget's lock is held.
 func (a *Account) mayTakeLocked(bytes int64) bool {
 	usage := memoryshare.Usage{Limit: a.budget.limit, Total: a.budget.total, Held: a.held}
-	return memoryshare.MayTake(usage, bytes, a.history.Threshold(a.budget.thresholds))
+	return memoryshare.MayTake(usage, bytes, a.history.Threshold(a.budget.now(), a.budget.thresholds))
 }
 
 // takeLocked reserves memory. It requires that the budget's lock is held.
@@ -116,7 +121,7 @@
 	a.held += bytes
 	a.budget.total += bytes
 	a.budget.highest = max(a.budget.highest, a.budget.total)
-	return &Reservation{account: a, bytes: bytes}
+	return &Reservation{account: a, bytes: bytes, trusted: a.history.IsTrusted(a.budget.now())}
 }
 
 func (b *Budget) countWait() {
@@ -129,11 +134,24 @@
 type Reservation struct {
 	account  *Account // nil: nothing is counted
 	bytes    int64
+	trusted  bool
 	released bool // guarded by the budget's lock
 }
 
-// Release returns the memory to the budget. Calls after the first have no effect.
+// Trusted reports whether the peer was trusted when it reserved the memory.
+func (r *Reservation) Trusted() bool { return r != nil && r.trusted }
+
+// Release returns the memory to the budget. It has no effect on memory that was returned before.
 func (r *Reservation) Release() {
+	r.release(func(account *Account) { account.history.RecordReturned() })
+}
+
+// Refuse is like Release for memory that was not used, because the peer's request was rejected. It counts as a refusal.
+func (r *Reservation) Refuse() {
+	r.release(func(account *Account) { account.history.RecordRefused(account.budget.now()) })
+}
+
+func (r *Reservation) release(record func(*Account)) {
 	if r == nil || r.account == nil {
 		return
 	}
@@ -145,7 +163,7 @@
 	}
 	r.released = true
 	r.account.held -= r.bytes
-	r.account.history.RecordReturned()
+	record(r.account)
 	budget.total -= r.bytes
 	if budget.changed != nil {
 		close(budget.changed)
--- a/internal/memorybudget/memorybudget_test.go
+++ b/internal/memorybudget/memorybudget_test.go
@@ -84,6 +84,30 @@
 	})
 }
 
+// TestReservation_Trusted checks that a peer is trusted once it has returned memory often, and not any more when its
+// requests are rejected.
+func TestReservation_Trusted(t *testing.T) {
+	const often = 100
+	account := New(100, memoryshare.RequestThresholds()).NewAccount()
+	isTrusted := func(end func(*Reservation)) bool {
+		var last *Reservation
+		for range often {
+			last = account.Reserve(1)
+			end(last)
+		}
+		return last.Trusted()
+	}
+	if account.Reserve(1).Trusted() {
+		t.Error("a new peer is trusted")
+	}
+	if !isTrusted((*Reservation).Release) {
+		t.Errorf("a peer that returned memory %d times is not trusted", often)
+	}
+	if isTrusted((*Reservation).Refuse) {
+		t.Errorf("a peer whose requests were rejected %d times is trusted", often)
+	}
+}
+
 func TestNilBudget_AnyReservation_Granted(t *testing.T) {
 	var unlimited *Budget
 	account := unlimited.NewAccount()
