--- a/internal/decide/loadshed/loadshed.go
+++ b/internal/decide/loadshed/loadshed.go
@@ -22,9 +22,12 @@
 	rateWindow = interval / 10
 	// rateDecay is the factor by which the best decision rate decays with each window.
 	rateDecay = 0.95
-	// preferredFactor is the factor by which the limits of preferred requests are above those of others. What others take
+	// preferredFactor is the factor by which the limit of the queue for preferred requests is above that for others. What others take
 	// below their limits therefore leaves as much to the preferred ones.
 	preferredFactor = 4
+	// maxPreferredDelay is maxDelay for preferred requests. It is long, because where it matters the delay is caused by work
+	// for other requests.
+	maxPreferredDelay = 500 * time.Millisecond
 	// minPreferredLimit is the least limit of the queue for preferred requests. Where other work of the process delays the event
 	// loop, the measured rate of its decisions is too low to derive the limit from it.
 	minPreferredLimit = 16
@@ -71,7 +74,7 @@
 	}
 	longest := maxDelay
 	if priority == Preferred {
-		longest *= preferredFactor
+		longest = maxPreferredDelay
 	}
 	reject := s.standing && delay >= longest
 	s.decisions.observe(now, !reject)
--- a/internal/decide/loadshed/loadshed_test.go
+++ b/internal/decide/loadshed/loadshed_test.go
@@ -115,7 +115,7 @@
 	if !shedder.ShouldReject(200*ms, 50*ms, Normal) || shedder.ShouldReject(201*ms, 50*ms, Preferred) {
 		t.Error("in a standing queue, want a request with a delay of 50 ms rejected, and admitted if it is preferred")
 	}
-	if !shedder.ShouldReject(202*ms, maxDelay*preferredFactor, Preferred) {
+	if !shedder.ShouldReject(202*ms, maxPreferredDelay, Preferred) {
 		t.Error("in a standing queue, want a preferred request with a long delay rejected")
 	}
 	limit := shedder.QueueLimit()
--- a/internal/decide/memoryshare/memoryshare.go
+++ b/internal/decide/memoryshare/memoryshare.go
@@ -90,11 +90,24 @@
 type Thresholds struct {
 	Untrusted Threshold // of peers that are mostly refused, and of new ones
 	Trusted   Threshold // of peers that mostly return what they took
+	// UntrustedBytes is the size of the memory of all peers above which untrusted ones get no more; 0: its limit.
+	UntrustedBytes int64
+}
+
+// Usage returns the usage that counts for a peer, which may be an untrusted one.
+func (t Thresholds) Usage(usage Usage, trusted bool) Usage {
+	if !trusted && t.UntrustedBytes > 0 {
+		usage.Limit = min(usage.Limit, t.UntrustedBytes)
+	}
+	return usage
 }
 
 // RequestThresholds returns the thresholds for the requests of a client. Many untrusted clients together leave more to
-// the others than each of them gets. One client alone may hold a fifth of the memory at once.
-func RequestThresholds() Thresholds { return Thresholds{Untrusted: 0.25, Trusted: 2} }
+// the others than each of them gets. One client alone may hold a fifth of the memory at once. However much memory there
+// is, the requests of untrusted clients do not fill the queues for the workers.
+func RequestThresholds() Thresholds {
+	return Thresholds{Untrusted: 0.25, Trusted: 2, UntrustedBytes: 16 * mebibyte}
+}
 
 // ClientResponseThresholds returns the thresholds for the responses to a client. One client alone may hold half of the
 // memory, because its responses may come together and a response that is refused is lost.
--- a/internal/decide/memoryshare/memoryshare_test.go
+++ b/internal/decide/memoryshare/memoryshare_test.go
@@ -126,6 +126,27 @@
 	}
 }
 
+// TestThresholds_Usage checks that untrusted peers get a part of a large memory only.
+func TestThresholds_Usage(t *testing.T) {
+	thresholds := Thresholds{UntrustedBytes: 100}
+	for name, test := range map[string]struct {
+		limit   int64
+		trusted bool
+		want    int64
+	}{
+		"untrusted, large memory": {1000, false, 100},
+		"untrusted, small memory": {50, false, 50},
+		"trusted":                 {1000, true, 1000},
+	} {
+		if got := thresholds.Usage(Usage{Limit: test.limit}, test.trusted).Limit; got != test.want {
+			t.Errorf("%s: limit is %d, want %d", name, got, test.want)
+		}
+	}
+	if got := WorkerResponseThresholds().Usage(Usage{Limit: 1000}, false).Limit; got != 1000 {
+		t.Errorf("limit is %d without a limit for untrusted peers, want 1000", got)
+	}
+}
+
 // TestDivide_EachMemory_FitsAllResponsesOfAConnection checks that the responses to all requests of a single connection,
 // each of the maximum size of a request's body, may wait together.
 func TestDivide_EachMemory_FitsAllResponsesOfAConnection(t *testing.T) {
--- a/internal/gateway/platform_server_test.go
+++ b/internal/gateway/platform_server_test.go
@@ -48,6 +48,12 @@
 }
 
 func startPlatform(t *testing.T, script platformworker.Script) *platformHarness {
+	t.Helper()
+	return startConfiguredPlatform(t, script, func(*platformconfig.Config) {})
+}
+
+// startConfiguredPlatform is startPlatform with a configuration that configure may change.
+func startConfiguredPlatform(t *testing.T, script platformworker.Script, configure func(*platformconfig.Config)) *platformHarness {
 	t.Helper()
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	discovery, err := platformdiscovery.Start()
@@ -60,7 +66,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(worker.Close)
-	server, run := newPlatformHarness(t, discovery.Address(), worker.Address())
+	config := parsePlatformConfig(t, discovery.Address(), worker.Address(), false)
+	configure(config)
+	server, run := newPlatformHarnessFromConfig(t, config)
 	server.discovery = discovery
 	run()
 	t.Cleanup(server.stop)
@@ -77,10 +85,21 @@
 // newPlatformHarnessWithHealthChecks is like newPlatformHarness for a platform that may allow health checks.
 func newPlatformHarnessWithHealthChecks(t *testing.T, discovery, worker string, allowed bool) (server *platformHarness, run func()) {
 	t.Helper()
-	config, err := platformconfig.ParseConfig(fmt.Appendf(nil, platformConfigFormat, discovery, worker, allowed))
+	return newPlatformHarnessFromConfig(t, parsePlatformConfig(t, discovery, worker, allowed))
+}
+
+// parsePlatformConfig returns the configuration of platformConfigFormat.
+func parsePlatformConfig(t *testing.T, discovery, worker string, healthChecksAllowed bool) *platformconfig.Config {
+	t.Helper()
+	config, err := platformconfig.ParseConfig(fmt.Appendf(nil, platformConfigFormat, discovery, worker, healthChecksAllowed))
 	if err != nil {
 		t.Fatal(err)
 	}
+	return config
+}
+
+func newPlatformHarnessFromConfig(t *testing.T, config *platformconfig.Config) (server *platformHarness, run func()) {
+	t.Helper()
 	platform, err := NewPlatformServer(config, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
@@ -301,6 +320,9 @@
 	server.shutDown()
 }
 
+// withLittleMemory configures a server with so little memory that new clients may take all of that for requests.
+func withLittleMemory(config *platformconfig.Config) { config.MemoryMB = 64 }
+
 // largeRequestBytes is the memory of a request with a body of the maximum size.
 const largeRequestBytes = rpcserver.RequestOverhead + rpcframe.MaxBody
 
@@ -326,13 +348,13 @@
 func TestPlatformServer_BodiesBeyondMemory_Rejected(t *testing.T) {
 	const fit = 8 // large requests that one new connection may hold
 	received, respond := make(chan bool, 64), make(chan bool)
-	server := startPlatform(t, func(c *platformworker.Conn, f workerframe.Frame) {
+	server := startConfiguredPlatform(t, func(c *platformworker.Conn, f workerframe.Frame) {
 		if f.Code == workerframe.Request {
 			received <- true
 			<-respond
 			respondServed(c, workerframe.Frame{ID: f.ID})
 		}
-	})
+	}, withLittleMemory)
 	large := make([]byte, rpcframe.MaxBody)
 	filled := server.fillRequestMemory(5 * fit * largeRequestBytes) // one new connection may hold a fifth of what is left
 	c := server.connect()
@@ -358,29 +380,31 @@
 // TestPlatformServer_FloodOfLargeRequests_LeavesRoomForUsualClient guards against clients that send as many large requests
 // as they can, and are given all memory, so that the requests of a usual client are rejected.
 func TestPlatformServer_FloodOfLargeRequests_LeavesRoomForUsualClient(t *testing.T) {
-	const floodClients, usualRequests = 24, 16
+	const floodClients = 24
+	const usualBefore = 16 // requests that a usual client has had served before, so that it is trusted
+	const usualBeside = 8  // requests that it has open beside the flood
 	respond := make(chan bool)
-	server := startPlatform(t, func(c *platformworker.Conn, f workerframe.Frame) {
+	server := startConfiguredPlatform(t, func(c *platformworker.Conn, f workerframe.Frame) {
 		if f.Code == workerframe.Request && len(f.Body) == rpcframe.MaxBody {
 			<-respond
 		}
 		if f.Code == workerframe.Request {
 			respondServed(c, workerframe.Frame{ID: f.ID})
 		}
-	})
+	}, withLittleMemory)
 	large, small := make([]byte, rpcframe.MaxBody), make([]byte, 100)
-	server.fillRequestMemory(64 * largeRequestBytes) // of the 768 requests of the flood
+	filled := server.fillRequestMemory(64 * largeRequestBytes) // of the 768 requests of the flood
 	usual := server.connect()
 	id := 0
-	sendUsual := func(count int) {
+	sendUsual := func() {
 		t.Helper()
-		for range count {
-			id++
-			server.sendRequestWithBody(usual, id, "quote", id, small)
-			server.expect(usual, rpcframe.AppendServed(nil, uint32(id), []byte("did ")))
-		}
+		id++
+		server.sendRequestWithBody(usual, id, "quote", id, small)
+	}
+	for range usualBefore {
+		sendUsual()
+		server.expect(usual, rpcframe.AppendServed(nil, uint32(id), []byte("did ")))
 	}
-	sendUsual(usualRequests) // before the flood
 	for i := range floodClients {
 		c := server.connect()
 		for number := 1; number <= platformMaxPerConnection; number++ {
@@ -394,12 +418,29 @@
 			}
 		}
 	}
-	sendUsual(usualRequests)
-	if counts := server.memory.requests.Counts(); counts.Highest > counts.Limit || counts.Refused == 0 {
-		t.Errorf("counts %+v, want refused requests and no more memory than the limit", counts)
+	beside := server.memory.requests.Counts()
+	if beside.Highest > beside.Limit || beside.Refused == 0 {
+		t.Errorf("counts %+v, want refused requests and no more memory than the limit", beside)
+	}
+	for range usualBeside {
+		sendUsual()
+	}
+	wanted := beside.Total + int64(usualBeside*(rpcserver.RequestOverhead+len(small)))
+	for counts := beside; counts.Total < wanted && counts.Refused == beside.Refused; counts = server.memory.requests.Counts() {
+		runtime.Gosched() // until all are read
+	}
+	close(respond) // so that the worker gets to them
+	next := rpcResponses(t, usual)
+	for range usualBeside {
+		if number, kind := next(); kind != "served" {
+			t.Errorf("request %d of the usual client ended as %s, want it served; counts %+v", number, kind, server.memory.requests.Counts())
+		}
 	}
-	close(respond)
 	server.shutDown()
+	counts := server.memory.counts()
+	if counts.Requests.Total != filled || counts.WorkerResponses.Total != 0 || counts.ClientResponses.Total != 0 {
+		t.Errorf("counts %+v after the end, want no memory reserved but the %d bytes that the test reserved itself", counts, filled)
+	}
 }
 
 // TestPlatformServer_RequestsSentAgainAfterReset_AllAnswered guards against a connection that is closed, with new
--- a/internal/memorybudget/memorybudget.go
+++ b/internal/memorybudget/memorybudget.go
@@ -112,8 +112,10 @@
 
 // mayTakeLocked reports whether the peer may hold that many more bytes. It requires that the budget's lock is held.
 func (a *Account) mayTakeLocked(bytes int64) bool {
+	now, thresholds := a.budget.now(), a.budget.thresholds
 	usage := memoryshare.Usage{Limit: a.budget.limit, Total: a.budget.total, Held: a.held}
-	return memoryshare.MayTake(usage, bytes, a.history.Threshold(a.budget.now(), a.budget.thresholds))
+	usage = thresholds.Usage(usage, a.history.IsTrusted(now))
+	return memoryshare.MayTake(usage, bytes, a.history.Threshold(now, thresholds))
 }
 
 // takeLocked reserves memory. It requires that the budget's lock is held.
--- a/internal/platform/rpcserver/memory_test.go
+++ b/internal/platform/rpcserver/memory_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"bytes"
-	"net"
 	"testing"
 	"testing/synctest"
 
-	"github.com/rs/zerolog"
-
 	"havencart/internal/decide/memoryshare"
 	"havencart/internal/memorybudget"
 	"havencart/internal/platform/rpcframe"
@@ -16,20 +13,7 @@
 // startWithRequestMemory starts a server with a budget for the memory of requests. It must be called within a synctest
 // bubble. The caller must call stop.
 func startWithRequestMemory(bytes int64) pipeServer {
-	local, remote := net.Pipe()
-	handler := stubHandler{make(chan *stubRequest, 64), make(chan string, 64)}
-	server := New(Config{
-		Rules: rules, MaxConnections: 4, MaxInFlight: 32, ResponseMemory: limits.memory(), MaxQueuedBytes: limits.perConnection,
-		RequestMemory: memorybudget.New(bytes, memoryshare.WorkerResponseThresholds()), WriteTimeout: writeTimeout,
-	}, handler, zerolog.Nop())
-	server.admit(local)
-	toSend := make(chan []byte, 64)
-	go func() {
-		for raw := range toSend {
-			_, _ = remote.Write(raw) // fails once the connection is closed, which each test checks itself
-		}
-	}()
-	return pipeServer{Server: server, handler: handler, client: remote, toSend: toSend}
+	return startPipeServerWithMemory(32, limits, memorybudget.New(bytes, memoryshare.WorkerResponseThresholds()))
 }
 
 // largeRequest returns an encoded request with a body of the maximum size.
--- a/internal/platform/rpcserver/output_limits_test.go
+++ b/internal/platform/rpcserver/output_limits_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"havencart/internal/memorybudget"
 	"havencart/internal/platform/rpcframe"
 )
 
@@ -26,10 +27,16 @@
 
 // startPipeServer must be called within a synctest bubble. The caller must call stop.
 func startPipeServer(maxInFlight int, limits responseLimits) pipeServer {
+	return startPipeServerWithMemory(maxInFlight, limits, nil)
+}
+
+// startPipeServerWithMemory is startPipeServer with a budget for the memory of requests.
+func startPipeServerWithMemory(maxInFlight int, limits responseLimits, requestMemory *memorybudget.Budget) pipeServer {
 	local, remote := net.Pipe()
 	handler := stubHandler{make(chan *stubRequest, 4*maxInFlight), make(chan string, 4*maxInFlight)}
 	server := New(Config{
-		Rules: rules, MaxConnections: 4, MaxInFlight: maxInFlight, ResponseMemory: limits.memory(), MaxQueuedBytes: limits.perConnection, WriteTimeout: writeTimeout,
+		Rules: rules, MaxConnections: 4, MaxInFlight: maxInFlight, WriteTimeout: writeTimeout,
+		RequestMemory: requestMemory, ResponseMemory: limits.memory(), MaxQueuedBytes: limits.perConnection,
 	}, handler, zerolog.Nop())
 	server.admit(local)
 	toSend := make(chan []byte, 64)
