--- a/cmd/havencart/flood.go
+++ b/cmd/havencart/flood.go
@@ -25,7 +25,7 @@
 	options := &floodOptions{}
 	command := &cobra.Command{
 		Use:   "flood",
-		Short: "Measure a front end's memory, and what its usual clients are served, beside floods of requests",
+		Short: "Measure a front end's memory, and what its regular clients are served, beside floods of requests",
 		Args:  cobra.NoArgs,
 		RunE:  func(cmd *cobra.Command, _ []string) error { return runFloods(cmd.Context(), results(cmd), options) },
 	}
--- a/cmd/havencart/serveplatform_test.go
+++ b/cmd/havencart/serveplatform_test.go
@@ -50,6 +50,13 @@
 	log    *bufio.Scanner
 }
 
+// frontEndCommand returns a command that runs this test's program as a front end.
+func frontEndCommand() *exec.Cmd {
+	command := exec.Command(os.Args[0])
+	command.Env = []string{envRunAsFrontEnd + "=1"}
+	return command
+}
+
 // startProcess starts a front end with the given configuration.
 func startProcess(t *testing.T, config string) *process {
 	t.Helper()
--- a/internal/decide/loadshed/loadshed.go
+++ b/internal/decide/loadshed/loadshed.go
@@ -22,15 +22,15 @@
 	rateWindow = interval / 10
 	// rateDecay is the factor by which the best decision rate decays with each window.
 	rateDecay = 0.95
-	// preferredFactor is the factor by which the limit of the queue for preferred requests is above that for others. What others take
-	// below their limits therefore leaves as much to the preferred ones.
+	// preferredFactor is the ratio of the queue limit for preferred requests to that for others, so that others never
+	// fill the queue for preferred requests.
 	preferredFactor = 4
-	// maxPreferredDelay is maxDelay for preferred requests. It is long, because where it matters the delay is caused by work
-	// for other requests.
-	maxPreferredDelay = 500 * time.Millisecond
-	// minPreferredLimit is the least limit of the queue for preferred requests. Where other work of the process delays the event
-	// loop, the measured rate of its decisions is too low to derive the limit from it.
+	// minPreferredLimit is the minimum queue limit for preferred requests. Where other work of the process delays the
+	// event loop, the measured rate of its decisions is too low to derive the limit from it.
 	minPreferredLimit = 16
+	// maxPreferredDelay is maxDelay for preferred requests. It is long, because the delay is mostly caused by other
+	// requests.
+	maxPreferredDelay = 500 * time.Millisecond
 )
 
 // Priority is the priority of a request among those that may have to be shed.
@@ -39,7 +39,7 @@
 // The priorities.
 const (
 	Normal    Priority = iota
-	Preferred          // shed only when there are too many of its kind
+	Preferred          // shed later than normal requests
 )
 
 // Shedder distinguishes a short burst from a standing queue. Its signal is that of CoDel (K. Nichols, V. Jacobson,
@@ -64,7 +64,7 @@
 }
 
 // ShouldReject records that a request left the queue at now after it had waited for delay, and reports whether the
-// event loop must reject it.
+// event loop must reject it. During a standing queue, a preferred request may have waited longer than others.
 func (s *Shedder) ShouldReject(now, delay time.Duration, priority Priority) bool {
 	if aboveTarget := delay >= target; aboveTarget != s.aboveTarget {
 		s.aboveTarget, s.since = aboveTarget, now
@@ -100,12 +100,13 @@
 	return max(1, int(s.decisions.bestRate*admittedDelay.Seconds()))
 }
 
-// LimitFor returns the limit of the queue, as QueueLimit returns it, for a request of the given priority.
+// LimitFor returns the queue limit for a request of the given priority, where limit is the result of QueueLimit.
 func LimitFor(limit int, priority Priority) int {
-	if priority == Preferred && limit <= math.MaxInt/preferredFactor {
-		return max(minPreferredLimit, preferredFactor*limit)
+	isUnlimited := limit > math.MaxInt/preferredFactor
+	if priority == Normal || isUnlimited {
+		return limit
 	}
-	return limit
+	return max(minPreferredLimit, preferredFactor*limit)
 }
 
 // rateMeter measures the number of decisions per second that the event loop makes while its queue is not empty.
--- a/internal/decide/memoryshare/memoryshare.go
+++ b/internal/decide/memoryshare/memoryshare.go
@@ -1,6 +1,6 @@
-// Package memoryshare implements the policy for the memory of a front end: how the memory limit of the process is divided
-// between the bodies of requests, the responses of workers and the responses to clients, and how much of each part one
-// peer may take. The package does no I/O and measures nothing.
+// Package memoryshare implements the policy for the memory of a front end: how the memory limit of the process is
+// divided between requests, responses of workers and responses to clients, and how much of each part one peer may
+// reserve. The package does no I/O and measures nothing.
 package memoryshare
 
 import "time"
@@ -17,7 +17,7 @@
 // connections, the tables, and the memory that was released and is not collected yet.
 type Division struct {
 	RuntimeLimit    int64 // memory of the Go runtime above which the garbage collector works harder
-	Requests        int64 // requests without a final response, with their bodies
+	Requests        int64 // requests and their bodies, until no attempt of them is in flight
 	WorkerResponses int64 // responses that are read from workers, until the event loop has handled them
 	ClientResponses int64 // responses that wait until they are written to clients
 }
@@ -45,11 +45,12 @@
 	// hold, since they are rarely all open.
 	minLiveFraction = 0.1
 
-	requestsFraction        = 0.55 // of the divided memory
-	workerResponsesFraction = 0.2  // of the divided memory
+	// requestsFraction and workerResponsesFraction are fractions of the divided memory. Responses to clients get the rest.
+	requestsFraction        = 0.55
+	workerResponsesFraction = 0.2
 
-	// minResponseBytes is the least that is divided to the responses of workers and to those to clients: that all
-	// requests of one connection have a response of the maximum size of a request.
+	// minResponseBytes is the least that responses of workers and responses to clients get each. Half of it holds one
+	// response of the maximum size of a request's body for each request of a connection.
 	minResponseBytes = mebibyte
 )
 
@@ -76,58 +77,59 @@
 	}
 }
 
-// Usage is the state of one part of the memory, in bytes.
+// Usage is how much of one part of the memory is reserved, in bytes.
 type Usage struct {
 	Limit int64 // size of the part
-	Total int64 // taken by all peers
-	Held  int64 // taken by the peer that asks for more
+	Total int64 // reserved by all peers
+	Peer  int64 // reserved by the peer that asks for more
 }
 
-// Threshold is the ratio of what a peer may hold to what must then be left for others.
-type Threshold float64
-
-// Thresholds are the thresholds of one part of the memory.
+// Thresholds are the limits of one part of the memory for its peers.
 type Thresholds struct {
-	Untrusted Threshold // of peers that are mostly refused, and of new ones
-	Trusted   Threshold // of peers that mostly return what they took
-	// UntrustedBytes is the size of the memory of all peers above which untrusted ones get no more; 0: its limit.
-	UntrustedBytes int64
-}
-
-// Usage returns the usage that counts for a peer, which may be an untrusted one.
-func (t Thresholds) Usage(usage Usage, trusted bool) Usage {
-	if !trusted && t.UntrustedBytes > 0 {
-		usage.Limit = min(usage.Limit, t.UntrustedBytes)
-	}
-	return usage
+	Untrusted float64 // maximum ratio of what a new or mostly refused peer reserves to what is left for others
+	Trusted   float64 // the same for a peer that mostly returns what it reserves
+	// UntrustedLimit, if not 0, is the total of all peers in bytes above which untrusted peers may reserve no more.
+	UntrustedLimit int64
 }
 
 // RequestThresholds returns the thresholds for the requests of a client. Many untrusted clients together leave more to
-// the others than each of them gets. One client alone may hold a fifth of the memory at once. However much memory there
-// is, the requests of untrusted clients do not fill the queues for the workers.
+// the others than each of them gets. One client alone may reserve a fifth of the memory at once. However much memory
+// there is, the requests of untrusted clients do not fill the queues for the workers.
 func RequestThresholds() Thresholds {
-	return Thresholds{Untrusted: 0.25, Trusted: 2, UntrustedBytes: 16 * mebibyte}
+	return Thresholds{Untrusted: 0.25, Trusted: 2, UntrustedLimit: 16 * mebibyte}
 }
 
-// ClientResponseThresholds returns the thresholds for the responses to a client. One client alone may hold half of the
-// memory, because its responses may come together and a response that is refused is lost.
+// ClientResponseThresholds returns the thresholds for the responses to a client. One client alone may reserve half of
+// the memory, because its responses may come together and a response that is refused is lost.
 func ClientResponseThresholds() Thresholds { return Thresholds{Untrusted: 1, Trusted: 4} }
 
 // WorkerResponseThresholds returns the thresholds for the responses of a worker.
 func WorkerResponseThresholds() Thresholds { return Thresholds{Untrusted: 1, Trusted: 1} }
 
-// MayTake reports whether a peer may take size more bytes: afterwards, the peer must not hold more than the threshold
-// times what is left for others. The total therefore never exceeds the limit, and if many peers take as much as they can,
-// something is left for a peer that comes later. A peer may always take 0 bytes.
+// MayReserve reports whether a peer may reserve size more bytes: afterwards, the ratio of its part to what is left for
+// others must not exceed the peer's threshold. The total therefore never exceeds the limit, and if many peers reserve as
+// much as they can, something is left for a peer that comes later. A peer may always reserve 0 bytes.
 //
 // The rule is the dynamic threshold of A. K. Choudhury and E. L. Hahne, "Dynamic Queue Length Thresholds for
 // Shared-Memory Packet Switches", IEEE/ACM Transactions on Networking 6(2), 1998.
-func MayTake(usage Usage, size int64, threshold Threshold) bool {
+func (t Thresholds) MayReserve(usage Usage, size int64, trusted bool) bool {
 	if size == 0 {
 		return true
 	}
-	left := usage.Limit - usage.Total - size
-	return left >= 0 && float64(usage.Held+size) <= float64(threshold)*float64(left)
+	ratio, limit := t.Trusted, usage.Limit
+	if !trusted {
+		ratio, limit = t.Untrusted, t.untrustedLimit(usage.Limit)
+	}
+	left := limit - usage.Total - size
+	return left >= 0 && float64(usage.Peer+size) <= ratio*float64(left)
+}
+
+// untrustedLimit returns the limit of the total for untrusted peers.
+func (t Thresholds) untrustedLimit(limit int64) int64 {
+	if t.UntrustedLimit == 0 {
+		return limit
+	}
+	return min(limit, t.UntrustedLimit)
 }
 
 const (
@@ -135,8 +137,8 @@
 	minReturned = 16
 	// maxRefusalLevel is the level of refusals above which a peer is not trusted.
 	maxRefusalLevel = 16
-	// refusalLeakRate is by how much the level of refusals falls in a second. Clients that wait before they send a rejected
-	// request again stay below it.
+	// refusalLeakRate is by how much the level of refusals falls in a second. Clients that wait before they send a
+	// rejected request again stay below it.
 	refusalLeakRate = 20
 )
 
@@ -164,16 +166,8 @@
 	return max(0, h.refusalLevel-refusalLeakRate*(now-h.levelAt).Seconds())
 }
 
-// IsTrusted reports whether the peer returns what it takes. A peer that asks again and again for what it is refused is not
-// trusted.
+// IsTrusted reports whether the peer mostly returns what it reserves. A peer that asks again and again for what it is
+// refused is not trusted.
 func (h *History) IsTrusted(now time.Duration) bool {
 	return h.returned >= minReturned && h.levelOf(now) <= maxRefusalLevel
 }
-
-// Threshold returns the one of the thresholds that applies to the peer at now.
-func (h *History) Threshold(now time.Duration, thresholds Thresholds) Threshold {
-	if h.IsTrusted(now) {
-		return thresholds.Trusted
-	}
-	return thresholds.Untrusted
-}
--- a/internal/gateway/memory_budgets.go
+++ b/internal/gateway/memory_budgets.go
@@ -5,14 +5,14 @@
 	"havencart/internal/memorybudget"
 )
 
-// memoryBudgets limit the memory that clients and workers make a PlatformServer hold. A body is counted from before it is
-// read until nothing refers to it any more:
+// memoryBudgets limit the memory that clients and workers make a PlatformServer use. A body is counted from before it
+// is read until nothing refers to it any more:
 //
-//   - A request and its body are part of requests from the arrival of the body's length until the request has its final
+//   - requests counts a request and its body from the arrival of the body's length until the request has its final
 //     response and no attempt of it is in flight. If there is no memory, the request is rejected at once.
-//   - A worker's response is part of workerResponses from the arrival of its length until the event loop has handled it.
-//     If there is no memory, its connection is not read further.
-//   - A response is part of clientResponses from then until it is written. If there is no memory, the request fails.
+//   - workerResponses counts a worker's response from the arrival of its length until the event loop has handled it.
+//     If there is no memory, the connection to the worker is not read further.
+//   - clientResponses counts a response from then until it is written. If there is no memory, the request fails.
 type memoryBudgets struct {
 	requests, workerResponses, clientResponses *memorybudget.Budget
 }
--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -26,16 +26,18 @@
 
 // The limits of a platform server other than those of its configuration.
 const (
-	platformRequestQueue     = 1024                   // queued requests above which requests are rejected
-	platformEventQueue       = 1024                   // queued events above which worker clients stop reading
-	platformMaxInFlight      = 4096                   // requests in flight above which requests are rejected
-	platformDeadlineMargin   = 15 * time.Millisecond  // time between the final response and the client's timeout
-	platformMaxResponse      = 64 << 10               // maximum size of a worker's response in bytes
-	platformWriteTimeout     = 2 * time.Second        // how long a client may stall while a response is written to it
-	platformMaxPerConnection = 32                     // requests in flight per connection, by the platform's rules
-	platformAcceptGrace      = 700 * time.Millisecond // clients are accepted this long after a shutdown has begun
-	platformMaxShutdown      = 3 * time.Second        // limit of the shutdown time after the last accept
-	platformBacklogGrace     = 100 * time.Millisecond // further time for clients in the listener's backlog
+	platformRequestQueue     = 1024                  // queued requests above which requests are rejected
+	platformEventQueue       = 1024                  // queued events above which worker clients stop reading
+	platformMaxInFlight      = 4096                  // requests in flight above which requests are rejected
+	platformDeadlineMargin   = 15 * time.Millisecond // time between the final response and the client's timeout
+	platformMaxResponse      = 64 << 10              // maximum size of a worker's response in bytes
+	platformWriteTimeout     = 2 * time.Second       // how long a client may stall while a response is written to it
+	platformMaxPerConnection = 32                    // requests in flight per connection, by the platform's rules
+	// platformMaxQueuedBytes lets a connection have a response of the maximum size of a request waiting for each request.
+	platformMaxQueuedBytes = platformMaxPerConnection * rpcframe.MaxBody
+	platformAcceptGrace    = 700 * time.Millisecond // clients are accepted this long after a shutdown has begun
+	platformMaxShutdown    = 3 * time.Second        // limit of the shutdown time after the last accept
+	platformBacklogGrace   = 100 * time.Millisecond // further time for clients in the listener's backlog
 	// The platform regards a front end as notified of a change of the endpoint list this long after the endpoint stream
 	// fell silent or broke off, even if the front end has not received the change.
 	platformNotifiedAfterSilence      = 4 * time.Second // time after the stream fell silent
@@ -99,7 +101,7 @@
 		MaxInFlight:       platformMaxPerConnection,
 		RequestMemory:     server.memory.requests,
 		ResponseMemory:    server.memory.clientResponses,
-		MaxQueuedBytes:    platformMaxPerConnection * rpcframe.MaxBody,
+		MaxQueuedBytes:    platformMaxQueuedBytes,
 		WriteTimeout:      platformWriteTimeout,
 		AcceptGracePeriod: platformBacklogGrace,
 		ObserveWriteDelay: func(took time.Duration) { server.loop.ObserveLag(took) },
@@ -134,7 +136,7 @@
 	if received.Memory == nil {
 		request.complete(FinalResponse{
 			Kind:       Rejected,
-			Reason:     TooManyBodyBytes.String(),
+			Reason:     OverMemoryShare.String(),
 			RetryAfter: p.config.Settings.Scheduler.MaxRetryAfter,
 		})
 		return func(rpcserver.CancelCause) {}, nil
--- a/internal/gateway/platform_totals.go
+++ b/internal/gateway/platform_totals.go
@@ -27,8 +27,9 @@
 		Int("client-connections", p.clients.ConnectionCount()).Int("worker-connections", p.budget.Used()).
 		Dur("processor-time", processorTime()).Uint32("collections", memory.NumGC).Float64("collector-part", memory.GCCPUFraction).
 		Int("goroutines", runtime.NumGoroutine()).Uint64("heap-kb", memory.HeapAlloc>>10).Uint64("sys-kb", memory.Sys>>10).
-		Uint64("live-kb", liveHeapBytes()>>10).Uint64("stack-kb", memory.StackInuse>>10).Uint64("unused-kb", (memory.HeapInuse-memory.HeapAlloc)>>10).
-		Uint64("released-kb", memory.HeapReleased>>10).Interface("memory", p.memory.counts()).
+		Uint64("live-kb", liveHeapBytes()>>10).Uint64("stack-kb", memory.StackInuse>>10).
+		Uint64("unused-kb", (memory.HeapInuse-memory.HeapAlloc)>>10).Uint64("released-kb", memory.HeapReleased>>10).
+		Interface("memory", p.memory.counts()).
 		Msg("totals")
 }
 
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -66,8 +66,8 @@
 }
 
 // acceptsNewWork reports whether a worker may be sent new work now, and until when the worker itself has confirmed
-// that it accepts new work, or 0 if it never has. Without this check, a worker that starts to drain while discovery is unreachable would be
-// sent new work, although the platform regards this front end as notified of the drain.
+// that it accepts new work, or 0 if it never has. Without this check, a worker that starts to drain while discovery is
+// unreachable would be sent new work, although the platform regards this front end as notified of the drain.
 func (f *FrontEnd) acceptsNewWork(w *worker) (confirmedUntil time.Duration, allowed bool) {
 	if w.readiness.acceptedAt > 0 {
 		confirmedUntil = f.settings.EndpointRules.AcceptanceValidUntil(w.readiness.acceptedAt)
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -19,7 +19,7 @@
 	FunctionNameCollision // the hash of the function's name collides with that of another function
 	OverTenantQuota       // the tenant's quota is used up
 	OverTenantShare       // the tenant exceeds its share while other tenants get less than theirs
-	TooManyBodyBytes      // the bodies of the requests in flight use up the memory reserved for them
+	OverMemoryShare       // the client may not reserve memory for another request now
 
 	// Reasons to end an admitted request.
 	MayHaveExecuted // the client sent the request again, and it may have executed before
@@ -50,7 +50,7 @@
 	FunctionNameCollision:    "this function's name cannot be told from another's",
 	OverTenantQuota:          tenancy.OverQuota.String(),
 	OverTenantShare:          tenancy.OverShare.String(),
-	TooManyBodyBytes:         "too much in hand",
+	OverMemoryShare:          "too much in hand",
 	MayHaveExecuted:          "it may have run before",
 	NoWorkerInTime:           "no worker could answer in time",
 	NoResponse:               "no answer in time",
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -21,11 +21,11 @@
 	Replica        muxframe.ReplicaSpec
 	WorkEstimate   time.Duration // approximate execution time; 0 if unknown
 	Body           []byte
-	Timeout        time.Duration // time from StartedAt until the client gives up
-	StartedAt      time.Duration // when the client sent the request, on the event loop's clock
-	ArrivedAfter   time.Duration // lower bound of the arrival time; see looplag.StallTracker.EarliestArrival
-	Priority       loadshed.Priority
-	Resent         bool // sent again with the same ID, as its connection ended before the final response
+	Timeout        time.Duration     // time from StartedAt until the client gives up
+	StartedAt      time.Duration     // when the client sent the request, on the event loop's clock
+	ArrivedAfter   time.Duration     // lower bound of the arrival time; see looplag.StallTracker.EarliestArrival
+	Priority       loadshed.Priority // decides which requests are shed first
+	Resent         bool              // sent again with the same ID, as its connection ended before the final response
 
 	// memory is the reservation for the request and its body. It is released when no attempt refers to the body any more.
 	memory *memorybudget.Reservation
@@ -75,7 +75,7 @@
 			r.record.Close()
 		} else {
 			r.Body = nil // it was not admitted, so no attempt follows
-			r.memory.Refuse()
+			r.memory.ReleaseRejected()
 		}
 		r.stopExpiry()
 	}
--- a/internal/memorybudget/memorybudget.go
+++ b/internal/memorybudget/memorybudget.go
@@ -1,5 +1,5 @@
-// Package memorybudget counts the memory that the peers of a process make it hold. Memory is reserved before it is
-// allocated and released when it is no longer referenced. How much a peer may hold is decided by package memoryshare.
+// Package memorybudget limits the memory that the peers of a process make it use. Memory is reserved before it is
+// allocated and released when it is no longer referenced. Package memoryshare decides how much a peer may reserve.
 package memorybudget
 
 import (
@@ -9,7 +9,7 @@
 	"havencart/internal/decide/memoryshare"
 )
 
-// Budget limits the memory that all peers of one kind hold together. Its methods, and those of its accounts and their
+// Budget limits the memory that all peers of one kind reserve together. Its methods, and those of its accounts and their
 // reservations, are safe for concurrent use.
 type Budget struct {
 	limit      int64 // bytes
@@ -24,7 +24,7 @@
 	changed chan struct{} // closed at the next release; nil if no call of Await waits
 }
 
-// New returns a Budget of limit bytes, of which the peers take parts within the thresholds.
+// New returns a Budget of limit bytes, of which the peers may reserve parts within the thresholds.
 func New(limit int64, thresholds memoryshare.Thresholds) *Budget {
 	return &Budget{limit: limit, thresholds: thresholds, start: time.Now()}
 }
@@ -49,34 +49,34 @@
 	return Counts{Limit: b.limit, Total: b.total, Highest: b.highest, Refused: b.refused, Waited: b.waited}
 }
 
-// NewAccount returns the account of a peer that holds nothing. A nil Budget has accounts without a limit.
+// NewAccount returns the account of a peer that has reserved nothing. A nil Budget has accounts without a limit.
 func (b *Budget) NewAccount() *Account { return &Account{budget: b} }
 
-// Account is what one peer holds of a Budget. An account that holds nothing needs no cleanup.
+// Account is what one peer has reserved of a Budget. It needs no cleanup besides the release of its reservations.
 type Account struct {
 	budget *Budget // nil: nothing is counted
 
 	// Guarded by budget.mu.
-	held    int64 // bytes
-	history memoryshare.History
+	reserved int64 // bytes
+	history  memoryshare.History
 }
 
-// Reserve reserves memory. It returns nil if the peer may not hold that much now.
+// Reserve reserves memory. It returns nil if the peer may not reserve that much now.
 func (a *Account) Reserve(bytes int64) *Reservation {
 	if a.budget == nil {
 		return &Reservation{}
 	}
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
-	if !a.mayTakeLocked(bytes) {
-		a.history.RecordRefused(a.budget.now())
-		a.budget.refused++
-		return nil
+	if reservation := a.reserveLocked(bytes); reservation != nil {
+		return reservation
 	}
-	return a.takeLocked(bytes)
+	a.history.RecordRefused(a.budget.now())
+	a.budget.refused++
+	return nil
 }
 
-// Await reserves memory once the peer may hold that much. It returns nil if done is closed first.
+// Await reserves memory once the peer may reserve that much. It returns nil if done is closed first.
 func (a *Account) Await(done <-chan struct{}, bytes int64) *Reservation {
 	if a.budget == nil {
 		return &Reservation{}
@@ -101,8 +101,8 @@
 func (a *Account) reserveOrWatch(bytes int64) (reservation *Reservation, changed <-chan struct{}) {
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
-	if a.mayTakeLocked(bytes) {
-		return a.takeLocked(bytes), nil
+	if reservation := a.reserveLocked(bytes); reservation != nil {
+		return reservation, nil
 	}
 	if a.budget.changed == nil {
 		a.budget.changed = make(chan struct{})
@@ -110,20 +110,19 @@
 	return nil, a.budget.changed
 }
 
-// mayTakeLocked reports whether the peer may hold that many more bytes. It requires that the budget's lock is held.
-func (a *Account) mayTakeLocked(bytes int64) bool {
-	now, thresholds := a.budget.now(), a.budget.thresholds
-	usage := memoryshare.Usage{Limit: a.budget.limit, Total: a.budget.total, Held: a.held}
-	usage = thresholds.Usage(usage, a.history.IsTrusted(now))
-	return memoryshare.MayTake(usage, bytes, a.history.Threshold(now, thresholds))
-}
-
-// takeLocked reserves memory. It requires that the budget's lock is held.
-func (a *Account) takeLocked(bytes int64) *Reservation {
-	a.held += bytes
-	a.budget.total += bytes
-	a.budget.highest = max(a.budget.highest, a.budget.total)
-	return &Reservation{account: a, bytes: bytes, trusted: a.history.IsTrusted(a.budget.now())}
+// reserveLocked reserves memory, or returns nil if the peer may not reserve that much now. It requires that the budget's
+// lock is held.
+func (a *Account) reserveLocked(bytes int64) *Reservation {
+	budget := a.budget
+	trusted := a.history.IsTrusted(budget.now())
+	usage := memoryshare.Usage{Limit: budget.limit, Total: budget.total, Peer: a.reserved}
+	if !budget.thresholds.MayReserve(usage, bytes, trusted) {
+		return nil
+	}
+	a.reserved += bytes
+	budget.total += bytes
+	budget.highest = max(budget.highest, budget.total)
+	return &Reservation{account: a, bytes: bytes, trusted: trusted}
 }
 
 func (b *Budget) countWait() {
@@ -132,7 +131,7 @@
 	b.waited++
 }
 
-// Reservation is memory that a peer holds. A nil Reservation holds nothing.
+// Reservation is memory that a peer has reserved. A nil Reservation is of no memory.
 type Reservation struct {
 	account  *Account // nil: nothing is counted
 	bytes    int64
@@ -148,8 +147,8 @@
 	r.release(func(account *Account) { account.history.RecordReturned() })
 }
 
-// Refuse is like Release for memory that was not used, because the peer's request was rejected. It counts as a refusal.
-func (r *Reservation) Refuse() {
+// ReleaseRejected is like Release for the memory of a request that was rejected. It counts as a refusal.
+func (r *Reservation) ReleaseRejected() {
 	r.release(func(account *Account) { account.history.RecordRefused(account.budget.now()) })
 }
 
@@ -164,7 +163,7 @@
 		return
 	}
 	r.released = true
-	r.account.held -= r.bytes
+	r.account.reserved -= r.bytes
 	record(r.account)
 	budget.total -= r.bytes
 	if budget.changed != nil {
--- a/internal/platform/rpcframe/reader.go
+++ b/internal/platform/rpcframe/reader.go
@@ -130,14 +130,10 @@
 
 // skip reads length bytes without keeping them.
 func (r *Reader) skip(what string, length int) error {
-	skipped, err := io.CopyN(io.Discard, r.source, int64(length))
-	if err == nil {
-		return nil
+	if _, err := io.CopyN(io.Discard, r.source, int64(length)); err != nil {
+		return readError(what, err)
 	}
-	if errors.Is(err, io.EOF) && skipped > 0 {
-		err = io.ErrUnexpectedEOF
-	}
-	return readError(what, err)
+	return nil
 }
 
 // readCancellation reads the elements that follow the type of a notification. The only valid notification cancels
--- a/internal/platform/rpcserver/conn.go
+++ b/internal/platform/rpcserver/conn.go
@@ -17,6 +17,10 @@
 // and little memory.
 const readBufferSize = 2 << 10
 
+// RequestOverhead is the memory in bytes that a request takes in addition to its body: the records of the request and
+// of its attempt, and the frame that is encoded for the worker.
+const RequestOverhead = 4 << 10
+
 // maxDrainTimeouts is the number of write timeouts after which a draining connection is closed, so that a client that
 // reads slowly cannot delay a shutdown.
 const maxDrainTimeouts = 2
@@ -168,9 +172,9 @@
 	}
 }
 
-// endInput drains the connection. It removes and returns the requests in flight, whose responses are no longer needed. The
-// caller cancels them, after the connection has left the table of the server if nothing is being written, because their
-// clients may connect again at once.
+// endInput drains the connection. It removes and returns the requests in flight, whose responses are no longer needed.
+// The caller must cancel them. If nothing is being written, the connection has then left the table of the server already,
+// because the client may connect again as soon as its requests are cancelled.
 func (c *conn) endInput() []*pendingRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -218,10 +222,6 @@
 	return false
 }
 
-// RequestOverhead is the memory in bytes that a request takes in addition to its body: the records of the request and of
-// its attempt, and the frame that is encoded for the worker.
-const RequestOverhead = 4 << 10
-
 // reserveBody reserves memory for the request that is being read, whose body has that size. It reports whether there is
 // memory for it.
 func (c *conn) reserveBody(size int) bool {
--- a/internal/platform/rpcserver/output_queue.go
+++ b/internal/platform/rpcserver/output_queue.go
@@ -30,10 +30,10 @@
 type outgoing struct {
 	kind      outgoingKind
 	messageID uint32
-	response  Response // set for outgoingResponse
-	ready     bool     // whether the server accepts requests; set for outgoingHeartbeat
-	unwanted  bool     // whether the client has cancelled the request since
-	memory    *memorybudget.Reservation
+	response  Response                  // set for outgoingResponse
+	ready     bool                      // whether the server accepts requests; set for outgoingHeartbeat
+	unwanted  bool                      // whether the client has cancelled the request since
+	memory    *memorybudget.Reservation // for the body of the response
 }
 
 // appendTo appends the encoded message to buffer.
--- a/internal/platform/rpcserver/server.go
+++ b/internal/platform/rpcserver/server.go
@@ -39,12 +39,11 @@
 	// MaxConnections is the maximum number of connections. When it is reached, an idle connection is evicted to make
 	// room for a new one. If none is idle, the new connection is rejected.
 	MaxConnections int
-	MaxInFlight    int // maximum requests in flight on a connection; exceeding it violates the protocol
-	// RequestMemory limits the memory of the requests that are in flight, and ResponseMemory that of the bodies of
-	// responses that are not written yet. If they are nil, there is no limit.
-	RequestMemory, ResponseMemory *memorybudget.Budget
-	MaxQueuedBytes                int64         // maximum bytes of the bodies in a connection's output queue
-	WriteTimeout                  time.Duration // timeout of one write of at most about maxBatchBytes
+	MaxInFlight    int                  // maximum requests in flight on a connection; exceeding it violates the protocol
+	RequestMemory  *memorybudget.Budget // for requests until the Handler releases them; nil: no limit
+	ResponseMemory *memorybudget.Budget // for the bodies of responses until they are written; nil: no limit
+	MaxQueuedBytes int64                // maximum bytes of the bodies in a connection's output queue
+	WriteTimeout   time.Duration        // timeout of one write of at most about maxBatchBytes
 	// ObserveWriteDelay, if not nil, is called by the writing goroutines with the time from the queuing of a response
 	// to the start of its write. That time does not depend on the client.
 	ObserveWriteDelay func(delay time.Duration)
--- a/internal/platform/workerclient/connection_read.go
+++ b/internal/platform/workerclient/connection_read.go
@@ -51,15 +51,13 @@
 		}
 		if err != nil {
 			memory.Release()
-		}
-		if err != nil {
 			return fmt.Errorf("read from %s: %w", c.client.cfg.Worker, err)
 		}
 	}
 }
 
-// reserveResponse waits until there is memory for a response whose body has that size. It returns an error if the client
-// is stopped first.
+// reserveResponse waits until there is memory for a response whose body has that size. It returns an error if the
+// client is stopped first.
 func (c *connection) reserveResponse(size int) (*memorybudget.Reservation, error) {
 	memory := c.client.responseMemory.Await(c.client.ctx.Done(), int64(size))
 	if memory == nil {
--- a/internal/workerconn/write_batch.go
+++ b/internal/workerconn/write_batch.go
@@ -45,7 +45,7 @@
 	if cap(b.Bytes) > maxRetainedBytes {
 		b.Bytes = nil
 	}
-	clear(b.frames)
+	clear(b.frames) // so that the attempts of the previous batch, and their bodies, can be collected
 	b.Unencodable = nil
 	b.Expired = nil
 	b.DeferredNewWork = false
