havencart flood: clients that send at full speed, write slowly or send large heads, and a share of a core

New kinds of floods for the incident report on answers that came late beside clients that send at full speed: heartbeats, cancellations of unknown requests, requests that are cancelled at once, repeated identifiers, unknown classes and connections, and, for memory, clients that write slowly and clients that send heads with many large fields.

--- a/lab/flood/client.go
+++ b/lab/flood/client.go
@@ -2,23 +2,30 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
+	"strings"
 	"time"
 )
 
 const (
 	maxOpenRequests = 32       // on one connection, by the platform's protocol
 	largeBody       = 16 << 10 // bytes; the maximum by the platform's protocol
+	maxFields       = 16       // of a request, as the front end accepts it
+	maxFieldName    = 64       // bytes
+	maxFieldValue   = 512      // bytes
 
 	regularClients    = 4
 	regularFunctions  = 12
-	regularRequestGap = 100 * time.Millisecond // mean time between two requests of a regular client
 	floodFunctions    = 200
 	wavePeriod        = 2500 * time.Millisecond
 	reconnectDelay    = 10 * time.Millisecond
 	rejectedDelay     = 5 * time.Millisecond  // after which a flooding client sends the next request after a rejection
 	maxAbandonDelay   = 50 * time.Millisecond // within which an abandoning client disconnects
+	slowWriteInterval = 10 * time.Millisecond
+	slowWriteBytes    = 128 // written in each interval, so that a request with a large body takes 1.3 s
 	slowReadInterval  = 20 * time.Millisecond
 	slowReadBytes     = 4 << 10 // read in each interval
 	unreadPeriod      = 1500 * time.Millisecond
@@ -31,12 +38,10 @@
 // client sends requests to the front end, over one connection at a time.
 type client struct {
 	address string
+	timeout time.Duration // time for which the client waits for a response
 	random  *rand.Rand
-	tally   *Tally
-}
-
-func newClient(address string, random *rand.Rand, tally *Tally) *client {
-	return &client{address: address, random: random, tally: tally}
+	// tallyNow returns the tally of the requests that are sent now.
+	tallyNow func() *Tally
 }
 
 // connect opens a connection. It returns nil if that fails, after a delay.
@@ -47,27 +52,28 @@
 		pause(ctx, reconnectDelay)
 		return nil
 	}
-	c.tally.connected()
+	c.tallyNow().connected()
 	return conn
 }
 
-// sendSteadily sends requests at random times until ctx ends, and then waits for their responses.
-func (c *client) sendSteadily(ctx context.Context) {
+// sendSteadily sends requests at random times, meanGap apart on average, until ctx ends, and then waits for their
+// responses.
+func (c *client) sendSteadily(ctx context.Context, meanGap time.Duration) {
 	var conn *connection
-	for pause(ctx, time.Duration(c.random.ExpFloat64()*float64(regularRequestGap))) {
+	for pause(ctx, time.Duration(c.random.ExpFloat64()*float64(meanGap))) {
 		if conn == nil || conn.hasEnded() {
 			dialed := c.connect(ctx)
 			if dialed == nil {
 				continue
 			}
-			conn = newConnection(dialed, c.tally)
+			conn = newConnection(dialed, c.timeout, c.tallyNow)
 		}
 		if conn.openCount() < maxOpenRequests {
 			conn.send(c.random, regularFunctions, regularBodySizes[c.random.IntN(len(regularBodySizes))])
 		}
 	}
 	if conn != nil {
-		conn.awaitResponses(requestTimeout)
+		conn.awaitResponses(c.timeout)
 		conn.close()
 	}
 }
@@ -83,6 +89,15 @@
 		Abandon:    c.sendAndDisconnect,
 		Partial:    c.sendHalf,
 		Silent:     func(ctx context.Context, _ net.Conn) { pause(ctx, silentPeriod) },
+		SlowWriter: c.sendSlowly,
+		ManyFields: c.sendManyFields,
+
+		Heartbeats:      func(ctx context.Context, conn net.Conn) { fullSpeed(heartbeats)(c, ctx, conn) },
+		UnknownCancels:  func(ctx context.Context, conn net.Conn) { fullSpeed(unknownCancellations)(c, ctx, conn) },
+		CancelledAtOnce: func(ctx context.Context, conn net.Conn) { fullSpeed(cancelledAtOnce)(c, ctx, conn) },
+		RepeatedID:      func(ctx context.Context, conn net.Conn) { fullSpeed(repeatedID)(c, ctx, conn) },
+		UnknownClass:    func(ctx context.Context, conn net.Conn) { fullSpeed(unknownClass)(c, ctx, conn) },
+		Connects:        func(ctx context.Context, conn net.Conn) { connectAgain(c, ctx, conn) },
 	}[kind]
 	if behave == nil {
 		return
@@ -95,23 +110,25 @@
 			behave(ctx, conn)
 			_ = conn.Close()
 		}
-		pause(ctx, reconnectDelay) // so that a client whose connections are closed at once does not spin
+		if !isFullSpeed(kind) {
+			pause(ctx, reconnectDelay) // so that a client whose connections are closed at once does not spin
+		}
 	}
 }
 
 // sendWave sends the maximum number of requests at once and reads the responses.
 func (c *client) sendWave(_ context.Context, dialed net.Conn) {
-	conn := newConnection(dialed, c.tally)
+	conn := newConnection(dialed, c.timeout, c.tallyNow)
 	for range maxOpenRequests {
 		conn.send(c.random, floodFunctions, largeBody)
 	}
-	conn.awaitResponses(requestTimeout)
+	conn.awaitResponses(c.timeout)
 	conn.close()
 }
 
 // keepOpen keeps the maximum number of requests open until ctx or the connection ends.
 func (c *client) keepOpen(ctx context.Context, dialed net.Conn, bodySize int) {
-	conn := newConnection(dialed, c.tally)
+	conn := newConnection(dialed, c.timeout, c.tallyNow)
 	defer conn.close()
 	for ctx.Err() == nil && !conn.hasEnded() {
 		for conn.openCount() < maxOpenRequests && !conn.hasEnded() {
@@ -139,7 +156,7 @@
 func (c *client) readSlowly(ctx context.Context, conn net.Conn) {
 	c.writeRequests(conn)
 	buffer := make([]byte, slowReadBytes)
-	for end := time.Now().Add(2 * requestTimeout); time.Now().Before(end) && pause(ctx, slowReadInterval); {
+	for end := time.Now().Add(2 * c.timeout); time.Now().Before(end) && pause(ctx, slowReadInterval); {
 		_ = conn.SetReadDeadline(time.Now().Add(slowReadInterval))
 		if _, err := conn.Read(buffer); err != nil && !isTimeout(err) {
 			return
@@ -157,18 +174,48 @@
 func (c *client) sendHalf(ctx context.Context, conn net.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	raw := encodeRequest(c.random, 1, floodFunctions, largeBody)
+	raw := encodeRequest(c.random, c.timeout, 1, floodFunctions, largeBody)
 	if _, err := conn.Write(raw[:len(raw)/2]); err == nil {
 		_, _ = conn.Read(make([]byte, 1))
 	}
 }
 
+// sendSlowly sends requests with large bodies in small parts and reads the responses, until the connection ends.
+func (c *client) sendSlowly(ctx context.Context, conn net.Conn) {
+	endRead := discardInput(ctx, conn)
+	defer endRead()
+	for number := 1; ; number++ {
+		raw := encodeRequest(c.random, c.timeout, number, floodFunctions, largeBody)
+		c.tallyNow().sent()
+		for part := range slices.Chunk(raw, slowWriteBytes) {
+			if _, err := conn.Write(part); err != nil || !pause(ctx, slowWriteInterval) {
+				return
+			}
+		}
+	}
+}
+
+// sendManyFields sends a request with as many and as large fields as the protocol permits, but for its last byte, and
+// waits until the front end closes the connection.
+func (c *client) sendManyFields(ctx context.Context, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	fields := map[string]string{}
+	for i := range maxFields {
+		fields[fmt.Sprintf("%0*d", maxFieldName, i)] = strings.Repeat("x", maxFieldValue)
+	}
+	raw := appendMessage(nil, []any{0, 1, className, []any{fields, make([]byte, largeBody)}})
+	if _, err := conn.Write(raw[:len(raw)-1]); err == nil {
+		_, _ = conn.Read(make([]byte, 1))
+	}
+}
+
 // writeRequests writes the maximum number of requests with large bodies, whose outcomes are not recorded.
 func (c *client) writeRequests(conn net.Conn) {
-	_ = conn.SetWriteDeadline(time.Now().Add(requestTimeout))
+	_ = conn.SetWriteDeadline(time.Now().Add(c.timeout))
 	for i := range maxOpenRequests {
-		c.tally.sent()
-		if _, err := conn.Write(encodeRequest(c.random, i+1, floodFunctions, largeBody)); err != nil {
+		c.tallyNow().sent()
+		if _, err := conn.Write(encodeRequest(c.random, c.timeout, i+1, floodFunctions, largeBody)); err != nil {
 			return
 		}
 	}
--- a/lab/flood/connection.go
+++ b/lab/flood/connection.go
@@ -13,8 +13,6 @@
 
 const (
 	className = "quote"
-	// requestTimeout is the time for which clients wait for a response.
-	requestTimeout = 3 * time.Second
 	// responseGrace is how long after its client's timeout a response still counts.
 	responseGrace = 50 * time.Millisecond
 )
@@ -22,17 +20,24 @@
 // connection is a connection whose responses are read and recorded. The reading goroutine runs until the connection ends.
 type connection struct {
 	conn      net.Conn
-	tally     *Tally
+	timeout   time.Duration // time for which the client waits for a response
+	tallyNow  func() *Tally // returns the tally of the requests that are sent now
 	ended     chan struct{} // closed when the reading goroutine has returned
 	responded chan bool     // receives whether the latest response was a rejection; drops values that nobody awaits
 
 	mu         sync.Mutex
 	lastNumber int
-	open       map[int]time.Time // when each request without a response was sent, by number
+	open       map[int]openRequest // requests without a response, by number
 }
 
-func newConnection(conn net.Conn, tally *Tally) *connection {
-	c := &connection{conn: conn, tally: tally, ended: make(chan struct{}), responded: make(chan bool, 1), open: map[int]time.Time{}}
+// openRequest is a request without a response.
+type openRequest struct {
+	sentAt time.Time
+	tally  *Tally // counts its outcome
+}
+
+func newConnection(conn net.Conn, timeout time.Duration, tallyNow func() *Tally) *connection {
+	c := &connection{conn: conn, timeout: timeout, tallyNow: tallyNow, ended: make(chan struct{}), responded: make(chan bool, 1), open: map[int]openRequest{}}
 	go c.read()
 	return c
 }
@@ -42,11 +47,12 @@
 	c.mu.Lock()
 	c.lastNumber++
 	number := c.lastNumber
-	c.open[number] = time.Now()
+	tally := c.tallyNow()
+	c.open[number] = openRequest{sentAt: time.Now(), tally: tally}
 	c.mu.Unlock()
-	c.tally.sent()
-	_ = c.conn.SetWriteDeadline(time.Now().Add(requestTimeout))
-	_, _ = c.conn.Write(encodeRequest(random, number, functions, bodySize)) // the reading goroutine notices the connection's end
+	tally.sent()
+	_ = c.conn.SetWriteDeadline(time.Now().Add(c.timeout))
+	_, _ = c.conn.Write(encodeRequest(random, c.timeout, number, functions, bodySize)) // the reading goroutine notices the connection's end
 }
 
 func (c *connection) openCount() int {
@@ -104,18 +110,18 @@
 func (c *connection) record(response []any) {
 	number, err := strconv.Atoi(fmt.Sprint(response[1]))
 	c.mu.Lock()
-	sentAt, isOpen := c.open[number]
+	request, isOpen := c.open[number]
 	delete(c.open, number)
 	c.mu.Unlock()
 	if err != nil || !isOpen {
 		return
 	}
 	outcome := outcomeOf(response[2])
-	took := time.Since(sentAt)
-	if took > requestTimeout+responseGrace {
+	took := time.Since(request.sentAt)
+	if took > c.timeout+responseGrace {
 		outcome = Lost
 	}
-	c.tally.ended(outcome, took)
+	request.tally.ended(outcome, took)
 	select {
 	case c.responded <- outcome == Rejected:
 	default:
@@ -126,9 +132,9 @@
 func (c *connection) recordLost() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for number, sentAt := range c.open {
+	for number, request := range c.open {
 		delete(c.open, number)
-		c.tally.ended(Lost, time.Since(sentAt))
+		request.tally.ended(Lost, time.Since(request.sentAt))
 	}
 }
 
@@ -144,10 +150,10 @@
 }
 
 // encodeRequest returns a request for a random function.
-func encodeRequest(random *rand.Rand, number, functions, bodySize int) []byte {
+func encodeRequest(random *rand.Rand, timeout time.Duration, number, functions, bodySize int) []byte {
 	fields := map[string]string{
 		"id":    fmt.Sprintf("%016x", random.Uint64()),
-		"wait":  strconv.FormatInt(requestTimeout.Milliseconds(), 10),
+		"wait":  strconv.FormatInt(timeout.Milliseconds(), 10),
 		"key":   fmt.Sprintf("%016x", 1+random.IntN(functions)),
 		"attrs": "memory_mb:512;lanes:4",
 	}
--- a/lab/flood/flood.go
+++ b/lab/flood/flood.go
@@ -26,15 +26,26 @@
 	SlowReader Kind = "slow-reader" // clients read their responses slowly
 	Abandon    Kind = "abandon"     // clients disconnect soon after they have sent requests with large bodies
 	Partial    Kind = "partial"     // clients send half of a request with a large body, and nothing more
+	SlowWriter Kind = "slow-writer" // clients send requests with large bodies in small parts
+	ManyFields Kind = "many-fields" // clients send a request with many large fields, but for its last byte
 	Silent     Kind = "silent"      // clients connect and send nothing
+
+	// In the following kinds, clients send at full speed and read what they get. They connect again at once.
+
+	Heartbeats      Kind = "heartbeats"        // heartbeats
+	UnknownCancels  Kind = "unknown-cancels"   // cancellations of requests that were not sent
+	CancelledAtOnce Kind = "cancelled-at-once" // requests for ever new functions, cancelled at once
+	RepeatedID      Kind = "repeated-id"       // requests that all have the same identifier
+	UnknownClass    Kind = "unknown-class"     // requests of ever new classes that do not exist
+	Connects        Kind = "connects"          // connections, without sending anything
 )
 
 // Kinds returns all kinds of floods.
 func Kinds() []Kind {
-	return []Kind{None, LargeWaves, Large, Small, Unread, SlowReader, Abandon, Partial, Silent}
+	return []Kind{None, LargeWaves, Large, Small, Unread, SlowReader, Abandon, Partial, SlowWriter, ManyFields, Silent, Heartbeats, UnknownCancels, CancelledAtOnce, RepeatedID, UnknownClass, Connects}
 }
 
-// Config is the configuration of a run. All fields except Workers.StalledEvery and LogPath are required.
+// Config is the configuration of a run. Fields whose comment says what 0 means are optional, as is LogPath.
 type Config struct {
 	Seed        uint64
 	Kind        Kind
@@ -43,8 +54,13 @@
 	Descriptors int // limit of open file descriptors in the front end's configuration; it is not enforced
 	Workers     WorkerConfig
 	Length      time.Duration
-	Command     func() *exec.Cmd // returns a command that runs a front end; RELAY_CONFIG is set in its environment
-	LogPath     string           // file for the front end's log; empty: the log is discarded
+	CoreShare   float64 // share of a core that the process gets, enforced; 0: not limited
+	// RequestTimeout is the time for which clients wait for a response; 0: 3 s.
+	RequestTimeout time.Duration
+	// RegularGap is the mean time between two requests of a regular client; 0: 100 ms.
+	RegularGap time.Duration
+	Command    func() *exec.Cmd // returns a command that runs a front end; RELAY_CONFIG is set in its environment
+	LogPath    string           // file for the front end's log; empty: the log is discarded
 }
 
 // WorkerConfig describes the emulated workers.
@@ -60,7 +76,9 @@
 	PeakAnonymousBytes int64 // largest anonymous memory of the process
 	PeakDescriptors    int   // largest number of open file descriptors of the process
 	Exited             bool  // whether the process ended by itself
-	Regular, Flooding  Tally
+	WarmUp             Tally // requests of regular clients before the flood
+	Regular            Tally // requests of regular clients beside the flood
+	Flooding           Tally
 }
 
 // String returns the report as text.
@@ -70,6 +88,9 @@
 }
 
 const (
+	defaultRequestTimeout = 3 * time.Second
+	defaultRegularGap     = 100 * time.Millisecond
+
 	bytesPerMB = 1 << 20
 	// warmUpTime is the time for which only the regular clients send, so that their functions are loaded.
 	warmUpTime = 3 * time.Second
@@ -85,6 +106,12 @@
 	if config.Workers.Count < 1 {
 		return nil, errNoWorkers
 	}
+	if config.RequestTimeout == 0 {
+		config.RequestTimeout = defaultRequestTimeout
+	}
+	if config.RegularGap == 0 {
+		config.RegularGap = defaultRegularGap
+	}
 	workers, err := startWorkers(config.Seed, config.Workers)
 	if err != nil {
 		return nil, err
@@ -98,17 +125,27 @@
 	ctx, cancel := context.WithTimeout(ctx, warmUpTime+config.Length)
 	defer cancel()
 	report := &Report{}
+	newClient := func(index int, tallyNow func() *Tally) *client {
+		return &client{address: frontEnd.address, timeout: config.RequestTimeout, random: newRandom(config.Seed, index), tallyNow: tallyNow}
+	}
+	floodBegins := time.Now().Add(warmUpTime)
+	regularTally := func() *Tally {
+		if time.Now().Before(floodBegins) {
+			return &report.WarmUp
+		}
+		return &report.Regular
+	}
 	var clients sync.WaitGroup
 	for i := range regularClients {
-		clients.Go(func() { newClient(frontEnd.address, newRandom(config.Seed, i), &report.Regular).sendSteadily(ctx) })
+		clients.Go(func() { newClient(i, regularTally).sendSteadily(ctx, config.RegularGap) })
 	}
 	clients.Go(func() {
 		if !pause(ctx, warmUpTime) {
 			return
 		}
 		for i := range config.Clients {
-			random := newRandom(config.Seed, regularClients+i)
-			clients.Go(func() { newClient(frontEnd.address, random, &report.Flooding).flood(ctx, config.Kind) })
+			flooding := newClient(regularClients+i, func() *Tally { return &report.Flooding })
+			clients.Go(func() { flooding.flood(ctx, config.Kind) })
 		}
 	})
 	frontEnd.sampleUntilDone(ctx, report)
--- a/lab/flood/frontend.go
+++ b/lab/flood/frontend.go
@@ -10,8 +10,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"time"
 
+	"havencart/lab/cpuquota"
 	"havencart/lab/portreservation"
 )
 
@@ -29,6 +31,7 @@
 	process   *exec.Cmd
 	log       io.Closer
 	exited    chan struct{}
+	limiting  sync.WaitGroup // the goroutine that limits the processor time
 }
 
 // startFrontEnd starts a front end and waits until it accepts connections.
@@ -84,9 +87,23 @@
 		defer close(f.exited)
 		_ = f.process.Wait()
 	}()
+	if config.CoreShare > 0 {
+		f.limiting.Go(func() { f.limitProcessor(config.CoreShare) })
+	}
 	return nil
 }
 
+// limitProcessor limits the process to a share of a core until it ends.
+func (f *frontEnd) limitProcessor(share float64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { // ends with the process
+		<-f.exited
+		cancel()
+	}()
+	_ = cpuquota.Limit(ctx, f.process.Process.Pid, share) // fails when the process has ended
+}
+
 // awaitReady reports whether the process accepted a connection in time.
 func (f *frontEnd) awaitReady() bool {
 	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(readyInterval) {
@@ -107,6 +124,7 @@
 		_ = f.process.Process.Kill()
 		<-f.exited
 	}
+	f.limiting.Wait()
 	_ = f.log.Close()
 	_ = os.RemoveAll(f.directory)
 }
@@ -174,7 +192,7 @@
 			"rules":      map[string]any{"stopSendingWithin": 500.0, "cold": 17000.0, "coldFrom": 0.2, "fall": 2000.0, "tipMultiple": 2.0},
 			"familyInfo": map[string]any{"keep": 8600.0, "mayLoad": true, "loadWait": 10000.0, "whenAbsent": "load"},
 			"classes": []map[string]any{{
-				"name": className, "deadline": float64(requestTimeout.Milliseconds()), "onTime": 800.0, "repeat": "retryable", "worth": 2.0,
+				"name": className, "deadline": float64(config.RequestTimeout.Milliseconds()), "onTime": float64(config.RequestTimeout.Milliseconds()) / 3, "repeat": "retryable", "worth": 2.0,
 			}},
 		},
 	})
--- a/lab/flood/tally.go
+++ b/lab/flood/tally.go
@@ -56,10 +56,12 @@
 	t.Connections++
 }
 
-func (t *Tally) sent() {
+func (t *Tally) sent() { t.sentMany(1) }
+
+func (t *Tally) sentMany(count int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.Sent++
+	t.Sent += count
 }
 
 // ended records the outcome of a request that was sent some time ago.
