Log why client connections close, why requests are shed, what clients send, and how long goroutines wait to run

New: `client connection closed` with reason, address, messages read and age; `request shed` with the request's id and reason; in `totals` the messages by kind, closes by reason, sheds by reason, and the 99th percentile and longest of the runtime's scheduling delays. A protocol violation names the client's address.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -67,6 +67,8 @@
 // reject gives the final response to a request that is not admitted.
 func (f *FrontEnd) reject(request *Request, reason Reason) {
 	f.counts.Shed++
+	f.shedReasons[reason]++
+	f.trace.shed(f.now, request, reason)
 	request.complete(FinalResponse{Kind: Rejected, Reason: reason.String(), RetryAfter: f.settings.Scheduler.MaxRetryAfter})
 }
 
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -31,6 +31,7 @@
 type EventLoop struct {
 	cfg           EventLoopConfig
 	log           zerolog.Logger
+	shedLog       zerolog.Logger // of requests that are rejected without the FrontEnd; sampled by itself
 	frontEnd      *FrontEnd
 	requests      chan *Request                 // capacity RequestQueue; when it is full, requests are rejected
 	events        chan loopEvent                // capacity EventQueue; when it is full, post blocks
@@ -58,6 +59,7 @@
 	l := &EventLoop{
 		cfg:      cfg,
 		log:      log,
+		shedLog:  sampled(log),
 		requests: make(chan *Request, cfg.RequestQueue),
 		events:   make(chan loopEvent, cfg.EventQueue),
 		kill:     make(chan struct{}),
@@ -83,10 +85,18 @@
 	if reason == noReason {
 		return
 	}
-	l.gate.rejected.Add(1)
+	l.gate.rejected.count(reason)
+	l.logShed(request, reason)
 	request.complete(FinalResponse{Kind: Rejected, Reason: reason.String(), RetryAfter: l.cfg.Scheduler.MaxRetryAfter})
 }
 
+// logShed logs a request that was rejected without the FrontEnd. The caller may be any goroutine.
+func (l *EventLoop) logShed(request *Request, reason Reason) {
+	if line := l.shedLog.Info(); line.Enabled() {
+		addShedFields(line, request, reason).Msg("request shed")
+	}
+}
+
 // enqueue puts a request into the queue and returns noReason, or returns the reason why the request must be rejected.
 func (l *EventLoop) enqueue(request *Request) Reason {
 	if len(l.requests) >= loadshed.LimitFor(int(l.gate.limit.Load()), request.Priority) {
@@ -132,7 +142,8 @@
 	Functions int // functions with requests in flight or before, as far as they are remembered
 	// FunctionsEvicted counts the functions that were forgotten because clients named too many.
 	FunctionsEvicted uint64
-	InFlight         int // requests that await their final response or have an attempt in flight
+	ShedReasons      ReasonCounts // requests that were rejected without being admitted
+	InFlight         int          // requests that await their final response or have an attempt in flight
 }
 
 // Snapshot returns the loop's state, or the zero value if the loop has ended. It waits for the loop to process the
@@ -157,14 +168,23 @@
 		InFlight:  len(l.frontEnd.requests),
 
 		FunctionsEvicted: l.frontEnd.functions.evicted,
+		ShedReasons:      l.shedReasons(),
 	}
 }
 
+// shedReasons returns the reasons of the requests that were rejected by the FrontEnd and outside of it.
+func (l *EventLoop) shedReasons() ReasonCounts {
+	reasons, _ := l.gate.rejected.load()
+	reasons.Add(l.frontEnd.shedReasons)
+	return reasons
+}
+
 // counts returns the FrontEnd's totals together with the requests that were rejected or expired outside of the
 // FrontEnd.
 func (l *EventLoop) counts() Counts {
 	counts := l.frontEnd.Counts()
-	counts.Shed += l.gate.rejected.Load()
+	_, rejected := l.gate.rejected.load()
+	counts.Shed += rejected
 	counts.Expired += l.gate.expired.Load()
 	return counts
 }
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -122,6 +122,7 @@
 	leaseEnded   bool                // whether the end of the endpoint lease was logged
 	// awaitsFirstConfirmation is whether the endpoint list may still be confirmed for the first time without delay.
 	awaitsFirstConfirmation bool
+	shedReasons             ReasonCounts // requests that were rejected without being admitted
 	shedder                 loadshed.Shedder
 	tenancy                 *tenancy.Limiter
 	lag                     looplag.Estimator
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -133,9 +133,9 @@
 			return results
 		}
 		for ; float64(sent) < rate*at.Seconds(); sent++ {
-			before := loop.gate.rejected.Load()
+			_, before := loop.gate.rejected.load()
 			submit(request)
-			if loop.gate.rejected.Load() > before { // rejected by the gate, so the request can be reused
+			if _, after := loop.gate.rejected.load(); after > before { // rejected by the gate, so the request can be reused
 				request.state = requestSubmitted
 				request.delivery.state.Store(deliveryQueued)
 				request.StartedAt = loop.Now()
--- a/internal/gateway/platform_totals.go
+++ b/internal/gateway/platform_totals.go
@@ -12,16 +12,21 @@
 
 // This file logs the totals and the resource usage of a PlatformServer.
 
+// loggedDelayQuantile is the quantile of the goroutines' scheduling delays that is logged besides the longest.
+const loggedDelayQuantile = 0.99
+
 // logTotals logs the totals at regular intervals until ctx ends.
 func (p *PlatformServer) logTotals(ctx context.Context) {
-	periodic.Run(ctx, platformLogInterval, p.logTotalsOnce)
+	var delays schedulingDelays
+	periodic.Run(ctx, platformLogInterval, func() { p.logTotalsOnce(&delays) })
 }
 
 // logTotalsOnce logs the totals and the resource usage of the process.
-func (p *PlatformServer) logTotalsOnce() {
+func (p *PlatformServer) logTotalsOnce(delays *schedulingDelays) {
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	loop := p.loop.Snapshot()
+	delay, longestDelay := delays.sinceLast(loggedDelayQuantile)
 	p.log.Info().Interface("counts", loop.Counts).Interface("clients", p.clients.Counts()).
 		Interface("loop", loop.Times).Int("workers", loop.Workers).Int("functions", loop.Functions).Uint64("functions-evicted", loop.FunctionsEvicted).Int("in-flight", loop.InFlight).
 		Int("client-connections", p.clients.ConnectionCount()).Int("worker-connections", p.budget.Used()).
@@ -29,7 +34,8 @@
 		Int("goroutines", runtime.NumGoroutine()).Uint64("heap-kb", memory.HeapAlloc>>10).Uint64("sys-kb", memory.Sys>>10).
 		Uint64("live-kb", liveHeapBytes()>>10).Uint64("stack-kb", memory.StackInuse>>10).
 		Uint64("unused-kb", (memory.HeapInuse-memory.HeapAlloc)>>10).Uint64("released-kb", memory.HeapReleased>>10).
-		Interface("memory", p.memory.counts()).
+		Interface("shed-reasons", loop.ShedReasons).Interface("memory", p.memory.counts()).
+		Dur("scheduling-delay", delay).Dur("longest-scheduling-delay", longestDelay).
 		Msg("totals")
 }
 
--- a/internal/gateway/queue_gate.go
+++ b/internal/gateway/queue_gate.go
@@ -13,7 +13,7 @@
 	_        cpu.CacheLinePad
 	limit    atomic.Int64 // number of requests that may wait for the loop, set by the FrontEnd
 	_        cpu.CacheLinePad
-	rejected atomic.Uint64 // number of requests rejected without the FrontEnd
+	rejected sharedReasonCounts // requests rejected without the FrontEnd
 	_        cpu.CacheLinePad
 	expired  atomic.Uint64 // number of requests that expired
 	_        cpu.CacheLinePad
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -36,10 +36,12 @@
 	attemptNotSentInTime     // the attempt was still unsent when its permit or deadline ended
 	attemptNotReceivedInTime // the worker was not known to have received the attempt when its permit ended
 	attemptUnconfirmed       // the worker did not confirm that it accepts new work
+
+	reasonCount int = iota
 )
 
 // reasonTexts are the texts that clients receive. They are part of the protocol and must not be changed.
-var reasonTexts = [...]string{
+var reasonTexts = [reasonCount]string{
 	noReason:                 "",
 	ShuttingDown:             "this front end is closing",
 	LoopOverloaded:           "this front end is behind",
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -97,6 +97,23 @@
 	}
 }
 
+// shed logs a request that was rejected without being admitted.
+func (t *trace) shed(now time.Duration, request *Request, reason Reason) {
+	line := t.responses.Info()
+	if !line.Enabled() {
+		return
+	}
+	if request.queuedAt > 0 {
+		line.Dur("queued", now-request.queuedAt)
+	}
+	addShedFields(line, request, reason).Dur("age", now-request.StartedAt).Msg("request shed")
+}
+
+// addShedFields adds the fields of a request that was not admitted to a log line.
+func addShedFields(line *zerolog.Event, request *Request, reason Reason) *zerolog.Event {
+	return line.Str("request", request.ID).Str("function", request.Replica.Function).Stringer("reason", reason)
+}
+
 // responded logs a final response other than the response of a worker.
 func (t *trace) responded(now time.Duration, request *Request, response FinalResponse) {
 	if response.Kind == Served {
--- a/internal/platform/rpcserver/close_test.go
+++ b/internal/platform/rpcserver/close_test.go
@@ -44,17 +44,17 @@
 	write(t, remote, raw[:len(raw)-1])
 	write(t, remote, raw[len(raw)-1:])
 	<-handler.received
-	if connection.closeIf(always) || server.evict() {
+	if connection.closeIf(closedIdle, always) || server.evict() {
 		t.Error("closed while a completely received request was being handled")
 	}
 	handler.proceed <- true
 	request := <-handler.requests
-	if connection.closeIf(always) {
+	if connection.closeIf(closedIdle, always) {
 		t.Error("closed while a request was in flight")
 	}
 	request.respond(Response{Kind: Served, Body: []byte("one")})
 	expect(t, remote, rpcframe.AppendServed(nil, 1, []byte("one")))
-	connection.drain()
+	connection.drain(closedShutdown)
 	if _, err := remote.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("read error %v, want io.EOF", err)
 	}
@@ -73,18 +73,18 @@
 		t.Fatalf("the connection is not idle: %+v", state)
 	}
 	connection.setInput(inputPartial)
-	if connection.closeIf(connadmission.ShouldClose) {
+	if connection.closeIf(closedIdle, connadmission.ShouldClose) {
 		t.Error("closed in the middle of a message")
 	}
-	if connection.closeIf(connadmission.ShouldCloseInShutdown) {
+	if connection.closeIf(closedIdle, connadmission.ShouldCloseInShutdown) {
 		t.Error("closed in the middle of a message during a shutdown")
 	}
 	connection.setInput(inputComplete)
-	if connection.closeIf(func(connadmission.Connection) bool { return true }) {
+	if connection.closeIf(closedIdle, func(connadmission.Connection) bool { return true }) {
 		t.Error("closed between the receipt of a request's last byte and its handling")
 	}
 	connection.setInput(inputIdle)
-	if !connection.closeIf(connadmission.ShouldCloseInShutdown) {
+	if !connection.closeIf(closedIdle, connadmission.ShouldCloseInShutdown) {
 		t.Error("an idle connection stays open during a shutdown")
 	}
 }
@@ -112,13 +112,13 @@
 		runtime.Gosched()
 	}
 	always := func(connadmission.Connection) bool { return true }
-	if connection.closeIf(always) {
+	if connection.closeIf(closedIdle, always) {
 		t.Error("closed with an unread request")
 	}
 	if _, err := io.ReadAtLeast(accepted, make([]byte, 4096), 1); err != nil {
 		t.Fatal(err)
 	}
-	if !connection.closeIf(always) {
+	if !connection.closeIf(closedIdle, always) {
 		t.Error("stays open after all input was read")
 	}
 }
--- a/internal/platform/rpcserver/conn.go
+++ b/internal/platform/rpcserver/conn.go
@@ -28,10 +28,11 @@
 // conn is the connection of one client. A reading goroutine runs from the admission of the connection to the end of its
 // input. A writing goroutine runs while responses are queued.
 type conn struct {
-	server    *Server
-	netConn   net.Conn
-	arrivals  *socket.ArrivalConn // used by the reading goroutine only
-	bufReader *bufio.Reader       // reads from arrivals; used by the reading goroutine only
+	server     *Server
+	netConn    net.Conn
+	arrivals   *socket.ArrivalConn // used by the reading goroutine only
+	bufReader  *bufio.Reader       // reads from arrivals; used by the reading goroutine only
+	acceptedAt time.Time
 	// consecutiveRejections is the number of requests that the Handler rejected since it last accepted one. It is used
 	// by the reading goroutine only.
 	consecutiveRejections int
@@ -52,7 +53,9 @@
 	writing        bool        // the writing goroutine is running
 	inputEnded     bool        // the reading goroutine reads no more
 	lifecycle      lifecycle
-	drainBy        time.Time // when a draining connection must have written its queued responses
+	drainBy        time.Time   // when a draining connection must have written its queued responses
+	drainReason    closeReason // why a draining connection ends
+	messages       uint64      // complete messages that were read
 }
 
 // inputState is the state of the reading goroutine.
@@ -83,12 +86,15 @@
 	c := &conn{
 		server: s, netConn: netConn, arrivals: arrivals, bufReader: bufio.NewReaderSize(arrivals, readBufferSize), inFlight: map[uint32]*pendingRequest{},
 		requestMemory: s.cfg.RequestMemory.NewAccount(), responseMemory: s.cfg.ResponseMemory.NewAccount(),
-		stateSince: time.Now(),
+		acceptedAt: time.Now(), stateSince: time.Now(),
 	}
 	c.outputChanged = sync.NewCond(&c.mu)
 	return c
 }
 
+// age returns the time since the connection was accepted.
+func (c *conn) age() time.Duration { return time.Since(c.acceptedAt) }
+
 // snapshot returns the state that determines whether the connection may be closed.
 func (c *conn) snapshot(now time.Time) connadmission.Connection {
 	c.mu.Lock()
@@ -108,7 +114,7 @@
 	}
 }
 
-// closeIf closes the connection if it has no request in flight, no response to write and no unread input, and if
+// closeIf closes the connection for the given reason if it has no request in flight, no response to write and no unread input, and if
 // permits returns true for its current state. The state is checked again under the lock because a message may have
 // started to arrive since the caller took its snapshot. closeIf reports whether it closed the connection.
 //
@@ -116,7 +122,7 @@
 // while one of its requests is being handled: the client would send the request again with the same ID, which would be
 // in use. A message that is in the operating system's receive buffer also keeps the connection open, because closing
 // the connection would lose the message.
-func (c *conn) closeIf(permits func(connadmission.Connection) bool) bool {
+func (c *conn) closeIf(reason closeReason, permits func(connadmission.Connection) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.lifecycle == lifecycleClosed {
@@ -126,7 +132,7 @@
 	if state.InFlight > 0 || !permits(state) || socket.HasUnread(c.netConn) {
 		return false
 	}
-	c.closeLocked()
+	c.closeLocked(reason)
 	return true
 }
 
@@ -136,26 +142,32 @@
 	return c.lifecycle == lifecycleClosed
 }
 
-// drain closes the connection once the queued responses are written.
-func (c *conn) drain() {
+// drain closes the connection for the given reason once the queued responses are written.
+func (c *conn) drain(reason closeReason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.drainLocked()
+	c.drainLocked(reason)
 }
 
 // drainLocked is like drain but requires that c.mu is held.
-func (c *conn) drainLocked() {
+func (c *conn) drainLocked(reason closeReason) {
 	if c.lifecycle == lifecycleOpen {
 		c.lifecycle = lifecycleDraining
+		c.drainReason = reason
 		c.drainBy = time.Now().Add(maxDrainTimeouts * c.server.cfg.WriteTimeout)
 	}
 	if !c.writing {
-		c.closeLocked()
+		c.closeLocked(c.drainReason)
 	}
 }
 
-// closeLocked closes the connection at once, which also ends the reading goroutine. It requires that c.mu is held.
-func (c *conn) closeLocked() {
+// closeLocked closes the connection at once, which also ends the reading goroutine. It has no effect on a closed
+// connection. It requires that c.mu is held.
+func (c *conn) closeLocked(reason closeReason) {
+	if c.lifecycle == lifecycleClosed {
+		return
+	}
+	c.logClosed(reason)
 	c.lifecycle = lifecycleClosed
 	c.changeOutput((*outputQueue).clear)
 	_ = c.netConn.Close() // the connection is not used any more, so an error does not matter
@@ -165,9 +177,11 @@
 func (c *conn) read() {
 	reader := rpcframe.NewReader(c.bufReader)
 	reader.ReserveBody = c.reserveBody
-	for c.readMessage(reader) {
+	reason := closeReason(0)
+	for reason == 0 {
+		reason = c.readMessage(reader)
 	}
-	for _, pending := range c.endInput() {
+	for _, pending := range c.endInput(reason) {
 		pending.cancel(ConnectionEnded)
 	}
 }
@@ -175,7 +189,7 @@
 // endInput drains the connection. It removes and returns the requests in flight, whose responses are no longer needed.
 // The caller must cancel them. If nothing is being written, the connection has then left the table of the server already,
 // because the client may connect again as soon as its requests are cancelled.
-func (c *conn) endInput() []*pendingRequest {
+func (c *conn) endInput(reason closeReason) []*pendingRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var abandoned []*pendingRequest
@@ -184,7 +198,7 @@
 		delete(c.inFlight, messageID)
 	}
 	c.inputEnded = true
-	c.drainLocked()
+	c.drainLocked(reason)
 	c.removeIfUnusedLocked()
 	return abandoned
 }
@@ -197,10 +211,11 @@
 	}
 }
 
-// readMessage reads and handles the next message. It reports whether another message may follow.
-func (c *conn) readMessage(reader *rpcframe.Reader) bool {
+// readMessage reads and handles the next message. It returns 0 if another message may follow, and otherwise why the
+// input has ended.
+func (c *conn) readMessage(reader *rpcframe.Reader) closeReason {
 	if _, err := c.bufReader.Peek(1); err != nil {
-		return false
+		return closedByClient
 	}
 	c.setInput(inputPartial)
 	c.bodyMemory = nil
@@ -211,15 +226,16 @@
 	if err == nil {
 		err = c.handleMessage(message)
 	} else if !errors.Is(err, rpcframe.ErrMalformed) {
-		return false // the input ended
+		return closedByClient
 	}
 	switch {
 	case err == nil:
-		return true
-	case !errors.Is(err, net.ErrClosed): // else the connection was closed while the message was handled
-		c.reportViolation(message.MessageID, err)
+		return 0
+	case errors.Is(err, net.ErrClosed): // the connection was closed while the message was handled
+		return closedByClient
 	}
-	return false
+	c.reportViolation(message.MessageID, err)
+	return closedViolation
 }
 
 // reserveBody reserves memory for the request that is being read, whose body has that size. It reports whether there is
@@ -233,18 +249,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.input, c.stateSince = state, time.Now()
+	if state == inputComplete {
+		c.messages++
+	}
 }
 
 // handleMessage handles one message. It returns an error if the message violates the protocol.
 func (c *conn) handleMessage(message rpcframe.Message) error {
 	switch {
 	case message.Cancelled != nil:
+		c.server.cancellations.Add(1)
 		c.cancelRequests(message.Cancelled)
 		return nil
 	case message.Method == rpcframe.MethodHeartbeat:
+		c.server.heartbeats.Add(1)
 		c.handleHeartbeat(message.MessageID)
 		return nil
 	}
+	c.server.requests.Add(1)
 	return c.handleRequest(message)
 }
 
@@ -252,7 +274,7 @@
 // response.
 func (c *conn) reportViolation(messageID uint32, reason error) {
 	c.server.protocolErrors.Add(1)
-	c.server.log.Info().Err(reason).Msg("protocol violation by a client")
+	c.server.log.Info().Err(reason).Stringer("client", c.netConn.RemoteAddr()).Msg("protocol violation by a client")
 	if messageID > 0 {
 		c.enqueue(outgoing{kind: outgoingMalformed, messageID: messageID})
 	}
--- a/internal/platform/rpcserver/output.go
+++ b/internal/platform/rpcserver/output.go
@@ -117,7 +117,7 @@
 	c.writing = false
 	c.output.clear()
 	if c.lifecycle == lifecycleDraining {
-		c.closeLocked()
+		c.closeLocked(c.drainReason)
 	}
 	c.removeIfUnusedLocked()
 	return false
@@ -133,5 +133,5 @@
 		c.server.log.Info().Err(err).Int("in-flight", len(c.inFlight)).Int("unwritten", len(c.output.messages)).
 			Msg("client connection closed: a write failed")
 	}
-	c.closeLocked()
+	c.closeLocked(closedUnwritable)
 }
--- a/internal/platform/rpcserver/server.go
+++ b/internal/platform/rpcserver/server.go
@@ -62,6 +62,10 @@
 	RequestsRefused uint64 // requests whose body was skipped for lack of memory
 	// ResponsesDropped counts served responses that were replaced by failures because too many bytes were unwritten.
 	ResponsesDropped uint64
+	// Requests, Heartbeats and Cancellations count the messages that were read, including requests that violated the
+	// protocol.
+	Requests, Heartbeats, Cancellations uint64
+	Closed                              CloseCounts // connections that ended, except those that were rejected
 }
 
 // Server serves the connections of clients. Its methods are safe for concurrent use.
@@ -77,6 +81,9 @@
 	shuttingDown bool
 
 	accepted, rejected, evicted, idleClosed, protocolErrors, writeFailed, requestsRefused, responsesDropped atomic.Uint64
+
+	requests, heartbeats, cancellations atomic.Uint64
+	closed                              closeTotals
 }
 
 // New returns a Server that passes requests to handler.
@@ -96,6 +103,11 @@
 
 		RequestsRefused:  s.requestsRefused.Load(),
 		ResponsesDropped: s.responsesDropped.Load(),
+
+		Requests:      s.requests.Load(),
+		Heartbeats:    s.heartbeats.Load(),
+		Cancellations: s.cancellations.Load(),
+		Closed:        s.closed.counts(),
 	}
 }
 
@@ -141,7 +153,7 @@
 func (s *Server) evict() bool {
 	conns, states := s.snapshots()
 	i := connadmission.SelectEviction(states)
-	if i < 0 || !conns[i].closeIf(connadmission.Evictable) {
+	if i < 0 || !conns[i].closeIf(closedEvicted, connadmission.Evictable) {
 		return false
 	}
 	s.evicted.Add(1)
@@ -180,7 +192,7 @@
 // connections that remain open.
 func (s *Server) closeInactive() (open int) {
 	for _, c := range s.conns.All() {
-		if !c.closeIf(func(connadmission.Connection) bool { return true }) && !c.isClosed() {
+		if !c.closeIf(closedShutdown, func(connadmission.Connection) bool { return true }) && !c.isClosed() {
 			open++
 		}
 	}
@@ -199,7 +211,7 @@
 		shouldClose = connadmission.ShouldCloseInShutdown
 	}
 	for i, c := range conns {
-		if shouldClose(states[i]) && c.closeIf(shouldClose) {
+		if shouldClose(states[i]) && c.closeIf(closedIdle, shouldClose) {
 			s.idleClosed.Add(1)
 		}
 	}
@@ -240,7 +252,7 @@
 func (s *Server) Shutdown() {
 	s.closeInactiveConnections()
 	for _, c := range s.conns.All() {
-		c.drain()
+		c.drain(closedShutdown)
 	}
 	s.tasks.Wait()
 }
