--- a/lab/flood/client.go
+++ b/lab/flood/client.go
@@ -73,7 +73,7 @@
 		}
 	}
 	if conn != nil {
-		conn.awaitResponses(c.timeout)
+		conn.awaitResponses(c.timeout + lostAfter)
 		conn.close()
 	}
 }
--- a/lab/flood/connection.go
+++ b/lab/flood/connection.go
@@ -13,8 +13,10 @@
 
 const (
 	className = "quote"
-	// responseGrace is how long after its client's timeout a response still counts.
+	// responseGrace is how long after its client's timeout a response still counts as in time.
 	responseGrace = 50 * time.Millisecond
+	// lostAfter is how long after its client's timeout a request without a response is lost.
+	lostAfter = responseGrace + 500*time.Millisecond
 )
 
 // connection is a connection whose responses are read and recorded. The reading goroutine runs until the connection ends.
@@ -118,8 +120,11 @@
 	}
 	outcome := outcomeOf(response[2])
 	took := time.Since(request.sentAt)
-	if took > c.timeout+responseGrace {
+	switch {
+	case took > c.timeout+lostAfter:
 		outcome = Lost
+	case took > c.timeout+responseGrace:
+		outcome = Late
 	}
 	request.tally.ended(outcome, took)
 	select {
--- a/lab/flood/tally.go
+++ b/lab/flood/tally.go
@@ -16,13 +16,14 @@
 	Served   Outcome = iota + 1
 	Rejected         // the request was not executed
 	Failed           // the request may have been executed
-	Lost             // the connection ended, or the client's timeout passed, without a response
+	Late             // the response came within half a second after the client's timeout
+	Lost             // the connection ended, or half a second passed after the client's timeout, without a response
 )
 
 // Tally counts the outcomes of the requests of a group of clients. Its methods may be called from any goroutine, but not
 // while String or the fields are used.
 type Tally struct {
-	Connections, Sent, Served, Rejected, Failed, Lost int
+	Connections, Sent, Served, Rejected, Failed, Late, Lost int
 
 	mu        sync.Mutex
 	latencies *hdrhistogram.Histogram // of served requests, in microseconds
@@ -39,8 +40,8 @@
 
 // String returns the counts as text.
 func (t *Tally) String() string {
-	text := fmt.Sprintf("%d connections, %d sent, %d served (%.3f), %d rejected, %d failed, %d lost",
-		t.Connections, t.Sent, t.Served, t.ServedShare(), t.Rejected, t.Failed, t.Lost)
+	text := fmt.Sprintf("%d connections, %d sent, %d served (%.3f), %d rejected, %d failed, %d late, %d lost",
+		t.Connections, t.Sent, t.Served, t.ServedShare(), t.Rejected, t.Failed, t.Late, t.Lost)
 	if t.latencies == nil {
 		return text
 	}
@@ -79,6 +80,8 @@
 		t.Rejected++
 	case Failed:
 		t.Failed++
+	case Late:
+		t.Late++
 	case Lost:
 		t.Lost++
 	}
