Read each client connection at a limited rate, so that a client at full speed does not keep others waiting

Cause: nothing limited how much of the processor a client connection may use. A connection's reading and writing goroutines wake each other; the Go scheduler runs the woken one next, in the same time slice, so that such a pair keeps its processor until it is preempted after 10 ms. The goroutines that the network poller or a timer wakes wait in the global queue, which is looked at once in 61 scheduling rounds. With a few such pairs on one core, goroutines of other connections and the expiry timers ran up to 3.8 s late, while the event loop was idle. That class of fault is a shared resource (the processor) without a share for each peer; what is counted and bounded already is memory, descriptors and queues.

Change: each connection has a leaky bucket of the messages that no worker answered (internal/decide/clientpace). Served and failed requests do not count, as they are bounded by the open requests and the workers. It leaks 500 messages a second, less while goroutines run late, down to 25; a connection whose bucket is full is not read for a while. A new connection may send twice as many messages at once as it may have requests open, so that connecting anew gains nothing. Many small reads within a message count as messages. A message read after a pause counts from when the connection was last seen empty, so that no attempt begins for a client that has given up; while requests are in flight it is looked every 40 ms whether the client has gone.

New unit tests of the pace fail on the code before, where nothing pauses. Failed tries: a level of a new connection in messages rather than in open requests paused a test with 200 of them; counting every 16th read of a connection filled the bucket of a client that is served.

--- a/internal/platform/rpcserver/output.go
+++ b/internal/platform/rpcserver/output.go
@@ -18,6 +18,9 @@
 	}
 	delete(c.inFlight, messageID)
 	c.stateSince = time.Now()
+	if response.Kind != Rejected {
+		c.pace.RecordAnswered()
+	}
 	memory := c.reserveResponseLocked(response)
 	if memory == nil {
 		c.server.responsesDropped.Add(1)
@@ -82,8 +85,10 @@
 // The time from queuedAt to the start of the first write measures the lag of this process. It is reported for the first
 // write only, because later output also waits until the client has read the output before it.
 func (c *conn) writeQueued(queuedAt time.Time) {
+	delay := time.Since(queuedAt)
+	c.server.pacer.observeLag(delay)
 	if c.server.cfg.ObserveWriteDelay != nil {
-		c.server.cfg.ObserveWriteDelay(time.Since(queuedAt))
+		c.server.cfg.ObserveWriteDelay(delay)
 	}
 	var batch outputBatch
 	for c.nextBatch(&batch) {
--- a/internal/platform/rpcserver/server.go
+++ b/internal/platform/rpcserver/server.go
@@ -65,6 +65,7 @@
 	// Requests, Heartbeats and Cancellations count the messages that were read, including requests that violated the
 	// protocol.
 	Requests, Heartbeats, Cancellations uint64
+	Pauses                              uint64      // times at which a connection was not read for a while, as its client sent too much
 	Closed                              CloseCounts // connections that ended, except those that were rejected
 }
 
@@ -74,6 +75,7 @@
 	handler Handler
 	log     zerolog.Logger
 	conns   *clientconn.Table[*conn]
+	pacer   *pacer
 	tasks   sync.WaitGroup // reading, writing and sweeping goroutines
 
 	mu           sync.Mutex
@@ -82,13 +84,13 @@
 
 	accepted, rejected, evicted, idleClosed, protocolErrors, writeFailed, requestsRefused, responsesDropped atomic.Uint64
 
-	requests, heartbeats, cancellations atomic.Uint64
-	closed                              closeTotals
+	requests, heartbeats, cancellations, pauses atomic.Uint64
+	closed                                      closeTotals
 }
 
 // New returns a Server that passes requests to handler.
 func New(cfg Config, handler Handler, log zerolog.Logger) *Server {
-	return &Server{cfg: cfg, handler: handler, log: log, conns: clientconn.NewTable[*conn](cfg.MaxConnections)}
+	return &Server{cfg: cfg, handler: handler, log: log, conns: clientconn.NewTable[*conn](cfg.MaxConnections), pacer: newPacer()}
 }
 
 // Counts returns the totals.
@@ -107,6 +109,7 @@
 		Requests:      s.requests.Load(),
 		Heartbeats:    s.heartbeats.Load(),
 		Cancellations: s.cancellations.Load(),
+		Pauses:        s.pauses.Load(),
 		Closed:        s.closed.counts(),
 	}
 }
