Keep a connection open for 0.1 s after a protocol violation, so that its client cannot connect again at full speed

Change: the error response is written and the requests in flight are cancelled at once; the connection ends 0.1 s later. A client that waits for the end of one connection before it opens the next causes ten connections a second at most.

The test fails without the delay.

--- a/internal/platform/rpcserver/conn.go
+++ b/internal/platform/rpcserver/conn.go
@@ -186,15 +186,26 @@
 func (c *conn) endInput(reason closeReason) []*pendingRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var abandoned []*pendingRequest
-	for messageID, pending := range c.inFlight {
-		abandoned = append(abandoned, pending)
-		delete(c.inFlight, messageID)
-	}
 	c.inputEnded = true
 	c.drainLocked(reason)
 	c.removeIfUnusedLocked()
-	return abandoned
+	return c.removeAllInFlightLocked()
+}
+
+// removeAllInFlight removes and returns the requests in flight, whose responses are no longer needed.
+func (c *conn) removeAllInFlight() []*pendingRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.removeAllInFlightLocked()
+}
+
+// removeAllInFlightLocked is like removeAllInFlight but requires that c.mu is held.
+func (c *conn) removeAllInFlightLocked() (removed []*pendingRequest) {
+	for messageID, pending := range c.inFlight {
+		removed = append(removed, pending)
+		delete(c.inFlight, messageID)
+	}
+	return removed
 }
 
 // removeIfUnusedLocked removes a closed connection from the table of the server once no goroutine uses it, since the
--- a/internal/platform/rpcserver/conn_read.go
+++ b/internal/platform/rpcserver/conn_read.go
@@ -19,7 +19,16 @@
 			reason = closedByClient
 		}
 	}
-	for _, pending := range c.endInput(reason) {
+	if reason == closedViolation {
+		cancelAll(c.removeAllInFlight())
+		c.linger()
+	}
+	cancelAll(c.endInput(reason))
+}
+
+// cancelAll cancels requests whose connection has ended.
+func cancelAll(abandoned []*pendingRequest) {
+	for _, pending := range abandoned {
 		pending.cancel(ConnectionEnded)
 	}
 }
--- a/internal/platform/rpcserver/pace.go
+++ b/internal/platform/rpcserver/pace.go
@@ -16,6 +16,9 @@
 	// hangUpCheckInterval is the time between two checks whether the client has disconnected, while its connection is not
 	// read and requests of it are in flight. What begins for them must begin within 0.1 s of the disconnect.
 	hangUpCheckInterval = 40 * time.Millisecond
+	// violationLinger is how long a connection stays open after its client has violated the protocol and the error
+	// response is queued, so that a client that connects again at once cannot do so at full speed.
+	violationLinger = 100 * time.Millisecond
 )
 
 // pacer adapts the rate at which connections may be read to the lag of the process. It may be used by any goroutine.
@@ -121,6 +124,16 @@
 	return !socket.PeerHungUp(c.netConn)
 }
 
+// linger keeps the connection open for violationLinger, unless it ends before.
+func (c *conn) linger() {
+	timer := time.NewTimer(violationLinger)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.closed:
+	}
+}
+
 // receivedAt returns the time from which the timeout of the message that was just read counts. If the connection was not
 // read for a while, the message may have arrived at any time since the connection was last seen without unread data.
 func (c *conn) receivedAt() time.Time {
--- a/internal/platform/rpcserver/pace_test.go
+++ b/internal/platform/rpcserver/pace_test.go
@@ -107,3 +107,29 @@
 		}
 	})
 }
+
+// TestPace_ProtocolViolation_ConnectionEndsAfterADelay guards against a client that violates the protocol and connects
+// again at full speed. It gets its error response at once, and its requests in flight are cancelled at once.
+func TestPace_ProtocolViolation_ConnectionEndsAfterADelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := startPipeServer(testMaxInFlight, limits)
+		defer server.stop()
+		server.sendRequests(t, 1, 1)
+		if requests := server.received(); len(requests) != 1 {
+			t.Fatalf("%d requests, want 1", len(requests))
+		}
+		began := time.Now()
+		server.send(requestMessage(t, 2, "unknown class", validFields(2)))
+		expect(t, server.client, rpcframe.AppendMalformed(nil, 2))
+		<-server.handler.cancelled
+		if took := time.Since(began); took > 0 {
+			t.Errorf("response and cancellation after %v, want at once", took)
+		}
+		if _, err := server.client.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("error %v, want the end of the connection", err)
+		}
+		if took := time.Since(began); took != violationLinger {
+			t.Errorf("the connection ended after %v, want %v", took, violationLinger)
+		}
+	})
+}
--- a/lab/flood/client.go
+++ b/lab/flood/client.go
@@ -97,6 +97,7 @@
 		CancelledAtOnce: func(ctx context.Context, conn net.Conn) { fullSpeed(cancelledAtOnce)(c, ctx, conn) },
 		RepeatedID:      func(ctx context.Context, conn net.Conn) { fullSpeed(repeatedID)(c, ctx, conn) },
 		UnknownClass:    func(ctx context.Context, conn net.Conn) { fullSpeed(unknownClass)(c, ctx, conn) },
+		HeartbeatsAnew:  func(ctx context.Context, conn net.Conn) { heartbeatsAnew(c, ctx, conn) },
 		Connects:        func(ctx context.Context, conn net.Conn) { connectAgain(c, ctx, conn) },
 	}[kind]
 	if behave == nil {
--- a/lab/flood/flood.go
+++ b/lab/flood/flood.go
@@ -37,12 +37,13 @@
 	CancelledAtOnce Kind = "cancelled-at-once" // requests for ever new functions, cancelled at once
 	RepeatedID      Kind = "repeated-id"       // requests that all have the same identifier
 	UnknownClass    Kind = "unknown-class"     // requests of ever new classes that do not exist
+	HeartbeatsAnew  Kind = "heartbeats-anew"   // a few heartbeats on each of ever new connections
 	Connects        Kind = "connects"          // connections, without sending anything
 )
 
 // Kinds returns all kinds of floods.
 func Kinds() []Kind {
-	return []Kind{None, LargeWaves, Large, Small, Unread, SlowReader, Abandon, Partial, SlowWriter, ManyFields, Silent, Heartbeats, UnknownCancels, CancelledAtOnce, RepeatedID, UnknownClass, Connects}
+	return []Kind{None, LargeWaves, Large, Small, Unread, SlowReader, Abandon, Partial, SlowWriter, ManyFields, Silent, Heartbeats, UnknownCancels, CancelledAtOnce, RepeatedID, UnknownClass, HeartbeatsAnew, Connects}
 }
 
 // Config is the configuration of a run. Fields whose comment says what 0 means are optional, as is LogPath.
--- a/lab/flood/fullspeed.go
+++ b/lab/flood/fullspeed.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"slices"
 	"strconv"
 	"time"
@@ -14,12 +15,14 @@
 
 // isFullSpeed reports whether the clients of a flood send at full speed and connect again at once.
 func isFullSpeed(kind Kind) bool {
-	return slices.Contains([]Kind{Heartbeats, UnknownCancels, CancelledAtOnce, RepeatedID, UnknownClass, Connects}, kind)
+	return slices.Contains([]Kind{Heartbeats, UnknownCancels, CancelledAtOnce, RepeatedID, UnknownClass, HeartbeatsAnew, Connects}, kind)
 }
 
 const (
 	// messagesPerWrite is how many small messages a client that sends at full speed writes at a time.
 	messagesPerWrite = 256
+	// floodWriteBuffer is the size in bytes of the send buffer of a client that sends at full speed.
+	floodWriteBuffer = 64 << 10
 	// cancelledRequests is how many requests a client sends before it cancels all of them.
 	cancelledRequests = maxOpenRequests / 2
 )
@@ -28,6 +31,9 @@
 // ctx or the connection ends.
 func fullSpeed(batch func(c *client, number int) (raw []byte, nextNumber int)) func(*client, context.Context, net.Conn) {
 	return func(c *client, ctx context.Context, conn net.Conn) {
+		if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+			_ = tcp.SetWriteBuffer(floodWriteBuffer) // a larger one only makes the flood go on after its end
+		}
 		endRead := discardInput(ctx, conn)
 		defer endRead()
 		for number := 1; ; {
@@ -37,7 +43,30 @@
 			}
 			c.tallyNow().sentMany(next - number)
 			number = next
+			runtime.Gosched() // for the regular clients
+		}
+	}
+}
+
+// heartbeatsAnew sends as many heartbeats as a client may have requests open, reads the responses and connects again,
+// until ctx ends.
+func heartbeatsAnew(c *client, ctx context.Context, _ net.Conn) {
+	var raw []byte
+	for number := 1; number <= maxOpenRequests; number++ {
+		raw = appendMessage(raw, []any{0, number, "heartbeat", []any{map[string]string{}}})
+	}
+	response := make([]byte, len(raw))
+	for ctx.Err() == nil {
+		conn, err := net.DialTimeout("tcp", c.address, time.Second)
+		if err != nil {
+			continue
 		}
+		c.tallyNow().connected()
+		c.tallyNow().sentMany(maxOpenRequests)
+		_ = conn.SetDeadline(time.Now().Add(c.timeout))
+		_, _ = conn.Write(raw)
+		_, _ = conn.Read(response)
+		_ = conn.Close()
 	}
 }
 
@@ -58,22 +87,29 @@
 	}
 }
 
+// Messages that are encoded once, because a flooding client must not take the processor time of the regular clients, which
+// run in the same process.
+var (
+	encodedHeartbeats           = encodeMany(func(number int) any { return []any{0, number, "heartbeat", []any{map[string]string{}}} })
+	encodedUnknownCancellations = encodeMany(func(number int) any { return []any{2, "revoke", []int{number}} })
+)
+
+// encodeMany returns messagesPerWrite messages.
+func encodeMany(message func(number int) any) (raw []byte) {
+	for number := 1; number <= messagesPerWrite; number++ {
+		raw = appendMessage(raw, message(number))
+	}
+	return raw
+}
+
 // heartbeats returns heartbeats.
 func heartbeats(_ *client, number int) (raw []byte, nextNumber int) {
-	for range messagesPerWrite {
-		raw = appendMessage(raw, []any{0, number, "heartbeat", []any{map[string]string{}}})
-		number++
-	}
-	return raw, number
+	return encodedHeartbeats, number + messagesPerWrite
 }
 
 // unknownCancellations returns cancellations of requests that were not sent.
 func unknownCancellations(_ *client, number int) (raw []byte, nextNumber int) {
-	for range messagesPerWrite {
-		raw = appendMessage(raw, []any{2, "revoke", []int{number}})
-		number++
-	}
-	return raw, number
+	return encodedUnknownCancellations, number + messagesPerWrite
 }
 
 // cancelledAtOnce returns requests for functions that were not named before, and their cancellation.
