Do not pass on requests that are read after their client has closed the connection

Cause: the reading goroutine learns of the end of the input only behind all that the kernel has kept before it. Up to as many requests as a connection may have open, and all that the buffer holds behind responses, were admitted first.

Change: after a request is parsed and before it is passed on, the operating system is asked whether the peer has closed or reset the connection (socket.PeerHungUp: poll with POLLRDHUP, which does not depend on what is unread). If so, the connection ends as at the end of its input. Where the system cannot tell, requests are passed on as before. `RequestsUnwanted` counts it.

--- a/internal/platform/rpcserver/conn_read.go
+++ b/internal/platform/rpcserver/conn_read.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"havencart/internal/platform/rpcframe"
+	"havencart/internal/socket"
 )
 
 // read handles messages until the input ends and then cancels the requests in flight. It is the reading goroutine.
@@ -103,11 +104,17 @@
 	}
 }
 
+// handleRequest passes a request to the Handler, unless the client has closed the connection meanwhile: requests that are
+// still unread then need no response, and nothing may begin for them.
 func (c *conn) handleRequest(message rpcframe.Message) error {
 	request, err := c.server.cfg.Rules.parse(message)
 	if err != nil {
 		return err
 	}
+	if socket.PeerHungUp(c.netConn) {
+		c.server.requestsUnwanted.Add(1)
+		return net.ErrClosed
+	}
 	request.Memory = c.bodyMemory
 	request.ReceivedAt = c.receivedAt()
 	request.ArrivedAfter = c.arrivals.ArrivedAfter()
--- a/internal/platform/rpcserver/server.go
+++ b/internal/platform/rpcserver/server.go
@@ -62,6 +62,8 @@
 	RequestsRefused uint64 // requests whose body was skipped for lack of memory
 	// ResponsesDropped counts served responses that were replaced by failures because too many bytes were unwritten.
 	ResponsesDropped uint64
+	// RequestsUnwanted counts connections with a request that was read after the client had closed the connection.
+	RequestsUnwanted uint64
 	// Requests, Heartbeats and Cancellations count the messages that were read, including requests that violated the
 	// protocol.
 	Requests, Heartbeats, Cancellations uint64
@@ -84,8 +86,8 @@
 
 	accepted, rejected, evicted, idleClosed, protocolErrors, writeFailed, requestsRefused, responsesDropped atomic.Uint64
 
-	requests, heartbeats, cancellations, pauses atomic.Uint64
-	closed                                      closeTotals
+	requests, heartbeats, cancellations, pauses, requestsUnwanted atomic.Uint64
+	closed                                                        closeTotals
 }
 
 // New returns a Server that passes requests to handler.
@@ -106,6 +108,8 @@
 		RequestsRefused:  s.requestsRefused.Load(),
 		ResponsesDropped: s.responsesDropped.Load(),
 
+		RequestsUnwanted: s.requestsUnwanted.Load(),
+
 		Requests:      s.requests.Load(),
 		Heartbeats:    s.heartbeats.Load(),
 		Cancellations: s.cancellations.Load(),
--- a/internal/platform/rpcserver/server_test.go
+++ b/internal/platform/rpcserver/server_test.go
@@ -67,11 +67,11 @@
 
 // TestCounts_JSON_UsesDocumentedNames checks that the counts are logged under the names that docs/oncall.md lists.
 func TestCounts_JSON_UsesDocumentedNames(t *testing.T) {
-	logged, err := json.Marshal(Counts{Accepted: 1, Rejected: 2, Evicted: 3, IdleClosed: 4, ProtocolErrors: 5, WriteFailed: 6, RequestsRefused: 7, ResponsesDropped: 8, Requests: 9, Heartbeats: 10, Cancellations: 11, Pauses: 14, Closed: CloseCounts{closedByClient: 12, closedShutdown: 13}})
+	logged, err := json.Marshal(Counts{Accepted: 1, Rejected: 2, Evicted: 3, IdleClosed: 4, ProtocolErrors: 5, WriteFailed: 6, RequestsRefused: 7, ResponsesDropped: 8, RequestsUnwanted: 15, Requests: 9, Heartbeats: 10, Cancellations: 11, Pauses: 14, Closed: CloseCounts{closedByClient: 12, closedShutdown: 13}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if want := `{"Accepted":1,"Rejected":2,"Evicted":3,"IdleClosed":4,"ProtocolErrors":5,"WriteFailed":6,"RequestsRefused":7,"ResponsesDropped":8,"Requests":9,"Heartbeats":10,"Cancellations":11,"Pauses":14,"Closed":{"client":12,"shutdown":13}}`; string(logged) != want {
+	if want := `{"Accepted":1,"Rejected":2,"Evicted":3,"IdleClosed":4,"ProtocolErrors":5,"WriteFailed":6,"RequestsRefused":7,"ResponsesDropped":8,"RequestsUnwanted":15,"Requests":9,"Heartbeats":10,"Cancellations":11,"Pauses":14,"Closed":{"client":12,"shutdown":13}}`; string(logged) != want {
 		t.Errorf("logged %s, want %s", logged, want)
 	}
 }
--- a/internal/socket/hangup.go
+++ b/internal/socket/hangup.go
@@ -33,6 +33,6 @@
 		if errors.Is(err, unix.EINTR) {
 			continue
 		}
-		return err == nil && ready == 1 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		return err == nil && ready == 1 && polled[0].Revents&unix.POLLRDHUP != 0
 	}
 }
