Remember identifiers of requests that may have executed apart from rejected ones

Cause: the front end remembered the last 4,096 to 8,192 identifiers, of whatever became of the requests. A flood of requests with new identifiers replaced them: beside six clients that cancel at once it read about 75,000 requests a second, so that an identifier was forgotten after 0.1 s. A request whose connection ended and that came again was then new, and was executed again, also of a class that must not be.

Change: the identifiers of requests that may have executed (served, failed, cancelled, or their connection ended) are kept in a table of their own, of 16,384 to 32,768, which rejected requests do not enter; numbers in place of strings, so that it takes little more memory. What fills it is limited by the rate at which connections are read. A request that was sent again and rejected stays in that table.

Open: a flood of requests that do reach workers still replaces identifiers, after 16,384 of them.

--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -124,11 +124,11 @@
 	}
 	id := received.ID      // the functions below must not keep received, whose body is released earlier
 	var released sync.Once // at the final response or the client's disconnect, whichever comes first
-	release := func(mayBeResent bool) {
-		released.Do(func() { p.recentIDs.release(id, mayBeResent) })
+	release := func(outcome idOutcome) {
+		released.Do(func() { p.recentIDs.release(id, outcome) })
 	}
 	request := NewRequestWithCallback(func(response FinalResponse) {
-		release(false)
+		release(response.idOutcome())
 		respond(response.rpcResponse())
 	})
 	request.Resent = resent
@@ -144,12 +144,12 @@
 	p.loop.Submit(request)
 	return func(cause rpcserver.CancelCause) {
 		if cause != rpcserver.ConnectionEnded {
-			release(false)
+			release(idExecuted)
 			p.loop.Disconnect(request)
 			return
 		}
 		p.loop.Abandon(request)
-		release(true) // only now, so that the loop learns of the end before the request is sent again
+		release(idAbandoned) // only now, so that the loop learns of the end before the request is sent again
 	}, nil
 }
 
@@ -195,6 +195,14 @@
 	return out
 }
 
+// idOutcome returns what the final response says about the execution of the request.
+func (f FinalResponse) idOutcome() idOutcome {
+	if f.Kind == Rejected {
+		return idRejected
+	}
+	return idExecuted
+}
+
 // Reload applies a configuration that was read again. Only the address of endpoint discovery can change while the
 // server runs; other changes have no effect until it restarts. A configuration that belongs to another front end,
 // according to platformconfig.Config.FirstDifference, is ignored.
--- a/internal/gateway/platform_server_test.go
+++ b/internal/gateway/platform_server_test.go
@@ -342,12 +342,12 @@
 				server.sendRequest(first, i+1, "quote", i+1)
 			}
 			<-received // at least one has reached the worker
-			server.awaitIDs(count, func(id string) bool { return server.recentIDs.inFlight[id] })
+			server.awaitIDs(count, func(id uint64) bool { return server.recentIDs.inFlight[id] })
 			_ = first.SetLinger(0)
 			_ = first.Close()
-			server.awaitIDs(count, func(id string) bool {
-				state, known := server.recentIDs.find(id)
-				return known && state == idAbandoned
+			server.awaitIDs(count, func(id uint64) bool {
+				outcome, known := server.recentIDs.find(id)
+				return known && outcome == idAbandoned
 			})
 			close(responding)
 			second := server.connect()
@@ -366,10 +366,10 @@
 }
 
 // awaitIDs waits until holds returns true for the IDs of the requests 1 to count. holds may use the recent IDs.
-func (server *platformHarness) awaitIDs(count int, holds func(id string) bool) {
+func (server *platformHarness) awaitIDs(count int, holds func(id uint64) bool) {
 	for id := 1; id <= count; {
 		server.recentIDs.mu.Lock()
-		reached := holds(fmt.Sprintf("%016x", id))
+		reached := holds(uint64(id))
 		server.recentIDs.mu.Unlock()
 		if reached {
 			id++
