--- a/internal/gateway/endpoints_test.go
+++ b/internal/gateway/endpoints_test.go
@@ -116,3 +116,50 @@
 	harness.endWith(inFlight, scheduler.OK)
 	harness.wantResponse(inFlight, Served)
 }
+
+// TestEndpoints_NewWorkerAtAddressOfListedOne_TakesItsPlace guards against a new process that is taken for the old one at
+// the same address: work for the old one would reach the new one, and be executed a second time in another cell.
+func TestEndpoints_NewWorkerAtAddressOfListedOne_TakesItsPlace(t *testing.T) {
+	harness := newHarness(t, 1, nil)
+	old := harness.clients["w0"]
+	old.holdsWrites = true
+	unsent := harness.submit(nonIdempotentClass)
+	old.holdsWrites = false
+	successor := discovery.Worker{Name: "w9", Address: "h:1", Cell: "9", Scale: 1, State: scheduler.Ready}
+	harness.EndpointsUpdated(harness.clock, []discovery.Worker{successor})
+	if !old.drained {
+		t.Fatal("the worker that has gone was not drained")
+	}
+	harness.advance(100 * ms)
+	if worker, _ := harness.sentAttempt(unsent); worker.name != "w9" {
+		t.Errorf("request sent to %s, want the successor", worker.name)
+	}
+	harness.endWith(unsent, scheduler.OK)
+	harness.wantResponse(unsent, Served)
+	for range 8 {
+		request := harness.submit(idempotentClass)
+		if worker, _ := harness.sentAttempt(request); worker.name != "w9" {
+			t.Fatalf("request sent to %s, want the successor", worker.name)
+		}
+		harness.endWith(request, scheduler.OK)
+	}
+	harness.advance(2 * sweepInterval)
+	if !old.stopped {
+		t.Error("the client of the worker that has gone is not stopped")
+	}
+}
+
+// TestEndpoints_SuccessorInOtherCell_KeyedRequestNotRetriedThere guards against a keyed request that is executed twice,
+// because a worker in another cell is taken for the one that had its address.
+func TestEndpoints_SuccessorInOtherCell_KeyedRequestNotRetriedThere(t *testing.T) {
+	harness := newHarness(t, 1, nil)
+	request := harness.submit(keyedClass)
+	successor := discovery.Worker{Name: "w9", Address: "h:1", Cell: "9", Scale: 1, State: scheduler.Ready}
+	harness.EndpointsUpdated(harness.clock, []discovery.Worker{successor})
+	harness.endWith(request, scheduler.Error) // the connection broke, and the new process accepted another one
+	harness.advance(100 * ms)
+	if harness.hasAttempt(request) {
+		worker, _ := harness.sentAttempt(request)
+		t.Errorf("sent again to %s", worker.name)
+	}
+}
