Remove a worker when another one is listed at its address

Cause: the front end applied each entry of the list by itself. While the old worker's removal was not listed yet, both had a client of the same address. New and unsent work for the old one reached the new process, which may be cold and in another cell; a keyed request that may have executed was retried at "the old worker" and executed by the new one, whose cell does not know its key.

Change: FrontEnd.resolveAddresses finds entries that name the address of another listed worker, before they are applied.

Two more tests hold that a late entry does not take an address back, and that an address becomes free.

--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -39,6 +39,7 @@
 // applyEntries applies entries of the endpoint list. It returns them in the form that the scheduler receives, and the
 // set of the identifiers in the list.
 func (f *FrontEnd) applyEntries(entries []discovery.Worker) (infos []scheduler.WorkerInfo, listed map[scheduler.WorkerID]bool) {
+	entries = f.resolveAddresses(entries)
 	infos = make([]scheduler.WorkerInfo, 0, len(entries))
 	listed = make(map[scheduler.WorkerID]bool, len(entries))
 	for _, entry := range entries {
@@ -96,6 +97,7 @@
 	delete(f.overridden, id)
 	if w.client == nil || w.Address != entry.Address {
 		if w.client != nil {
+			f.releaseAddress(id, w.Address)
 			f.drainClient(w)
 			f.resetReadiness(w)
 			w.previousClients = append(w.previousClients, w.client)
@@ -178,6 +180,7 @@
 		delete(f.retiring, w.id)
 	case w.idle():
 		w.client.Stop()
+		f.releaseAddress(w.id, w.Address)
 		delete(f.workers, w.id)
 		delete(f.retiring, w.id)
 	}
--- a/internal/gateway/endpoints_test.go
+++ b/internal/gateway/endpoints_test.go
@@ -163,3 +163,32 @@
 		t.Errorf("sent again to %s", worker.name)
 	}
 }
+
+// TestEndpoints_AddressListedTwice_LaterStartHoldsIt checks that a late entry of the worker that has gone does not take the
+// address back.
+func TestEndpoints_AddressListedTwice_LaterStartHoldsIt(t *testing.T) {
+	harness := newHarness(t, 0, nil)
+	started := func(name string, seconds int64) discovery.Worker {
+		return discovery.Worker{Name: name, Address: "h:1", Scale: 1, State: scheduler.Ready, Started: time.Unix(seconds, 0)}
+	}
+	harness.EndpointsUpdated(harness.clock, []discovery.Worker{started("new", 20)})
+	harness.EndpointsUpdated(harness.clock, []discovery.Worker{started("old", 10)})
+	request := harness.submit(idempotentClass)
+	if worker, _ := harness.sentAttempt(request); worker.name != "new" {
+		t.Errorf("request sent to %s, want the worker that started later", worker.name)
+	}
+}
+
+// TestEndpoints_SuccessorRemoved_AddressIsFree checks that an address can be used again after its holder was removed.
+func TestEndpoints_SuccessorRemoved_AddressIsFree(t *testing.T) {
+	harness := newHarness(t, 1, nil)
+	successor := discovery.Worker{Name: "w9", Address: "h:1", Scale: 1, State: scheduler.Ready}
+	harness.EndpointsUpdated(harness.clock, []discovery.Worker{successor})
+	successor.State = scheduler.Removed
+	harness.EndpointsUpdated(harness.clock, []discovery.Worker{successor})
+	harness.listWorkers(1, nil)
+	request := harness.submit(idempotentClass)
+	if worker, _ := harness.sentAttempt(request); worker.name != "w0" {
+		t.Errorf("request sent to %s, want the worker that is listed again", worker.name)
+	}
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -140,6 +140,7 @@
 	workers       map[scheduler.WorkerID]*worker
 	retiring      map[scheduler.WorkerID]*worker // workers with clients that sweep has to stop
 	overridden    map[scheduler.WorkerID]*worker // state or start is not as listed; until the list is confirmed
+	addresses     map[string]scheduler.WorkerID  // the worker that has each address; at most one for each worker
 	functions     *functionTable
 	abandoned     abandonedRequests
 
@@ -171,6 +172,7 @@
 		healthChecks: map[*workerconn.HealthCheck]*healthCheck{},
 		overridden:   map[scheduler.WorkerID]*worker{},
 		workers:      map[scheduler.WorkerID]*worker{},
+		addresses:    map[string]scheduler.WorkerID{},
 		retiring:     map[scheduler.WorkerID]*worker{},
 		functions:    newFunctionTable(settings.Scheduler.FunctionLimit()),
 		zones:        map[string]int{},
