Do not retry a keyed request at a worker that may be another process by now

A keyed request that may have executed was sent again there, since a worker that had accepted work within the last quarter of a second was not asked again, and since a worker that may have restarted kept its listed cell.

Change: while the list is not confirmed, a worker at which an attempt failed has to confirm again that it accepts work, on the connection that it has then. A worker that may have restarted, as its connection is newer than the last confirmation of the list, counts as being in a cell of its own, for the scheduler and for the guard on executions alike, until the list is confirmed or names the worker again. Keys whose scope is all workers are not affected.

TestSend_WorkerMayBeAnotherProcess_KeyedRequestNotRetriedThere failed before (sent again) and passes, with no violation prevented by the guard; its case of an existing connection, which is retried, passed before and after.

Open: a request whose connection is opened after the confirmation, within its quarter of a second, goes to whoever has the address; a worker's zone stays the listed one; a worker counts as one that may have restarted only 4 s after the last confirmation.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -180,6 +180,7 @@
 		if result.Status == scheduler.OK {
 			attempt.worker.recordAccepted(sent.WriteStartedAt())
 		}
+		attempt.worker.recordFailure(result.Status)
 		f.endAttempt(attempt, result)
 	}
 	f.runDeferred()
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -15,12 +15,15 @@
 // readiness records what a worker itself has reported about whether it accepts new work. It is used while the endpoint
 // list is not confirmed.
 type readiness struct {
-	acceptedAt   time.Duration // when the worker last accepted new work or passed a health check; 0 if never
-	connectedAt  time.Duration // when the connection was established that last made the worker count as restarted
-	check        *healthCheck  // health check in flight, or nil
-	drainReports int           // number of consecutive health checks that reported the worker as draining
-	recheckAt    time.Duration // when a worker that reported itself as draining is to be checked again
-	waiting      waitingWork
+	acceptedAt  time.Duration // when the worker last accepted new work or passed a health check; 0 if never
+	connectedAt time.Duration // when the connection was established that last made the worker count as restarted
+	// mayBeOtherProcess is whether a new process may have come up at the worker's address since the endpoint list was last
+	// confirmed.
+	mayBeOtherProcess bool
+	check             *healthCheck  // health check in flight, or nil
+	drainReports      int           // number of consecutive health checks that reported the worker as draining
+	recheckAt         time.Duration // when a worker that reported itself as draining is to be checked again
+	waiting           waitingWork
 }
 
 // waitingWork is new work for a worker that waits for the response to a health check.
@@ -58,6 +61,16 @@
 	w.readiness.acceptedAt = max(w.readiness.acceptedAt, at)
 }
 
+// recordFailure records that an attempt at the worker failed. While the endpoint list is not confirmed, a worker that
+// failed must confirm again that it accepts work, on the connection that it has then: the process that accepted work before
+// may have gone, and another one may have its address.
+func (w *worker) recordFailure(status scheduler.Status) {
+	switch status {
+	case scheduler.Error, scheduler.Reset, scheduler.ConnectFailed:
+		w.readiness.acceptedAt = 0
+	}
+}
+
 // healthCheck is a health check that awaits its response.
 type healthCheck struct {
 	workerconn.HealthCheck
@@ -247,7 +260,8 @@
 }
 
 // treatAsRestarted reports a worker to the scheduler as just started if the worker may have restarted while discovery
-// could not report it. This prevents the worker from being overloaded during its slow start.
+// could not report it. This prevents the worker from being overloaded during its slow start. It may also be the process
+// of another worker that has the same address, so that its cell is not known.
 func (f *FrontEnd) treatAsRestarted(w *worker, connectedAt time.Duration) {
 	isKnownProcess := connectedAt <= w.readiness.connectedAt
 	if isKnownProcess || !f.lease.MayHaveRestarted(f.now, connectedAt) {
@@ -255,6 +269,7 @@
 	}
 	w.readiness.connectedAt = connectedAt
 	f.overridden[w.id] = w
+	w.readiness.mayBeOtherProcess = true
 	info := f.listedInfo(w)
 	info.Started = f.now
 	f.scheduler.WorkersChanged(f.now, []scheduler.WorkerInfo{info}, false)
@@ -267,6 +282,7 @@
 	for _, id := range sortedKeys(f.overridden) {
 		w := f.overridden[id]
 		delete(f.overridden, id)
+		w.readiness.mayBeOtherProcess = false
 		if f.workers[id] == w {
 			f.changeState(w, w.State)
 		}
@@ -284,7 +300,11 @@
 // listedInfo returns the worker's entry in the endpoint list as the scheduler receives it, with the effective start.
 func (f *FrontEnd) listedInfo(w *worker) scheduler.WorkerInfo {
 	listed := []scheduler.WorkerInfo{f.workerInfo(w.id, w.Worker)}
-	return f.incarnations.ObserveChanges(f.now, listed, len(f.workers))[0]
+	info := f.incarnations.ObserveChanges(f.now, listed, len(f.workers))[0]
+	if w.readiness.mayBeOtherProcess {
+		info.Cell = unidentifiedCellNumber(w.id)
+	}
+	return info
 }
 
 // resetReadiness discards what a worker has reported at its previous address.
@@ -294,4 +314,5 @@
 		f.removeHealthCheck(check)
 	}
 	w.readiness.acceptedAt = 0
+	w.readiness.mayBeOtherProcess = false
 }
--- a/internal/gateway/readiness_test.go
+++ b/internal/gateway/readiness_test.go
@@ -435,6 +435,52 @@
 	}
 }
 
+// TestSend_WorkerMayBeAnotherProcess_KeyedRequestNotRetriedThere guards against a keyed request that is executed twice
+// because, while discovery was unreachable, a new process in another cell came up at the address of a worker that had
+// gone, and was taken for it. Only a connection that is older than the last confirmation shows that it is the same one.
+func TestSend_WorkerMayBeAnotherProcess_KeyedRequestNotRetriedThere(t *testing.T) {
+	for name, test := range map[string]struct {
+		reconnected bool // the workers are reachable on new connections only when the request is retried
+		wantRetry   bool
+	}{
+		"on the existing connection": {false, true},
+		"on a new connection":        {true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newLeaseHarness(t, 3, nil) // w0 and w2 are in one cell
+			confirmedAt := harness.clock
+			connectedAt := confirmedAt - time.Second
+			respond := func() {
+				for checked := harness.checkedWorkers(); len(checked) > 0; checked = harness.checkedWorkers() {
+					for _, worker := range checked {
+						worker.healthChecks[0].ConnectedAt = connectedAt
+						harness.respondToHealthCheck(worker, scheduler.OK)
+					}
+				}
+			}
+			harness.endLease()
+			request := harness.submit(keyedClass)
+			respond()
+			if !harness.hasAttempt(request) {
+				t.Fatal("the request was not sent")
+			}
+			if test.reconnected {
+				connectedAt = harness.clock
+			}
+			harness.endWith(request, scheduler.Error)
+			respond()
+			harness.advance(20 * ms)
+			respond()
+			if got := harness.hasAttempt(request); got != test.wantRetry {
+				t.Errorf("retried: %v, want %v", got, test.wantRetry)
+			}
+			if violations := harness.Counts().Violations.Total(); violations > 0 {
+				t.Errorf("%d violations were prevented by the guard; the scheduler must know", violations)
+			}
+		})
+	}
+}
+
 // TestSend_WorkerReportedDraining_IsCheckedAgain checks that a worker that reported itself as draining is checked again
 // after a delay, and is sent no work before it is healthy.
 func TestSend_WorkerReportedDraining_IsCheckedAgain(t *testing.T) {
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -24,8 +25,21 @@
 	readiness       readiness
 }
 
+// unidentifiedCell is the prefix of the cell of a worker that may be another process than the one in the endpoint list.
+// Each such worker is in a cell of its own.
+const unidentifiedCell = "unidentified "
+
 // location returns the worker's zone and cell, which the scope of an idempotency key refers to.
-func (w *worker) location() execution.Location { return execution.Location{Zone: w.Zone, Cell: w.Cell} }
+func (w *worker) location() execution.Location {
+	if w.readiness.mayBeOtherProcess {
+		return execution.Location{Zone: w.Zone, Cell: unidentifiedCell + w.Name}
+	}
+	return execution.Location{Zone: w.Zone, Cell: w.Cell}
+}
+
+// unidentifiedCellNumber returns the number that stands for the cell of an unidentified worker in the scheduler. Numbers
+// of listed cells are not negative.
+func unidentifiedCellNumber(id scheduler.WorkerID) int { return -1 - int(id&math.MaxInt32) }
 
 // addLogFields adds the worker's name to a log line, and its identifier, which the scheduler's log messages use.
 func (w *worker) addLogFields(line *zerolog.Event) *zerolog.Event {
