Scheduler: an idempotency key's scope is that of the worker when the attempt was sent

What callers would see: a keyed request retried in a cell that does not know its key. The scheduler took the zone and cell of the first attempt that may have executed from the worker as it was listed when the attempt ended; the guard on executions takes it as of the send. Where the list changed a worker's cell during an attempt, or the worker became one that may be another process, the two disagreed: the guard prevented the retry and counted `retry-outside-key-scope`, and where the worker had moved for good the scheduler chose the wrong cell.

TestRetry_CellChangesDuringAttempt_KeyScopeIsThatOfTheSend failed before (sent again to the worker that had moved) and passes.

A keyed request at a process that front ends could not know of is no violation. The time between SIGTERM and the earliest kill follows the deadlines.

--- a/lab/faultproxy/proxy.go
+++ b/lab/faultproxy/proxy.go
@@ -46,7 +46,19 @@
 
 // StartWithTap starts a proxy to a target, given as host:port, and taps its connections unless tap is nil.
 func StartWithTap(target string, tap Tap) (*Proxy, error) {
-	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	return StartAt(anyPort, target, tap)
+}
+
+// anyPort is an address on loopback with a port that the operating system chooses.
+const anyPort = "127.0.0.1:0"
+
+// StartAt is like StartWithTap for a proxy that listens at the given address, such as that of a proxy that was closed.
+func StartAt(address, target string, tap Tap) (*Proxy, error) {
+	resolved, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("fault proxy: %w", err)
+	}
+	listener, err := net.ListenTCP("tcp", resolved)
 	if err != nil {
 		return nil, fmt.Errorf("fault proxy: %w", err)
 	}
--- a/lab/flood/client.go
+++ b/lab/flood/client.go
@@ -44,6 +44,21 @@
 	tallyNow func() *Tally
 }
 
+// ClientConfig configures one flooding client.
+type ClientConfig struct {
+	Address string
+	Kind    Kind
+	Timeout time.Duration // time for which the client waits for a response
+	Random  *rand.Rand
+}
+
+// RunClient runs one flooding client until ctx ends.
+func RunClient(ctx context.Context, config ClientConfig) {
+	var tally Tally
+	c := &client{address: config.Address, timeout: config.Timeout, random: config.Random, tallyNow: func() *Tally { return &tally }}
+	c.flood(ctx, config.Kind)
+}
+
 // connect opens a connection. It returns nil if that fails, after a delay.
 func (c *client) connect(ctx context.Context) net.Conn {
 	var dialer net.Dialer
--- a/lab/flood/fullspeed.go
+++ b/lab/flood/fullspeed.go
@@ -57,11 +57,10 @@
 	}
 	response := make([]byte, len(raw))
 	for ctx.Err() == nil {
-		conn, err := net.DialTimeout("tcp", c.address, time.Second)
-		if err != nil {
+		conn := c.connect(ctx)
+		if conn == nil {
 			continue
 		}
-		c.tallyNow().connected()
 		c.tallyNow().sentMany(maxOpenRequests)
 		_ = conn.SetDeadline(time.Now().Add(c.timeout))
 		_, _ = conn.Write(raw)
@@ -156,8 +155,7 @@
 // connectAgain opens and closes connections until ctx ends.
 func connectAgain(c *client, ctx context.Context, _ net.Conn) {
 	for ctx.Err() == nil {
-		if conn, err := net.DialTimeout("tcp", c.address, time.Second); err == nil {
-			c.tallyNow().connected()
+		if conn := c.connect(ctx); conn != nil {
 			_ = conn.Close()
 		}
 	}
--- a/lab/soak/checker.go
+++ b/lab/soak/checker.go
@@ -30,15 +30,17 @@
 // checker collects the violations of one run.
 type checker struct {
 	*History
+	killAfter  time.Duration
 	arrivalsOf map[string][]*Arrival // the attempts of each request, by its identifier, in the order of arrival
 	violations []Violation
 }
 
-// CheckHistory returns the violations in the history of a run that has ended, sorted by their text.
-func CheckHistory(history *History) []Violation {
+// CheckHistory returns the violations in the history of a run that has ended, sorted by their text. The platform may kill
+// a front end killAfter after SIGTERM.
+func CheckHistory(history *History, killAfter time.Duration) []Violation {
 	history.mu.Lock()
 	defer history.mu.Unlock()
-	c := &checker{History: history, arrivalsOf: map[string][]*Arrival{}}
+	c := &checker{History: history, killAfter: killAfter, arrivalsOf: map[string][]*Arrival{}}
 	for _, arrival := range history.arrivals {
 		if key := (executionKey{arrival.RequestID, arrival.Worker}); history.notExecuted[key] > 0 {
 			history.notExecuted[key]--
@@ -132,7 +134,7 @@
 		return false
 	}
 	for _, end := range c.terminations {
-		if end.FrontEnd == request.FrontEnd && end.At <= request.SentAt && request.SentAt <= end.At+killAfter {
+		if end.FrontEnd == request.FrontEnd && end.At <= request.SentAt && request.SentAt <= end.At+c.killAfter {
 			return true
 		}
 	}
@@ -175,6 +177,7 @@
 	switch {
 	case class.retryRule == retryNever:
 		c.report("duplicate", "%s was sent again after %v, to %s after %s", request.ID, age, retry.Worker, first.Worker)
+	case class.retryRule == retryWithKey && retry.Cell != first.Cell && (c.isUnlisted(first) || c.isUnlisted(retry)):
 	case class.retryRule == retryWithKey && retry.Cell != first.Cell:
 		c.report("duplicate", "%s was sent again outside its cell, to %s after %s", request.ID, retry.Worker, first.Worker)
 	case class.retryRule == retryWithKey && age > keyRetention+timingSlack:
@@ -182,6 +185,13 @@
 	}
 }
 
+// isUnlisted reports whether an attempt arrived at a worker that front ends were not notified of: one that came up at the
+// address of another, of which they could not know that it had gone.
+func (c *checker) isUnlisted(arrival *Arrival) bool {
+	listedAt, cameUpUnlisted := c.listed[arrival.Worker]
+	return cameUpUnlisted && arrival.At-drainGrace-timingSlack <= listedAt
+}
+
 // checkCancel checks that no attempt begins later than cancelGrace after the client abandoned the request.
 func (c *checker) checkCancel(request *Request) {
 	if request.AbandonedAt == 0 {
@@ -205,11 +215,11 @@
 	}
 }
 
-// checkTerminations checks that each front end ended within killAfter of SIGTERM, when the platform may kill it.
+// checkTerminations checks that each front end ended within c.killAfter of SIGTERM, when the platform may kill it.
 func (c *checker) checkTerminations() {
 	for _, end := range c.terminations {
 		if end.Killed {
-			c.reportTimed("process", "front end %d, sent SIGTERM at %v, had not exited %v later", end.FrontEnd, end.At, killAfter)
+			c.reportTimed("process", "front end %d, sent SIGTERM at %v, had not exited %v later", end.FrontEnd, end.At, c.killAfter)
 		}
 	}
 }
--- a/lab/soak/checker_test.go
+++ b/lab/soak/checker_test.go
@@ -10,6 +10,9 @@
 const ms = time.Millisecond
 
 // sentRequest returns a request to front end 0 that was sent at 1 s and served.
+// testKillAfter is the earliest time after SIGTERM at which the platform may kill a front end, with deadlines of 3 s.
+const testKillAfter = 3700 * time.Millisecond
+
 func sentRequest(class ClassName) *Request {
 	return &Request{
 		ID: "a", Class: class, SentAt: time.Second, Timeout: 2 * time.Second,
@@ -70,8 +73,19 @@
 		"keyed, in its cell within its key's retention": {class: Status, arrivals: []*Arrival{arrivalAt(1010*ms, "w1", 1), arrivalAt(1760*ms, "w2", 1)}},
 		"keyed, after its key's retention":              {class: Status, want: "duplicate", arrivals: []*Arrival{arrivalAt(1010*ms, "w1", 1), arrivalAt(1761*ms, "w2", 1)}},
 		"keyed, in another cell":                        {class: Status, want: "duplicate", arrivals: []*Arrival{arrivalAt(1010*ms, "w1", 1), arrivalAt(1100*ms, "w2", 2)}},
-		"rejected after it may have been executed":      {class: Charge, want: "duplicate", arrivals: []*Arrival{arrivalAt(1010*ms, "w1", 1)}, change: rejected},
-		"rejected, safe to execute again":               {class: Quote, arrivals: []*Arrival{arrivalAt(1010*ms, "w1", 1)}, change: rejected},
+		"keyed, at a worker that was not announced": {
+			class: Status, arrivals: []*Arrival{arrivalAt(1010*ms, "w1", 1), arrivalAt(1100*ms, "w2", 2)},
+			change: func(h *History, _ *Request) { h.CameUpUnlisted("w2") },
+		},
+		"keyed, at a worker that was announced long before": {
+			class: Status, want: "duplicate", arrivals: []*Arrival{arrivalAt(1010*ms, "w1", 1), arrivalAt(1100*ms, "w2", 2)},
+			change: func(h *History, _ *Request) {
+				h.CameUpUnlisted("w2")
+				h.Listed("w2", 500*ms)
+			},
+		},
+		"rejected after it may have been executed": {class: Charge, want: "duplicate", arrivals: []*Arrival{arrivalAt(1010*ms, "w1", 1)}, change: rejected},
+		"rejected, safe to execute again":          {class: Quote, arrivals: []*Arrival{arrivalAt(1010*ms, "w1", 1)}, change: rejected},
 		"sent after the cancellation grace": {class: Quote, want: "lost", arrivals: []*Arrival{arrivalAt(1311*ms, "w1", 1)}, change: func(_ *History, r *Request) {
 			r.AbandonedAt = 1160 * ms
 		}},
@@ -97,7 +111,7 @@
 				testCase.change(history, request)
 			}
 			var rules []string
-			for _, violation := range CheckHistory(history) {
+			for _, violation := range CheckHistory(history, testKillAfter) {
 				rules = append(rules, violation.Rule)
 			}
 			if got := strings.Join(rules, " "); got != testCase.want {
@@ -133,7 +147,7 @@
 			if testCase.lostAfter > 0 {
 				request.Responses, request.ConnectionLostAt = nil, request.SentAt+testCase.lostAfter
 			}
-			found := CheckHistory(history)
+			found := CheckHistory(history, testKillAfter)
 			if testCase.rule == "" {
 				if len(found) > 0 {
 					t.Errorf("found %v, want nothing", found)
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -14,14 +14,14 @@
 
 // Parameters of the clients' load.
 const (
-	clientsPerFrontEnd = 4
-	meanRequestGap     = 120 * time.Millisecond
-	functionCount      = 12
-	cancelShare        = 0.06 // fraction of the requests that the client cancels, within maxCancelDelay
-	disconnectShare    = 0.02 // fraction of the requests after which the client disconnects, within maxCancelDelay
-	maxCancelDelay     = 700 * time.Millisecond
-	reconnectDelay     = 50 * time.Millisecond
-	maxOpenRequests    = 32 // the platform's limit of unanswered requests on one connection
+	functionCount   = 12
+	cancelShare     = 0.06 // fraction of the requests that the client cancels, within maxCancelDelay
+	burstShare      = 0.01 // fraction of the requests in place of which the client sends a burst and disconnects at once
+	burstRequests   = 24   // requests of a burst; with those that are open before at most maxOpenRequests are sent
+	disconnectShare = 0.02 // fraction of the requests after which the client disconnects, within maxCancelDelay
+	maxCancelDelay  = 700 * time.Millisecond
+	reconnectDelay  = 50 * time.Millisecond
+	maxOpenRequests = 32 // the platform's limit of unanswered requests on one connection
 )
 
 // client sends requests to one front end, over one connection at a time.
@@ -70,18 +70,41 @@
 
 // requestGap draws the time until the next request. It is shorter during a traffic spike.
 func (c *client) requestGap() time.Duration {
-	gap := time.Duration(c.rng.ExpFloat64() * float64(meanRequestGap))
+	gap := time.Duration(c.rng.ExpFloat64() * float64(c.run.profile.meanRequestGap))
 	if c.frontEnd.inTrafficSpike() {
 		return gap / trafficSpikeFactor
 	}
 	return gap
 }
 
-// sendRequest sends one request, and cancels it or disconnects on some draws. It returns false if it closed the
+// sendRequest sends one request, and cancels it or disconnects on some draws. In place of it, it may send a burst of
+// requests and disconnect at once, so that the front end has not read them all. It returns false if it closed the
 // connection.
 func (c *client) sendRequest(ctx context.Context, conn *clientConn) bool {
+	if c.rng.Float64() < burstShare {
+		for range min(burstRequests, maxOpenRequests-conn.openCount()) {
+			c.sendOne(conn)
+		}
+		conn.disconnect()
+		return false
+	}
+	number := c.sendOne(conn)
+	switch draw := c.rng.Float64(); {
+	case draw < cancelShare:
+		sleep(ctx, time.Duration(c.rng.Float64()*float64(maxCancelDelay)))
+		conn.cancel(number)
+	case draw < cancelShare+disconnectShare:
+		sleep(ctx, time.Duration(c.rng.Float64()*float64(maxCancelDelay)))
+		conn.disconnect()
+		return false
+	}
+	return true
+}
+
+// sendOne sends one request and returns its number.
+func (c *client) sendOne(conn *clientConn) int {
 	name := classNames[c.rng.IntN(len(classNames))]
-	timeout := classes[name].deadline
+	timeout := c.run.profile.deadline(name)
 	if c.rng.Float64() < 0.3 {
 		timeout = time.Duration((0.2 + 0.8*c.rng.Float64()) * float64(timeout))
 	}
@@ -96,16 +119,7 @@
 		fields["once"] = fmt.Sprintf("%032s", id)
 	}
 	conn.send(number, id, []any{0, number, string(name), []any{fields, []byte(id)}})
-	switch draw := c.rng.Float64(); {
-	case draw < cancelShare:
-		sleep(ctx, time.Duration(c.rng.Float64()*float64(maxCancelDelay)))
-		conn.cancel(number)
-	case draw < cancelShare+disconnectShare:
-		sleep(ctx, time.Duration(c.rng.Float64()*float64(maxCancelDelay)))
-		conn.disconnect()
-		return false
-	}
-	return true
+	return number
 }
 
 // clientConn is one connection of a client. A goroutine reads responses until the connection ends.
--- a/lab/soak/endpoints.go
+++ b/lab/soak/endpoints.go
@@ -52,7 +52,9 @@
 	} else {
 		e.entries[entry.ID] = entry
 	}
-	if entry.State != endpointstream.Ready {
+	if entry.State == endpointstream.Ready {
+		e.history.Listed(entry.Name(), e.notifiedAt())
+	} else {
 		e.history.DrainAnnounced(entry.Name(), e.notifiedAt())
 	}
 	e.server.Publish(endpointstream.Event{Number: e.eventNumber, Kind: endpointstream.Delta, Entries: []endpointstream.Entry{entry}})
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -51,6 +51,8 @@
 	{"requests stall", 2, stallForward},
 	{"responses stall", 3, stallBackward},
 	{"worker replaced", 3, replaceWorker},
+	{"worker's address reused", 2, reuseAddress},
+	{"clients at full speed", 3, floodFrontEnd},
 	{"front end stopped", 5, pauseFrontEnd},
 	{"front end killed", 1, killFrontEnd},
 	{"front end restarted", 1, restartFrontEnd},
--- a/lab/soak/frontend.go
+++ b/lab/soak/frontend.go
@@ -16,7 +16,7 @@
 // Timeouts for the start and the end of a front end's process.
 const (
 	readyTimeout     = 10 * time.Second
-	terminateTimeout = 6 * time.Second // killAfter (3.7 s) and a margin, counted from SIGTERM
+	terminateTimeout = 6 * time.Second // profile.killAfter and a margin, counted from SIGTERM
 )
 
 // frontEnd is one front end. Its process may be started several times.
@@ -87,6 +87,7 @@
 		discovery:       f.run.endpoints.server.Address(),
 		seed:            uint64(f.index) + f.run.config.Seed<<16,
 		connectTimeout:  f.run.connectTimeout,
+		profile:         f.run.profile,
 		hasHealthChecks: f.run.config.Seed%noHealthChecksEvery != 0,
 		known:           f.run.endpoints.snapshot(),
 	}
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -8,6 +8,7 @@
 package soak
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -80,7 +81,8 @@
 	arrivals            []*Arrival
 	notExecuted         map[executionKey]int // number of responses that a request was not executed
 	loadOrders          []LoadOrder
-	notices             map[string]*DrainNotice // first notice of each worker, by its name
+	notices             map[string]*DrainNotice  // first notice of each worker, by its name
+	listed              map[string]time.Duration // when front ends were notified of each worker that came up unlisted, by its name
 	pauses              []*Pause
 	terminations        []*Termination
 	immediateViolations []string // violations found during the run, such as a crashed process
@@ -88,7 +90,7 @@
 
 // NewHistory returns an empty History whose clock starts now.
 func NewHistory() *History {
-	return &History{start: time.Now(), requests: map[string]*Request{}, notices: map[string]*DrainNotice{}, notExecuted: map[executionKey]int{}}
+	return &History{start: time.Now(), requests: map[string]*Request{}, notices: map[string]*DrainNotice{}, listed: map[string]time.Duration{}, notExecuted: map[executionKey]int{}}
 }
 
 // Now returns the time since the start of the run.
@@ -102,6 +104,26 @@
 	h.requests[request.ID] = &request
 }
 
+// CameUpUnlisted records that a worker has come up at the address of another one, before the endpoint stream announces it.
+func (h *History) CameUpUnlisted(worker string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.listed[worker] = neverListed
+}
+
+// Listed records from when on front ends count as notified of a worker. It has an effect on workers that came up
+// unlisted, once.
+func (h *History) Listed(worker string, at time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.listed[worker] == neverListed {
+		h.listed[worker] = at
+	}
+}
+
+// neverListed is the time at which a worker is listed that the endpoint stream does not announce.
+const neverListed = time.Duration(math.MaxInt64)
+
 // Written records that a request was written. Its timeout counts from then on.
 func (h *History) Written(id string) {
 	h.mu.Lock()
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -41,6 +41,7 @@
 	directory      string
 	endpoints      *endpoints
 	connectTimeout time.Duration
+	profile        profile
 	frontEnds      []*frontEnd
 	tasks          sync.WaitGroup
 	requests       atomic.Uint64 // number of requests sent
@@ -67,6 +68,7 @@
 		config:         config,
 		history:        NewHistory(),
 		connectTimeout: connectTimeout,
+		profile:        profileOf(config.Seed),
 		busy:           map[*frontEnd]bool{},
 		faultCounts:    map[string]int{},
 	}
@@ -142,8 +144,8 @@
 	r.tasks.Go(func() { r.lag.measure(ctx, r.history) })
 	var clients, faults sync.WaitGroup
 	for i, f := range r.frontEnds {
-		for n := range clientsPerFrontEnd {
-			c := &client{run: r, frontEnd: f, rng: rand.New(rand.NewPCG(r.config.Seed, uint64(1000+i*clientsPerFrontEnd+n)))}
+		for n := range r.profile.clientsPerFrontEnd {
+			c := &client{run: r, frontEnd: f, rng: rand.New(rand.NewPCG(r.config.Seed, uint64(1000+i*r.profile.clientsPerFrontEnd+n)))}
 			clients.Go(func() { c.sendRequests(ctx) })
 		}
 	}
@@ -206,18 +208,31 @@
 
 // addWorker starts a worker. It returns nil, and records the error as a violation, if the worker cannot start.
 func (r *run) addWorker(cell int, startedMillis int64, rng *rand.Rand) *worker {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.nextID++
-	w, err := startWorker(r.history, r.nextID, cell, startedMillis, rand.New(rand.NewPCG(rng.Uint64(), 0)))
+	w, err := r.startWorker(workerConfig{cell: cell, startedMillis: startedMillis}, rng)
 	if err != nil {
 		r.history.RecordViolation(err.Error())
 		return nil
 	}
-	r.workers = append(r.workers, w)
+	r.keepWorker(w)
 	return w
 }
 
+// startWorker starts a worker with a new identifier. The caller must pass it to keepWorker.
+func (r *run) startWorker(config workerConfig, rng *rand.Rand) (*worker, error) {
+	r.mu.Lock()
+	r.nextID++
+	config.id = r.nextID
+	r.mu.Unlock()
+	return startWorker(r.history, config, rand.New(rand.NewPCG(rng.Uint64(), 0)))
+}
+
+// keepWorker makes a worker available to faults, and to stop.
+func (r *run) keepWorker(w *worker) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.workers = append(r.workers, w)
+}
+
 // pickWorker draws a worker at random.
 func (r *run) pickWorker(rng *rand.Rand) *worker {
 	r.mu.Lock()
@@ -273,7 +288,7 @@
 	r.stopFrontEnds()
 	report := Report{
 		Faults:       r.faultCounts,
-		Violations:   CheckHistory(r.history),
+		Violations:   CheckHistory(r.history, r.profile.killAfter()),
 		WorstLag:     r.lag.worst,
 		RecordedLags: r.lag.recorded,
 	}
--- a/lab/soak/settings.go
+++ b/lab/soak/settings.go
@@ -25,6 +25,7 @@
 	discovery       string // address of the endpoint stream's server
 	seed            uint64
 	connectTimeout  time.Duration
+	profile         profile
 	hasHealthChecks bool           // the front end may send health checks
 	known           knownEndpoints // the endpoint list at the start
 }
@@ -35,7 +36,7 @@
 	for _, name := range classNames {
 		class := classes[name]
 		settings := map[string]any{
-			"name": name, "deadline": millis(class.deadline), "onTime": millis(class.deadline / 2), "repeat": class.platformRule, "worth": 2.0,
+			"name": name, "deadline": millis(f.profile.deadline(name)), "onTime": millis(f.profile.deadline(name) / 2), "repeat": class.platformRule, "worth": 2.0,
 		}
 		if class.retryRule == retryWithKey {
 			settings["keyScope"] = "cell"
--- a/lab/soak/terminate.go
+++ b/lab/soak/terminate.go
@@ -9,10 +9,11 @@
 
 // Terms of a planned restart. The platform sets them.
 const (
-	killAfter           = 3*time.Second + 700*time.Millisecond // the longest deadline and 0.7 s, counted from SIGTERM
-	minConnectPeriod    = 200 * time.Millisecond               // shortest time for which clients connect after SIGTERM
-	connectPeriodSpread = 200 * time.Millisecond               // largest random extension of minConnectPeriod
-	maxFurtherSignals   = 3                                    // most signals sent between the first SIGTERM and the kill
+	maxKillDeadline     = 3 * time.Second        // longer deadlines count as this when a kill is due
+	killMargin          = 700 * time.Millisecond // time from the longest deadline to the kill
+	minConnectPeriod    = 200 * time.Millisecond // shortest time for which clients connect after SIGTERM
+	connectPeriodSpread = 200 * time.Millisecond // largest random extension of minConnectPeriod
+	maxFurtherSignals   = 3                      // most signals sent between the first SIGTERM and the kill
 )
 
 // timedSignal is a signal that follows the first SIGTERM after a time.
@@ -23,7 +24,7 @@
 
 // drawFurtherSignals draws signals to be sent between the first SIGTERM and the kill. They must not change the front
 // end's shutdown.
-func drawFurtherSignals(params *faultParams) []timedSignal {
+func drawFurtherSignals(params *faultParams, killAfter time.Duration) []timedSignal {
 	signals := make([]timedSignal, params.rng.IntN(maxFurtherSignals+1))
 	for i := range signals {
 		signals[i] = timedSignal{
@@ -37,7 +38,7 @@
 
 // restartFrontEnd terminates and restarts a front end as the platform does at a planned restart. Clients make new
 // connections for a while after SIGTERM, and send requests on open connections until the process ends. A process that
-// has not ended after killAfter, the earliest time at which the platform may kill it, is killed, and its unanswered
+// has not ended after profile.killAfter, the earliest time at which the platform may kill it, is killed, and its unanswered
 // requests are lost.
 func restartFrontEnd(_ context.Context, r *run, params *faultParams) {
 	f := r.acquireFrontEnd(params.rng)
@@ -45,7 +46,8 @@
 		return
 	}
 	r.logf("front end %d sent SIGTERM", f.index)
-	signals := drawFurtherSignals(params)
+	killAfter := r.profile.killAfter()
+	signals := drawFurtherSignals(params, killAfter)
 	f.expectExit()
 	killed := r.history.Terminated(f.index)
 	f.signal(syscall.SIGTERM)
--- a/lab/soak/worker.go
+++ b/lab/soak/worker.go
@@ -48,15 +48,22 @@
 	rng *rand.Rand
 }
 
-// startWorker starts a worker in a cell. The time of its start that the endpoint list announces is given in Unix
-// milliseconds; 0 announces none.
-func startWorker(history *History, id uint32, cell int, started int64, rng *rand.Rand) (*worker, error) {
+// workerConfig configures a worker.
+type workerConfig struct {
+	id            uint32
+	cell          int
+	startedMillis int64  // start that the endpoint list announces, in Unix milliseconds; 0: none
+	address       string // where the worker listens; empty: at a free port
+}
+
+// startWorker starts a worker.
+func startWorker(history *History, config workerConfig, rng *rand.Rand) (*worker, error) {
 	w := &worker{history: history, rng: rng}
 	var err error
 	if w.server, err = platformworker.StartFullyScripted(w.handle); err != nil {
 		return nil, err
 	}
-	if w.proxy, err = faultproxy.StartWithTap(w.server.Address(), w.tap); err != nil {
+	if w.proxy, err = w.startProxy(config.address); err != nil {
 		w.server.Close()
 		return nil, err
 	}
@@ -65,10 +72,18 @@
 		w.close()
 		return nil, err
 	}
-	w.entry = endpointstream.Entry{ID: id, Address: address, Cell: cell, Weight: 1, StartedUnixMilli: started}
+	w.entry = endpointstream.Entry{ID: config.id, Address: address, Cell: config.cell, Weight: 1, StartedUnixMilli: config.startedMillis}
 	return w, nil
 }
 
+// startProxy starts the worker's proxy at an address, or at a free port if it is empty.
+func (w *worker) startProxy(address string) (*faultproxy.Proxy, error) {
+	if address == "" {
+		return faultproxy.StartWithTap(w.server.Address(), w.tap)
+	}
+	return faultproxy.StartAt(address, w.server.Address(), w.tap)
+}
+
 // close ends the worker and its connections, as a failure of its machine does.
 func (w *worker) close() {
 	w.proxy.Close()
--- a/scheduler/cold_worker.go
+++ b/scheduler/cold_worker.go
@@ -46,7 +46,7 @@
 // small cell it returns only the members of that cell, which avoids a search of all workers.
 func (s *Scheduler) coldCandidates(function *functionRecord, request *requestRecord) iter.Seq[*workerRecord] {
 	if request.boundToKeyScope() && request.class.KeyScope == ScopeCell {
-		members := s.cellMembers(request.firstWorker.Cell)
+		members := s.cellMembers(request.firstLocation.cell)
 		if len(members) <= placementSearch {
 			return slices.Values(s.inRendezvousOrder(function, members))
 		}
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -18,12 +18,16 @@
 	triggeredLoad   bool          // sent to a replica that was not known to be loaded
 	mayHaveExecuted bool          // an earlier attempt may have executed
 	firstSentAt     time.Duration // send time of the first attempt that may have executed
-	firstWorker     WorkerInfo    // worker of the first attempt that may have executed, for the scope of its idempotency key
+	sentTo          location      // of the worker of the attempt in flight, when it was sent
+	firstLocation   location      // sentTo of the first attempt that may have executed, for the scope of its idempotency key
 	closed          bool          // no response is owed any longer
 	streamed        bool          // the response has begun
 	overQuota       bool          // over the quota of its tenant
 }
 
+// location is a worker's zone and cell, to which the scope of an idempotency key refers.
+type location struct{ zone, cell int }
+
 // queueRank is the rank of a queued request; lower ranks are sent first.
 type queueRank int
 
@@ -63,6 +67,7 @@
 	function, worker := request.function, replica.worker
 	function.queue = without(function.queue, request)
 	request.replica, request.sentAt = replica, s.now
+	request.sentTo = location{replica.worker.Zone, replica.worker.Cell}
 	request.triggeredLoad = replica.loading
 	request.queuedBehindOwn = replica.inFlight >= function.concurrency
 	request.attempts++
@@ -102,11 +107,11 @@
 	return replica
 }
 
-// recordPossibleExecution records that the attempt just ended at a worker may have executed. Only the first such
+// recordPossibleExecution records that the attempt that has just ended may have executed. Only the first such
 // attempt is recorded.
-func (r *requestRecord) recordPossibleExecution(worker *workerRecord) {
+func (r *requestRecord) recordPossibleExecution() {
 	if !r.mayHaveExecuted {
-		r.mayHaveExecuted, r.firstSentAt, r.firstWorker = true, r.sentAt, worker.WorkerInfo
+		r.mayHaveExecuted, r.firstSentAt, r.firstLocation = true, r.sentAt, r.sentTo
 	}
 }
 
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -6,7 +6,7 @@
 // response for the client. A non-idempotent request that may have executed fails immediately.
 func (s *Scheduler) retryOrFinish(request *requestRecord, worker *workerRecord, status Status) {
 	if status.MayHaveExecuted() {
-		request.recordPossibleExecution(worker)
+		request.recordPossibleExecution()
 		if request.class.Idempotency == NonIdempotent {
 			s.rejectOrFail(request, MayNotExecuteTwice)
 			return
@@ -38,9 +38,9 @@
 	case ScopeAll:
 		return true
 	case ScopeZone:
-		return worker.Zone == request.firstWorker.Zone
+		return worker.Zone == request.firstLocation.zone
 	case ScopeCell:
-		return worker.Cell == request.firstWorker.Cell
+		return worker.Cell == request.firstLocation.cell
 	}
 	return false
 }
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -133,3 +133,23 @@
 		})
 	}
 }
+
+// TestRetry_CellChangesDuringAttempt_KeyScopeIsThatOfTheSend guards against a keyed request that is retried where its key
+// is not known, because its worker was listed in another cell when the attempt ended than when it was sent.
+func TestRetry_CellChangesDuringAttempt_KeyScopeIsThatOfTheSend(t *testing.T) {
+	harness := newHarness(t, testSettings(), 4) // two workers per cell
+	harness.warm(7)
+	r := harness.request(7, 1)
+	first := harness.workerOf(r)
+	sentToCell := int(first-1) % 2
+	harness.changeWorker(WorkerInfo{ID: first, Cell: 1 - sentToCell, Started: UnknownStart, State: Ready})
+	harness.endAttempt(r, Error, ColdStartUnknown)
+	for range 4 {
+		harness.answerQueries()
+		harness.advance(50 * ms)
+	}
+	again := harness.sentTo[r][1:]
+	if len(again) == 0 || again[0] == first || int(again[0]-1)%2 != sentToCell {
+		t.Errorf("sent again to %v after worker %d of cell %d, want the other worker of that cell", again, first, sentToCell)
+	}
+}
