Identify workers also in a process that started in an outage, and 2 s after a break of the stream

Change: whether a worker is identified no longer follows from whether it may have restarted: each connection that is newer than the last confirmation, or made before the first one, may lead to another process (Lease.MayBeOtherProcess). Such a worker is in a cell of its own, and in another one on each newer connection. Keyed requests that wait for its confirmation return to the scheduler.

Cost: until the first confirmation, mostly within a second of the start, a keyed request that may have run is not retried.

--- a/internal/decide/endpointlease/endpointlease.go
+++ b/internal/decide/endpointlease/endpointlease.go
@@ -119,6 +119,12 @@
 	return silenceExceeded && connectedAt > l.confirmedAt
 }
 
+// MayBeOtherProcess reports whether a new process may have come up at a worker's address before a connection was
+// established there at the given time, without this front end learning of it from a confirmed list.
+func (l *Lease) MayBeOtherProcess(connectedAt time.Duration) bool {
+	return l.rules.NotifiedAfterSilence > 0 && connectedAt > l.confirmedAt
+}
+
 // ValidUntil returns the time until which new work may start at workers that the list shows as ready.
 func (l *Lease) ValidUntil() time.Duration {
 	if l.rules.NotifiedAfterSilence == 0 {
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -95,7 +95,7 @@
 	}
 	f.trace.listed(f.now, w, entry, f.startTime(entry.Started))
 	delete(f.overridden, id)
-	w.readiness.mayBeOtherProcess = false
+	w.readiness.unidentifiedCell = 0
 	if w.client == nil || w.Address != entry.Address {
 		if w.client != nil {
 			f.releaseAddress(id, w.Address)
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -149,6 +149,8 @@
 	cells map[string]int
 	kinds map[string]int
 
+	lastUnidentifiedCell int // last readiness.unidentifiedCell that was assigned
+
 	shuttingDown bool // whether all new requests are rejected
 	counts       Counts
 }
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -17,13 +17,15 @@
 type readiness struct {
 	acceptedAt  time.Duration // when the worker last accepted new work or passed a health check; 0 if never
 	connectedAt time.Duration // when the connection was established that last made the worker count as restarted
-	// mayBeOtherProcess is whether a new process may have come up at the worker's address since the endpoint list was last
-	// confirmed.
-	mayBeOtherProcess bool
-	check             *healthCheck  // health check in flight, or nil
-	drainReports      int           // number of consecutive health checks that reported the worker as draining
-	recheckAt         time.Duration // when a worker that reported itself as draining is to be checked again
-	waiting           waitingWork
+	// unidentifiedCell is the scheduler's number of a cell that the worker has alone, because a new process may have come up
+	// at its address since the endpoint list was last confirmed; 0 if the worker is identified. It is negative, unlike the
+	// numbers of listed cells, and another one for each new connection.
+	unidentifiedCell      int
+	unidentifiedConnected time.Duration // when the connection was established that last made the worker count as unidentified
+	check                 *healthCheck  // health check in flight, or nil
+	drainReports          int           // number of consecutive health checks that reported the worker as draining
+	recheckAt             time.Duration // when a worker that reported itself as draining is to be checked again
+	waiting               waitingWork
 }
 
 // waitingWork is new work for a worker that waits for the response to a health check.
@@ -195,7 +197,7 @@
 	case scheduler.OK:
 		w.recordAccepted(check.SentAfter())
 		w.readiness.drainReports = 0
-		f.treatAsRestarted(w, check.ConnectedAt)
+		f.observeProcess(w, check.ConnectedAt)
 		f.sendWaiting(w)
 	case scheduler.Error:
 		f.treatAsDraining(w)
@@ -259,22 +261,47 @@
 	}
 }
 
-// treatAsRestarted reports a worker to the scheduler as just started if the worker may have restarted while discovery
-// could not report it. This prevents the worker from being overloaded during its slow start. It may also be the process
-// of another worker that has the same address, so that its cell is not known.
-func (f *FrontEnd) treatAsRestarted(w *worker, connectedAt time.Duration) {
-	isKnownProcess := connectedAt <= w.readiness.connectedAt
-	if isKnownProcess || !f.lease.MayHaveRestarted(f.now, connectedAt) {
+// observeProcess handles the response of a worker on a connection that was established at the given time, while the
+// endpoint list is not confirmed. The process that responds may have started, or may belong to another worker that has the
+// same address, without a report of discovery.
+func (f *FrontEnd) observeProcess(w *worker, connectedAt time.Duration) {
+	if connectedAt <= w.readiness.connectedAt || f.listIsConfirmed() {
+		return // a known process
+	}
+	restarted := f.lease.MayHaveRestarted(f.now, connectedAt)
+	unidentified := f.lease.MayBeOtherProcess(connectedAt)
+	isSameConnection := connectedAt <= w.readiness.unidentifiedConnected
+	if !restarted && (!unidentified || isSameConnection) {
 		return
 	}
-	w.readiness.connectedAt = connectedAt
+	if unidentified && !isSameConnection {
+		f.lastUnidentifiedCell--
+		w.readiness.unidentifiedCell = f.lastUnidentifiedCell
+		w.readiness.unidentifiedConnected = connectedAt
+	}
 	f.overridden[w.id] = w
-	w.readiness.mayBeOtherProcess = true
 	info := f.listedInfo(w)
-	info.Started = f.now
+	if restarted {
+		w.readiness.connectedAt = connectedAt
+		info.Started = f.now // the worker must not be overloaded during its slow start
+	}
 	f.scheduler.WorkersChanged(f.now, []scheduler.WorkerInfo{info}, false)
-	// More work may wait than a worker in slow start may be sent, so the scheduler decides again.
-	f.endWaiting(w, scheduler.NotSent)
+	f.returnWaiting(w, restarted)
+}
+
+// returnWaiting returns work that waited for a worker to the scheduler, which must decide again: all of it if the worker
+// may have restarted, because more may wait than a worker in slow start may be sent, and else what depends on its cell.
+func (f *FrontEnd) returnWaiting(w *worker, all bool) {
+	if all {
+		f.endWaiting(w, scheduler.NotSent)
+		return
+	}
+	for _, attempt := range slices.Clone(w.readiness.waiting.attempts) {
+		class := f.settings.Scheduler.Classes[attempt.request.Class]
+		if class.Idempotency == scheduler.IdempotentByKey && class.KeyScope == scheduler.ScopeCell {
+			f.endAttempt(attempt, abandonedResult(scheduler.NotSent, attemptUnconfirmed))
+		}
+	}
 }
 
 // endOverrides restores the listed state and start of all overridden workers. The list must be confirmed.
@@ -282,7 +309,7 @@
 	for _, id := range sortedKeys(f.overridden) {
 		w := f.overridden[id]
 		delete(f.overridden, id)
-		w.readiness.mayBeOtherProcess = false
+		w.readiness.unidentifiedCell = 0
 		if f.workers[id] == w {
 			f.changeState(w, w.State)
 		}
@@ -301,8 +328,8 @@
 func (f *FrontEnd) listedInfo(w *worker) scheduler.WorkerInfo {
 	listed := []scheduler.WorkerInfo{f.workerInfo(w.id, w.Worker)}
 	info := f.incarnations.ObserveChanges(f.now, listed, len(f.workers))[0]
-	if w.readiness.mayBeOtherProcess {
-		info.Cell = unidentifiedCellNumber(w.id)
+	if w.readiness.unidentifiedCell != 0 {
+		info.Cell = w.readiness.unidentifiedCell
 	}
 	return info
 }
@@ -314,5 +341,5 @@
 		f.removeHealthCheck(check)
 	}
 	w.readiness.acceptedAt = 0
-	w.readiness.mayBeOtherProcess = false
+	w.readiness.unidentifiedCell = 0
 }
--- a/internal/gateway/readiness_test.go
+++ b/internal/gateway/readiness_test.go
@@ -440,27 +440,32 @@
 // gone, and was taken for it. Only a connection that is older than the last confirmation shows that it is the same one.
 func TestSend_WorkerMayBeAnotherProcess_KeyedRequestNotRetriedThere(t *testing.T) {
 	for name, test := range map[string]struct {
-		reconnected bool // the workers are reachable on new connections only when the request is retried
-		wantRetry   bool
+		startedInOutage bool          // the list was never confirmed
+		silence         time.Duration // time from the last confirmation, or from the start, to the request
+		reconnected     bool          // the workers are reachable on new connections only when the request is retried
+		wantRetry       bool
 	}{
-		"on the existing connection": {false, true},
-		"on a new connection":        {true, false},
+		"on the existing connection":             {false, 5 * time.Second, false, true},
+		"on a new connection":                    {false, 5 * time.Second, true, false},
+		"on a new connection, 2 s after a break": {false, 2500 * ms, true, false},
+		"the front end started in the outage":    {true, time.Second, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			harness := newLeaseHarness(t, 3, nil) // w0 and w2 are in one cell
-			confirmedAt := harness.clock
-			connectedAt := confirmedAt - time.Second
-			respond := func() {
-				for checked := harness.checkedWorkers(); len(checked) > 0; checked = harness.checkedWorkers() {
-					for _, worker := range checked {
-						worker.healthChecks[0].ConnectedAt = connectedAt
-						harness.respondToHealthCheck(worker, scheduler.OK)
-					}
-				}
+			harness := newHarness(t, 3, func(settings *Settings) { // w0 and w2 are in one cell
+				settings.EndpointRules = leaseRules
+				settings.Scheduler.HealthChecksAllowed = true
+				settings.Scheduler.ConnectTimeout = 250 * ms
+			})
+			connectedAt := harness.clock - time.Second
+			if test.startedInOutage {
+				connectedAt = harness.clock + 1
+			} else {
+				harness.confirmList()
+				harness.interruptStream()
 			}
-			harness.endLease()
+			harness.advance(test.silence)
 			request := harness.submit(keyedClass)
-			respond()
+			harness.respondToHealthChecks(connectedAt)
 			if !harness.hasAttempt(request) {
 				t.Fatal("the request was not sent")
 			}
@@ -468,9 +473,9 @@
 				connectedAt = harness.clock
 			}
 			harness.endWith(request, scheduler.Error)
-			respond()
+			harness.respondToHealthChecks(connectedAt)
 			harness.advance(20 * ms)
-			respond()
+			harness.respondToHealthChecks(connectedAt)
 			if got := harness.hasAttempt(request); got != test.wantRetry {
 				t.Errorf("retried: %v, want %v", got, test.wantRetry)
 			}
@@ -481,6 +486,24 @@
 	}
 }
 
+// interruptStream reports that the endpoint stream broke off after the last confirmation.
+func (harness *testHarness) interruptStream() {
+	lease := harness.lease
+	lease.Interrupt()
+	harness.EndpointLeaseChanged(harness.clock, lease, true)
+}
+
+// respondToHealthChecks makes all workers respond to the health checks in flight, and to those that follow at once, on
+// connections that were established at the given time.
+func (harness *testHarness) respondToHealthChecks(connectedAt time.Duration) {
+	for checked := harness.checkedWorkers(); len(checked) > 0; checked = harness.checkedWorkers() {
+		for _, worker := range checked {
+			worker.healthChecks[0].ConnectedAt = connectedAt
+			harness.respondToHealthCheck(worker, scheduler.OK)
+		}
+	}
+}
+
 // TestSend_WorkerReportedDraining_IsCheckedAgain checks that a worker that reported itself as draining is checked again
 // after a delay, and is sent no work before it is healthy.
 func TestSend_WorkerReportedDraining_IsCheckedAgain(t *testing.T) {
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -25,22 +24,14 @@
 	readiness       readiness
 }
 
-// unidentifiedCell is the prefix of the cell of a worker that may be another process than the one in the endpoint list.
-// Each such worker is in a cell of its own.
-const unidentifiedCell = "unidentified "
-
 // location returns the worker's zone and cell, which the scope of an idempotency key refers to.
 func (w *worker) location() execution.Location {
-	if w.readiness.mayBeOtherProcess {
-		return execution.Location{Zone: w.Zone, Cell: unidentifiedCell + w.Name}
+	if w.readiness.unidentifiedCell != 0 {
+		return execution.Location{Zone: w.Zone, Cell: "unidentified " + strconv.Itoa(w.readiness.unidentifiedCell)}
 	}
 	return execution.Location{Zone: w.Zone, Cell: w.Cell}
 }
 
-// unidentifiedCellNumber returns the number that stands for the cell of an unidentified worker in the scheduler. Numbers
-// of listed cells are not negative.
-func unidentifiedCellNumber(id scheduler.WorkerID) int { return -1 - int(id&math.MaxInt32) }
-
 // addLogFields adds the worker's name to a log line, and its identifier, which the scheduler's log messages use.
 func (w *worker) addLogFields(line *zerolog.Event) *zerolog.Event {
 	return line.Str("worker", w.Name).Str("worker-id", strconv.FormatUint(uint64(w.id), 16))
