--- a/cmd/havencart/flood.go
+++ b/cmd/havencart/flood.go
@@ -17,6 +17,7 @@
 	config   flood.Config
 	kinds    []string
 	frontEnd string // path of the program to run as the front end; empty: this program
+	target   string // address of a front end that runs already; empty: one is started
 }
 
 // floodCommand returns the command that measures a front end with little memory beside clients that send more than it
@@ -46,6 +47,7 @@
 	flags.DurationVar(&config.RegularGap, "regular-gap", 0, "mean time between two requests of a regular client; 0: 100ms")
 	flags.DurationVar(&config.Length, "length", 20*time.Second, "duration of each flood")
 	flags.StringVar(&config.LogPath, "logs", "", "file for the front end's log, followed by the kind of the flood")
+	flags.StringVar(&options.target, "target", "", "address of a front end that runs already: only the flooding clients are run")
 	flags.StringVar(&options.frontEnd, "front-end", "", "program to run as the front end; default: this program")
 	return command
 }
@@ -57,6 +59,9 @@
 	if err != nil {
 		return err
 	}
+	if options.target != "" {
+		return runFloodClients(ctx, out, options, kinds)
+	}
 	program := options.frontEnd
 	if program == "" {
 		if program, err = os.Executable(); err != nil {
@@ -84,6 +89,19 @@
 	return nil
 }
 
+// runFloodClients runs the selected floods against a front end that runs already.
+func runFloodClients(ctx context.Context, out output, options *floodOptions, kinds []flood.Kind) error {
+	for _, kind := range kinds {
+		ctx, cancel := context.WithTimeout(ctx, options.config.Length)
+		tally := flood.RunClients(ctx, flood.ClientsConfig{
+			Address: options.target, Kind: kind, Clients: options.config.Clients, Timeout: options.config.RequestTimeout, Seed: options.config.Seed,
+		})
+		cancel()
+		out.printf("%-11s %v\n", kind, tally)
+	}
+	return nil
+}
+
 // selectedKinds returns the kinds of the flags, or all kinds if none is given.
 func (o *floodOptions) selectedKinds() ([]flood.Kind, error) {
 	if len(o.kinds) == 0 {
--- a/cmd/havencart/serveplatform_test.go
+++ b/cmd/havencart/serveplatform_test.go
@@ -27,11 +27,19 @@
 // the alias that deploy/balancer.toml uses.
 const envRunAsFrontEnd = "HAVENCART_TEST_AS_FRONT_END"
 
+// envRunAsFlood is the environment variable that makes the test binary run flooding clients.
+const envRunAsFlood = "HAVENCART_TEST_AS_FLOOD"
+
 func TestMain(m *testing.M) {
 	if os.Getenv(envRunAsFrontEnd) != "" {
 		os.Args = []string{"havencart", "relay"}
 		main()
 	}
+	if os.Getenv(envRunAsFlood) != "" {
+		os.Args = append([]string{"havencart", "flood"}, os.Args[1:]...)
+		main()
+		return
+	}
 	os.Exit(m.Run())
 }
 
@@ -50,6 +58,13 @@
 	log    *bufio.Scanner
 }
 
+// floodCommandOfTest returns a command that runs flooding clients, to which arguments are appended.
+func floodCommandOfTest() *exec.Cmd {
+	command := exec.Command(os.Args[0])
+	command.Env = []string{envRunAsFlood + "=1"}
+	return command
+}
+
 // frontEndCommand returns a command that runs this test's program as a front end.
 func frontEndCommand() *exec.Cmd {
 	command := exec.Command(os.Args[0])
--- a/cmd/havencart/soak.go
+++ b/cmd/havencart/soak.go
@@ -147,7 +147,9 @@
 		Cells:     cells,
 		Length:    o.length,
 		Command:   func() *exec.Cmd { return exec.Command(executable, "serve-platform") },
-		LogDir:    o.logs,
+
+		FloodCommand: func() *exec.Cmd { return exec.Command(executable, "flood") },
+		LogDir:       o.logs,
 	}
 	if o.verbose {
 		config.ReportFault = func(text string) { out.printf("seed %d: %s\n", seed, text) }
--- a/cmd/havencart/soak_test.go
+++ b/cmd/havencart/soak_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	report, err := soak.Run(t.Context(), soak.Config{
 		Seed: config.Seed, FrontEnds: config.FrontEnds, Workers: config.Workers, Cells: config.Cells, Length: config.Length,
-		Command: frontEndCommand,
+		Command: frontEndCommand, FloodCommand: floodCommandOfTest,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/lab/flood/client.go
+++ b/lab/flood/client.go
@@ -1,12 +1,14 @@
 package flood
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -44,19 +46,28 @@
 	tallyNow func() *Tally
 }
 
-// ClientConfig configures one flooding client.
-type ClientConfig struct {
-	Address string
+// ClientsConfig configures flooding clients of a front end that runs already.
+type ClientsConfig struct {
+	Address string // of the front end
 	Kind    Kind
-	Timeout time.Duration // time for which the client waits for a response
-	Random  *rand.Rand
-}
-
-// RunClient runs one flooding client until ctx ends.
-func RunClient(ctx context.Context, config ClientConfig) {
-	var tally Tally
-	c := &client{address: config.Address, timeout: config.Timeout, random: config.Random, tallyNow: func() *Tally { return &tally }}
-	c.flood(ctx, config.Kind)
+	Clients int
+	Timeout time.Duration // time for which clients wait for a response; 0: 3 s
+	Seed    uint64
+}
+
+// RunClients runs flooding clients until ctx ends, and returns what became of their requests.
+func RunClients(ctx context.Context, config ClientsConfig) *Tally {
+	tally := &Tally{}
+	var clients sync.WaitGroup
+	for i := range config.Clients {
+		c := &client{
+			address: config.Address, timeout: cmp.Or(config.Timeout, defaultRequestTimeout),
+			random: newRandom(config.Seed, regularClients+i), tallyNow: func() *Tally { return tally },
+		}
+		clients.Go(func() { c.flood(ctx, config.Kind) })
+	}
+	clients.Wait()
+	return tally
 }
 
 // connect opens a connection. It returns nil if that fails, after a delay.
--- a/lab/flood/flood.go
+++ b/lab/flood/flood.go
@@ -4,6 +4,7 @@
 package flood
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -107,12 +108,8 @@
 	if config.Workers.Count < 1 {
 		return nil, errNoWorkers
 	}
-	if config.RequestTimeout == 0 {
-		config.RequestTimeout = defaultRequestTimeout
-	}
-	if config.RegularGap == 0 {
-		config.RegularGap = defaultRegularGap
-	}
+	config.RequestTimeout = cmp.Or(config.RequestTimeout, defaultRequestTimeout)
+	config.RegularGap = cmp.Or(config.RegularGap, defaultRegularGap)
 	workers, err := startWorkers(config.Seed, config.Workers)
 	if err != nil {
 		return nil, err
--- a/lab/soak/flood.go
+++ b/lab/soak/flood.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
+	"fmt"
+	"os"
+	"time"
 
 	"havencart/lab/flood"
 )
@@ -17,21 +18,40 @@
 // floodSizes are numbers of clients of a flood.
 var floodSizes = []int{1, 6, 60}
 
-// floodFrontEnd has clients send to one front end at full speed, write slowly or stop within a message.
+// floodExitTimeout is how long the process of a flood may run longer than the flood.
+const floodExitTimeout = 2 * time.Second
+
+// floodFrontEnd has clients send to one front end at full speed, write slowly or stop within a message. The clients run in
+// a process of their own with one processor, so that they do not delay what this process observes.
 func floodFrontEnd(ctx context.Context, r *run, params *faultParams) {
+	if r.config.FloodCommand == nil {
+		return
+	}
 	frontEnd := r.frontEnds[params.rng.IntN(len(r.frontEnds))]
 	kind := floodKinds[params.rng.IntN(len(floodKinds))]
 	size := floodSizes[params.rng.IntN(len(floodSizes))]
 	r.logf("%d clients of kind %s at front end %d", size, kind, frontEnd.index)
-	ctx, cancel := context.WithTimeout(ctx, params.duration)
-	defer cancel()
-	var clients sync.WaitGroup
-	for range size {
-		config := flood.ClientConfig{
-			Address: frontEnd.address, Kind: kind, Timeout: r.profile.deadline(Quote),
-			Random: rand.New(rand.NewPCG(params.rng.Uint64(), 0)),
+	command := r.config.FloodCommand()
+	command.Args = append(
+		command.Args, "--target", frontEnd.address, "--kind", string(kind), "--clients", fmt.Sprint(size),
+		"--length", params.duration.String(), "--timeout", r.profile.deadline(Quote).String(), "--seed", fmt.Sprint(params.rng.Uint64()),
+	)
+	command.Env = append(append(os.Environ(), command.Env...), "GOMAXPROCS=1")
+	if err := command.Start(); err != nil {
+		r.history.RecordViolation(fmt.Sprintf("a flood did not start: %v", err))
+		return
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- command.Wait() }() // ends with the process, which is killed below at the latest
+	select {
+	case err := <-ended:
+		if err != nil {
+			r.history.RecordViolation(fmt.Sprintf("a flood ended with %v", err))
 		}
-		clients.Go(func() { flood.RunClient(ctx, config) })
+		return
+	case <-ctx.Done():
+	case <-time.After(params.duration + floodExitTimeout):
 	}
-	clients.Wait()
+	_ = command.Process.Kill()
+	<-ended
 }
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -14,14 +14,16 @@
 
 // Config configures one run.
 type Config struct {
-	Seed        uint64 // seeds the random draws of faults, clients and workers
-	FrontEnds   int
-	Workers     int
-	Cells       int
-	Length      time.Duration     // how long clients send requests and faults are injected
-	Command     func() *exec.Cmd  // returns a front end's command, to which RELAY_CONFIG names its configuration file
-	LogDir      string            // directory for the front ends' logs; if empty, a temporary directory that is removed
-	ReportFault func(text string) // called for each fault as it begins, and for its steps; may be nil
+	Seed      uint64 // seeds the random draws of faults, clients and workers
+	FrontEnds int
+	Workers   int
+	Cells     int
+	Length    time.Duration    // how long clients send requests and faults are injected
+	Command   func() *exec.Cmd // returns a front end's command, to which RELAY_CONFIG names its configuration file
+	// FloodCommand returns the command `havencart flood`, to which arguments are appended. If it is nil, there are no floods.
+	FloodCommand func() *exec.Cmd
+	LogDir       string            // directory for the front ends' logs; if empty, a temporary directory that is removed
+	ReportFault  func(text string) // called for each fault as it begins, and for its steps; may be nil
 }
 
 // Report summarizes a run.
