End a connection to a worker that sends responses which nothing awaits without end

Nothing bounded how many a worker sends. After 128 in a row on one connection, more than a worker may owe for cancelled requests, the connection now ends as after a malformed response.

TestResponse_WorkerSendsUnknownNumbersWithoutEnd_ConnectionEnds failed before (the connection stays open).

--- a/internal/decide/connpool/connpool.go
+++ b/internal/decide/connpool/connpool.go
@@ -20,11 +20,18 @@
 	// cancelledWriteTimeout is the maximum duration of a write after a request in it was cancelled. The platform's rules
 	// allow an attempt to start at most 0.1 s after the cancellation.
 	cancelledWriteTimeout = 50 * time.Millisecond
+	// maxUnexpectedResponses is the maximum number of consecutive responses on a connection that nothing awaits. More than a
+	// worker may owe for cancelled requests, and than come with a duplicate or early response now and then.
+	maxUnexpectedResponses = 128
 	// reservedDivisor is the divisor of the connection limit that gives the part (1/8) reserved for workers without a
 	// connection.
 	reservedDivisor = 8
 )
 
+// TooManyUnexpected reports whether a connection must be closed because that many consecutive responses were received on
+// it that nothing awaits: a worker that sends them without end would take the processor time of all others.
+func TooManyUnexpected(consecutive int) bool { return consecutive > maxUnexpectedResponses }
+
 // Connection is the part of the state of a connection to a worker that Select depends on.
 type Connection struct {
 	InFlight int           // number of assigned requests and load orders, including those not yet written
--- a/internal/platform/workerclient/connection_read.go
+++ b/internal/platform/workerclient/connection_read.go
@@ -39,13 +39,19 @@
 	reader.OnFrameStart = func() {
 		_ = netConn.SetReadDeadline(time.Now().Add(connpool.FrameTimeout())) // fails only if the connection is closed
 	}
+	unexpected := 0 // consecutive responses that nothing awaits
 	for {
 		memory = nil
 		frame, err := reader.Next()
 		switch {
 		case err == nil:
 			_ = netConn.SetReadDeadline(time.Time{})
-			err = c.handle(frame, memory)
+			var expected bool
+			expected, err = c.handle(frame, memory)
+			unexpected = countUnexpected(unexpected, expected)
+			if err == nil && connpool.TooManyUnexpected(unexpected) {
+				err = fmt.Errorf("%w: %d answers that nobody awaits", workerframe.ErrMalformed, unexpected)
+			}
 		case isTimeout(err):
 			err = fmt.Errorf("%w: an answer stopped short", workerframe.ErrMalformed)
 		}
@@ -56,6 +62,14 @@
 	}
 }
 
+// countUnexpected returns the number of consecutive unexpected responses after another response.
+func countUnexpected(before int, expected bool) int {
+	if expected {
+		return 0
+	}
+	return before + 1
+}
+
 // reserveResponse waits until there is memory for a response whose body has that size. It returns an error if the
 // client is stopped first.
 func (c *connection) reserveResponse(size int) (*memorybudget.Reservation, error) {
@@ -81,11 +95,12 @@
 }
 
 // handle reports the result that a response contains, with the reservation for its body. A response that matches no
-// unfinished item is dropped and counted as late. If handle returns an error, the reservation remains with the caller.
-func (c *connection) handle(frame workerframe.Frame, memory *memorybudget.Reservation) error {
+// unfinished item is not expected; it is dropped and counted as late. If handle returns an error, the reservation remains
+// with the caller.
+func (c *connection) handle(frame workerframe.Frame, memory *memorybudget.Reservation) (expected bool, err error) {
 	fields, err := workerframe.ParseResponseFields(frame.Fields, c.client.cfg.LoadReportFields)
 	if err != nil {
-		return err
+		return false, err
 	}
 	finished := c.finish(frame)
 	events := c.client.events
@@ -111,8 +126,9 @@
 	case finished.receipt:
 	default:
 		events.LateResponse(0)
+		return false, nil
 	}
-	return nil
+	return true, nil
 }
 
 // finish removes and returns the unfinished item that a response matches.
--- a/internal/platform/workerclient/connection_read_test.go
+++ b/internal/platform/workerclient/connection_read_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"havencart/internal/platform/workerframe"
 	"havencart/lab/platformworker"
@@ -88,3 +89,44 @@
 		})
 	}
 }
+
+// TestResponse_WorkerSendsUnknownNumbersWithoutEnd_ConnectionEnds guards against a worker that takes the processor time of
+// all others by responses that nothing awaits.
+func TestResponse_WorkerSendsUnknownNumbersWithoutEnd_ConnectionEnds(t *testing.T) {
+	ended := make(chan bool, 1)
+	client, recorder, _ := startWorkerAndClient(t, func(c *platformworker.Conn, f workerframe.Frame) {
+		if f.Code != workerframe.Request {
+			return
+		}
+		raw, err := workerframe.Append(nil, workerframe.MagicWorker, workerframe.Frame{Code: workerframe.OK, ID: f.ID + 1})
+		if err != nil {
+			t.Error(err)
+		}
+		const tooMany = 10000
+		for range tooMany {
+			c.WriteRaw(raw)
+		}
+		ended <- true
+	})
+	testEnds := make(chan struct{})
+	defer close(testEnds)
+	go func() {
+		for {
+			select {
+			case <-recorder.lateResponses:
+			case <-testEnds:
+				return
+			}
+		}
+	}()
+	send(t, client, newAttempt(1))
+	<-ended
+	select {
+	case result := <-recorder.attemptEnds:
+		if result.Status != scheduler.Error && result.Status != scheduler.Reset {
+			t.Errorf("status %v", result.Status)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the connection stays open")
+	}
+}
