--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -90,13 +90,6 @@
 	request.complete(FinalResponse{Kind: Rejected, Reason: reason.String(), RetryAfter: l.cfg.Scheduler.MaxRetryAfter})
 }
 
-// logShed logs a request that was rejected without the FrontEnd. The caller may be any goroutine.
-func (l *EventLoop) logShed(request *Request, reason Reason) {
-	if line := l.shedLog.Info(); line.Enabled() {
-		addShedFields(line, request, reason).Msg("request shed")
-	}
-}
-
 // enqueue puts a request into the queue and returns noReason, or returns the reason why the request must be rejected.
 func (l *EventLoop) enqueue(request *Request) Reason {
 	if len(l.requests) >= loadshed.LimitFor(int(l.gate.limit.Load()), request.Priority) {
@@ -130,65 +123,6 @@
 	l.post(stepDisconnect, func(now time.Duration) { l.frontEnd.RequestAbandoned(now, request) })
 }
 
-// Counts returns the loop's totals, or the zero value if the loop has ended. It waits for the loop to process the
-// query.
-func (l *EventLoop) Counts() Counts { return l.Snapshot().Counts }
-
-// LoopSnapshot is the state of an EventLoop at one point in time.
-type LoopSnapshot struct {
-	Counts    Counts
-	Times     LoopTimes
-	Workers   int // workers that are listed, or that were removed and still have work in flight
-	Functions int // functions with requests in flight or before, as far as they are remembered
-	// FunctionsEvicted counts the functions that were forgotten because clients named too many.
-	FunctionsEvicted uint64
-	ShedReasons      ReasonCounts // requests that were rejected without being admitted
-	InFlight         int          // requests that await their final response or have an attempt in flight
-}
-
-// Snapshot returns the loop's state, or the zero value if the loop has ended. It waits for the loop to process the
-// query.
-func (l *EventLoop) Snapshot() LoopSnapshot {
-	reply := make(chan LoopSnapshot, 1)
-	l.post(stepOther, func(time.Duration) { reply <- l.snapshot() })
-	select {
-	case snapshot := <-reply:
-		return snapshot
-	case <-l.done:
-		return LoopSnapshot{}
-	}
-}
-
-func (l *EventLoop) snapshot() LoopSnapshot {
-	return LoopSnapshot{
-		Counts:    l.counts(),
-		Times:     l.times,
-		Workers:   len(l.frontEnd.workers),
-		Functions: l.frontEnd.functions.size(),
-		InFlight:  len(l.frontEnd.requests),
-
-		FunctionsEvicted: l.frontEnd.functions.evicted,
-		ShedReasons:      l.shedReasons(),
-	}
-}
-
-// shedReasons returns the reasons of the requests that were rejected by the FrontEnd and outside of it.
-func (l *EventLoop) shedReasons() ReasonCounts {
-	reasons, _ := l.gate.rejected.load()
-	reasons.Add(l.frontEnd.shedReasons)
-	return reasons
-}
-
-// counts returns the FrontEnd's totals together with the requests that were rejected or expired outside of the
-// FrontEnd.
-func (l *EventLoop) counts() Counts {
-	counts := l.frontEnd.Counts()
-	_, rejected := l.gate.rejected.load()
-	counts.Shed += rejected
-	counts.Expired += l.gate.expired.Load()
-	return counts
-}
-
 // Kill makes Run return without waiting for requests in flight. It must not be called more than once.
 func (l *EventLoop) Kill() { close(l.kill) }
 
--- a/internal/gateway/shed_reasons.go
+++ b/internal/gateway/shed_reasons.go
@@ -40,3 +40,10 @@
 	}
 	return counts, total
 }
+
+// logShed logs a request that was rejected without the FrontEnd. The caller may be any goroutine.
+func (l *EventLoop) logShed(request *Request, reason Reason) {
+	if line := l.shedLog.Info(); line.Enabled() {
+		addShedFields(line, request, reason).Msg("request shed")
+	}
+}
--- a/lab/flood/client.go
+++ b/lab/flood/client.go
@@ -118,13 +118,13 @@
 		SlowWriter: c.sendSlowly,
 		ManyFields: c.sendManyFields,
 
-		Heartbeats:      func(ctx context.Context, conn net.Conn) { fullSpeed(heartbeats)(c, ctx, conn) },
-		UnknownCancels:  func(ctx context.Context, conn net.Conn) { fullSpeed(unknownCancellations)(c, ctx, conn) },
-		CancelledAtOnce: func(ctx context.Context, conn net.Conn) { fullSpeed(cancelledAtOnce)(c, ctx, conn) },
-		RepeatedID:      func(ctx context.Context, conn net.Conn) { fullSpeed(repeatedID)(c, ctx, conn) },
-		UnknownClass:    func(ctx context.Context, conn net.Conn) { fullSpeed(unknownClass)(c, ctx, conn) },
-		HeartbeatsAnew:  func(ctx context.Context, conn net.Conn) { heartbeatsAnew(c, ctx, conn) },
-		Connects:        func(ctx context.Context, conn net.Conn) { connectAgain(c, ctx, conn) },
+		Heartbeats:      c.fullSpeed(heartbeats),
+		UnknownCancels:  c.fullSpeed(unknownCancellations),
+		CancelledAtOnce: c.fullSpeed(cancelledAtOnce),
+		RepeatedID:      c.fullSpeed(repeatedID),
+		UnknownClass:    c.fullSpeed(unknownClass),
+		HeartbeatsAnew:  c.sendHeartbeatsAnew,
+		Connects:        c.connectAgain,
 	}[kind]
 	if behave == nil {
 		return
--- a/lab/flood/fullspeed.go
+++ b/lab/flood/fullspeed.go
@@ -29,8 +29,8 @@
 
 // fullSpeed returns a behavior that writes what batch returns over and over, and reads and discards the responses, until
 // ctx or the connection ends.
-func fullSpeed(batch func(c *client, number int) (raw []byte, nextNumber int)) func(*client, context.Context, net.Conn) {
-	return func(c *client, ctx context.Context, conn net.Conn) {
+func (c *client) fullSpeed(batch func(c *client, number int) (raw []byte, nextNumber int)) func(context.Context, net.Conn) {
+	return func(ctx context.Context, conn net.Conn) {
 		if tcp, isTCP := conn.(*net.TCPConn); isTCP {
 			_ = tcp.SetWriteBuffer(floodWriteBuffer) // a larger one only makes the flood go on after its end
 		}
@@ -48,9 +48,9 @@
 	}
 }
 
-// heartbeatsAnew sends as many heartbeats as a client may have requests open, reads the responses and connects again,
+// sendHeartbeatsAnew sends as many heartbeats as a client may have requests open, reads the responses and connects again,
 // until ctx ends.
-func heartbeatsAnew(c *client, ctx context.Context, _ net.Conn) {
+func (c *client) sendHeartbeatsAnew(ctx context.Context, _ net.Conn) {
 	var raw []byte
 	for number := 1; number <= maxOpenRequests; number++ {
 		raw = appendMessage(raw, []any{0, number, "heartbeat", []any{map[string]string{}}})
@@ -153,7 +153,7 @@
 }
 
 // connectAgain opens and closes connections until ctx ends.
-func connectAgain(c *client, ctx context.Context, _ net.Conn) {
+func (c *client) connectAgain(ctx context.Context, _ net.Conn) {
 	for ctx.Err() == nil {
 		if conn := c.connect(ctx); conn != nil {
 			_ = conn.Close()
--- a/lab/soak/flood.go
+++ b/lab/soak/flood.go
@@ -41,17 +41,11 @@
 		r.history.RecordViolation(fmt.Sprintf("a flood did not start: %v", err))
 		return
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- command.Wait() }() // ends with the process, which is killed below at the latest
-	select {
-	case err := <-ended:
-		if err != nil {
-			r.history.RecordViolation(fmt.Sprintf("a flood ended with %v", err))
-		}
-		return
-	case <-ctx.Done():
-	case <-time.After(params.duration + floodExitTimeout):
+	ctx, cancel := context.WithTimeout(ctx, params.duration+floodExitTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = command.Process.Kill() }) // fails if it has ended
+	defer stop()
+	if err := command.Wait(); err != nil && ctx.Err() == nil {
+		r.history.RecordViolation(fmt.Sprintf("a flood ended with %v", err))
 	}
-	_ = command.Process.Kill()
-	<-ended
 }
--- a/lab/soak/profile.go
+++ b/lab/soak/profile.go
@@ -16,16 +16,16 @@
 	shortDeadlineDivisor = 2.8
 	// crowdEvery selects the runs with a crowd of clients: those whose seed is a multiple of it.
 	crowdEvery = 3
-	// usualClients is the number of clients of each front end in other runs, and crowdFactor the ratio for a crowd, which
+	// defaultClients is the number of clients of each front end in other runs, and crowdFactor the ratio for a crowd, which
 	// sends no more requests in all.
-	usualClients   = 4
+	defaultClients = 4
 	crowdFactor    = 15
 	meanRequestGap = 120 * time.Millisecond
 )
 
 // profileOf returns the profile of the run with the given seed.
 func profileOf(seed uint64) profile {
-	p := profile{shortDeadlines: seed%shortDeadlinesEvery == 0, clientsPerFrontEnd: usualClients, meanRequestGap: meanRequestGap}
+	p := profile{shortDeadlines: seed%shortDeadlinesEvery == 0, clientsPerFrontEnd: defaultClients, meanRequestGap: meanRequestGap}
 	if seed%crowdEvery == 0 {
 		p.clientsPerFrontEnd *= crowdFactor
 		p.meanRequestGap *= crowdFactor
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -32,7 +32,7 @@
 	if request.closed = request.closed || outcome.RequestClosed; request.closed {
 		s.removeRequest(request)
 	} else {
-		s.retryOrFinish(request, replica.worker, outcome.Status)
+		s.retryOrFinish(request, outcome.Status)
 	}
 	s.dispatchAll() // offers the freed headroom to the queued requests of highest priority
 }
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -4,7 +4,7 @@
 
 // retryOrFinish queues a request again, or gives it a final response, after an attempt that ended without a
 // response for the client. A non-idempotent request that may have executed fails immediately.
-func (s *Scheduler) retryOrFinish(request *requestRecord, worker *workerRecord, status Status) {
+func (s *Scheduler) retryOrFinish(request *requestRecord, status Status) {
 	if status.MayHaveExecuted() {
 		request.recordPossibleExecution()
 		if request.class.Idempotency == NonIdempotent {
