--- a/internal/gateway/platform_server.go
+++ b/internal/gateway/platform_server.go
@@ -47,6 +47,9 @@
 	bytesPerMB                        = 1 << 20
 )
 
+// clientListener opens the clients' listener. Connections have no TCP keepalive, as they are closed when idle for seconds.
+var clientListener = net.ListenConfig{KeepAlive: -1}
+
 // PlatformServer is a front end on the platform: one event loop that uses the platform's protocols for clients, workers
 // and endpoint discovery. Its methods may be called from any goroutine. Run must be called at most once.
 type PlatformServer struct {
@@ -91,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server.listener, err = net.Listen("tcp", config.ListenAddress)
+	server.listener, err = clientListener.Listen(context.Background(), "tcp", config.ListenAddress)
 	if err != nil {
 		return nil, fmt.Errorf("clients' listener: %w", err)
 	}
--- a/internal/platform/rpcserver/server.go
+++ b/internal/platform/rpcserver/server.go
@@ -21,6 +21,7 @@
 	"havencart/internal/decide/connadmission"
 	"havencart/internal/memorybudget"
 	"havencart/internal/periodic"
+	"havencart/internal/socket"
 )
 
 // sweepInterval is the interval at which the server looks for idle connections to close.
@@ -96,9 +97,14 @@
 }
 
 // admit starts to serve a new connection. If the limit of connections is reached, it evicts an idle connection, or
-// rejects the new one if none is idle.
+// rejects the new one if none is idle. It does not serve a connection that its client has closed already.
 func (s *Server) admit(netConn net.Conn) {
 	s.accepted.Add(1)
+	if socket.PeerHungUp(netConn) { // costs much less than to serve it
+		s.closed[closedByClient].Add(1)
+		_ = netConn.Close()
+		return
+	}
 	c := newConn(s, netConn)
 	if !s.conns.Add(c) && !s.replaceIdle(c) {
 		s.rejected.Add(1)
