Read clients in an overload without pauses while workers answer one of four requests; yield after each accepted connection

Two faults of the fix itself, found by measuring what usual clients get without a flood and beside hundreds of clients that connect.

A paused connection delays also what would be served. An answer of a worker now lowers the level by four messages, and the lowest rate is 50, not 25.

--- a/internal/clientconn/accept.go
+++ b/internal/clientconn/accept.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime"
 )
 
 // AcceptLoop passes each connection that listener accepts to admit until the listener is closed, and then returns
@@ -18,6 +19,7 @@
 		switch {
 		case err == nil:
 			admit(connection)
+			runtime.Gosched() // connections that come without end must not keep other goroutines from running
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case !retry(err):
--- a/internal/decide/clientpace/clientpace.go
+++ b/internal/decide/clientpace/clientpace.go
@@ -2,9 +2,8 @@
 // speed do not take the processor time that the requests of other clients need. The package does no I/O and reads no
 // clock: times are passed in as durations since the start of the process.
 //
-// Each connection has a Meter, a leaky bucket of the messages that were read and not answered by a worker. Requests that
-// workers answer do not fill it, however many there are: their number is bounded by the requests in flight and by the
-// workers. All meters leak at the same rate, which a Controller lowers while goroutines of the process run late.
+// Each connection has a Meter, a leaky bucket of the messages that were read. Requests that workers answer empty it again,
+// however many there are: their number is bounded by the requests in flight and by the workers. All meters leak at the same rate, which a Controller lowers while goroutines of the process run late.
 package clientpace
 
 import (
@@ -26,9 +25,13 @@
 // Rates in messages per second.
 const (
 	maxRate = 500
-	minRate = 25
+	minRate = 50
 )
 
+// answeredCredit is by how many messages an answered request lowers the level. In an overload a client is read without
+// pauses as long as workers answer one of so many of its requests.
+const answeredCredit = 4
+
 const (
 	// lagTarget is the acceptable lag of a goroutine.
 	lagTarget = 5 * time.Millisecond
@@ -60,7 +63,7 @@
 }
 
 // RecordAnswered records that a worker answered a request of the connection.
-func (m *Meter) RecordAnswered() { m.level = max(0, m.level-1) }
+func (m *Meter) RecordAnswered() { m.level = max(0, m.level-answeredCredit) }
 
 // Pause returns for how long the connection must not be read from now on, or 0 if it may be read.
 func (m *Meter) Pause(now time.Duration, rate float64) time.Duration {
--- a/internal/decide/clientpace/clientpace_test.go
+++ b/internal/decide/clientpace/clientpace_test.go
@@ -101,3 +101,19 @@
 		}
 	})
 }
+
+// TestMeter_OverloadedWorkersAnswerOneOfFour_NeverPauses checks that a client whose requests are mostly rejected in an
+// overload gets its rejections without delay, however many requests it sends and however late the process is.
+func TestMeter_OverloadedWorkersAnswerOneOfFour_NeverPauses(t *testing.T) {
+	meter := NewMeter(maxOpen)
+	for request := range 100000 {
+		now := time.Duration(request) * time.Millisecond
+		if pause := meter.Pause(now, minRate); pause > 0 {
+			t.Fatalf("paused for %v at request %d", pause, request)
+		}
+		meter.RecordRead(now, minRate)
+		if request%answeredCredit == 0 {
+			meter.RecordAnswered()
+		}
+	}
+}
