--- a/cmd/havencart/soak.go
+++ b/cmd/havencart/soak.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -26,6 +27,7 @@
 	length     time.Duration
 	logs       string // directory for the front ends' logs; empty: the logs are not kept
 	verbose    bool
+	frontEnd   string // path of the program to run as the front ends; empty: this program
 }
 
 // soakCommand returns the command that runs front ends as processes under random faults and checks the invariants
@@ -47,6 +49,7 @@
 	flags.Uint64Var(&options.largeEvery, "large-every", 5, "runs whose seed is a multiple of this have few processes and many workers; 0: no such runs")
 	flags.DurationVar(&options.length, "length", 12*time.Second, "duration of a run")
 	flags.StringVar(&options.logs, "logs", "", "directory in which the front ends' logs are kept")
+	flags.StringVar(&options.frontEnd, "front-end", "", "program to run as the front ends; default: this program")
 	flags.BoolVar(&options.verbose, "verbose", false, "print each fault when it begins")
 	return command
 }
@@ -146,7 +149,7 @@
 		Workers:   workers,
 		Cells:     cells,
 		Length:    o.length,
-		Command:   func() *exec.Cmd { return exec.Command(executable, "serve-platform") },
+		Command:   func() *exec.Cmd { return exec.Command(cmp.Or(o.frontEnd, executable), "serve-platform") },
 
 		FloodCommand: func() *exec.Cmd { return exec.Command(executable, "flood") },
 		LogDir:       o.logs,
--- a/cmd/havencart/soak_test.go
+++ b/cmd/havencart/soak_test.go
@@ -7,13 +7,14 @@
 	"havencart/lab/soak"
 )
 
-// TestSoak_BriefRuns_KeepInvariants does short soak runs with few processes. Violations
-// that depend on times are only logged, because tests of other packages run at the same time and may cause them.
-// `havencart soak` checks all invariants, over many seeds.
+// TestSoak_BriefRuns_KeepInvariants does short soak runs with few processes; the seeds select deadlines and the number of
+// clients. Violations that depend on times are only logged, because tests of other packages run at the same time and may
+// cause them. `havencart soak` checks all invariants, over many seeds.
 func TestSoak_BriefRuns_KeepInvariants(t *testing.T) {
 	for name, config := range map[string]soak.Config{
 		"few workers": {Seed: 2, FrontEnds: 4, Workers: 6, Cells: 3, Length: 4 * time.Second},
 		"restarts":    {Seed: 3, FrontEnds: 6, Workers: 8, Cells: 3, Length: 8 * time.Second},
+		"crowd":       {Seed: 6, FrontEnds: 6, Workers: 8, Cells: 3, Length: 30 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) { runBriefSoak(t, config) })
 	}
