Test of an evicted connection: wait until its own goroutine has released its slot

Traced: ConnectionBudget.Used counts connections that are being closed, as its comment says, and the evicted connection's goroutine closes it some time after the eviction. The test read the number at once. The test is as strict as before: exactly one slot must be in use at the end, but it may take up to 10 s.

--- a/internal/platform/workerclient/connection_budget_test.go
+++ b/internal/platform/workerclient/connection_budget_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"syscall"
 	"testing"
@@ -126,6 +127,11 @@
 	set.budget.mu.Unlock()
 	set.call(t, 0, 2)
 	set.awaitIdle(t, 1)
+	// The evicted connection's own goroutine closes it and then releases its slot.
+	deadline := time.Now().Add(10 * time.Second)
+	for set.budget.Used() != 1 && time.Now().Before(deadline) {
+		runtime.Gosched()
+	}
 	if used := set.budget.Used(); used != 1 {
 		t.Errorf("%d slots are in use, one connection is open", used)
 	}
